Pour over the first four machines of a service's shared order

Cause: with hundreds of placers a is large, the dips drown in it and the draw goes flat; a start where the program is not there costs 6 to 12 times the work. Change: the pool of a pour is the service's first four open machines in the order all share, a is cut to their part of the fleet's capacity.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,8 @@
 const UNPROBED: u64 = 4;
 /// Depth of the dip for a service's home or holder, as a fraction of a mean machine.
 const DIP: f64 = 0.55;
+/// Homes of a service.
+const HOMES: usize = 4;
 /// Depth of the dip for machines of the own zone, as a fraction of a mean machine.
 const ZONE_DIP: f64 = 0.1;
 /// Rise of a column for each own start that waits on the machine, as a fraction of a mean machine:
@@ -795,6 +797,7 @@
         let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
         let mut ready: Vec<&Seat> = ready.collect();
         let mean = |sum: f64, of: usize| sum / of.max(1) as f64;
+        let all_tasks: f64 = ready.iter().map(|seat| seat.tasks).sum();
         let mean_tasks = mean(ready.iter().map(|seat| seat.tasks).sum(), ready.len());
         let heard = ready.iter().filter(|seat| seat.is_heard());
         let heard: Vec<f64> = heard.map(|seat| seat.share(now, self.ratio)).collect();
@@ -825,6 +828,8 @@
         // The homes of a service are the same machines at every scheduler: without a word they
         // gather its tasks where its program is.
         pool.sort_by_key(|seat| std::cmp::Reverse(mix(seat.line.id.0 ^ mix(service.0))));
+        pool.truncate(HOMES);
+        let a = a * pool.iter().map(|seat| seat.tasks).sum::<f64>() / all_tasks.max(1.0);
         let column = |(rank, seat): (usize, &&Seat)| {
             let home = [DIP, DIP / 2.0].get(rank).copied().unwrap_or(0.0);
             let holds = if seat.services.contains_key(&service) { DIP } else { 0.0 };
