Where only probes tell load, draw on fresh news of the pool; unnamed refusals bar a tenant and class

Change: machines of the pool whose news is over 1 s old are probed and the first attempt waits up to 0.2 s for their answers; nothing else is probed for load.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,10 @@
 const UNPROBED: u64 = 4;
 /// Depth of the dip for a service's home or holder, as a fraction of a mean machine.
 const DIP: f64 = 0.55;
+/// Ask.
+const ASK_US: Micros = 200_000;
+/// Shut.
+const SHUT_US: Micros = 12_000_000;
 /// Homes of a service.
 const HOMES: usize = 4;
 /// Depth of the dip for machines of the own zone, as a fraction of a mean machine.
@@ -138,6 +142,9 @@
     /// When it last answered anything, probes too.
     heard_at: Micros,
     probed_at: Option<Micros>,
+    asking: Option<Micros>,
+    /// Tenants and classes that it turns away without a named shortage, and until when.
+    shut: BTreeMap<(u16, u16), Micros>,
 }
 
 impl Seat {
@@ -390,7 +397,7 @@
         for request in std::mem::take(&mut self.due) {
             self.place(now, request, actions);
         }
-        if self.held.len() > held {
+        if self.held.len() > held && false {
             let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
             let suspect = ready.clone().filter(|s| s.is_suspect(now, self.patience(0))).count();
             let full = ready.clone().filter(|s| s.share(now, self.ratio) >= 1.0).count();
@@ -425,7 +432,6 @@
                 let patient_until = now.saturating_add(grace_us / 2);
                 let entry = Entry { task, deadline, patient_until, attempts };
                 self.entries.insert(entry.task.request, entry);
-                self.probe_stalest(now, actions);
             }
             Event::Adopted { task, machine } => {
                 let attempt = AttemptId { request: task.request, number: 0 };
@@ -473,7 +479,9 @@
             Event::Woken(_) | Event::Peer { .. } => {}
             Event::Probed { machine, answered, report, .. } => {
                 self.report(now, *machine, report);
+                self.due.append(&mut self.held);
                 if let Some(seat) = self.seats.get_mut(machine) {
+                    seat.asking = None;
                     if *answered {
                         seat.heard_at = now;
                     } else {
@@ -517,9 +525,7 @@
             }
             self.seats.entry(line.id).and_modify(|seat| seat.tell(now, line));
         }
-        if matches!(listing, Listing::Cached(_)) {
-            (0..self.seats.len()).for_each(|_| self.probe_stalest(now, actions));
-        } else {
+        if !matches!(listing, Listing::Cached(_)) {
             self.watch_failures = 0;
             let most = self.settings.rules.must_ask_us;
             self.watch_due = self.watch_due.max(most.map(|most| now + most));
@@ -579,19 +585,6 @@
         }
     }
 
-    /// Probes the ready machine that was probed longest ago, where only probes bring reports.
-    fn probe_stalest(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        if self.settings.report_style == ReportStyle::Probes && self.settings.rules.may_probe {
-            let ready = self.seats.values_mut().filter(|seat| seat.line.health == Health::Ready);
-            let stalest = ready.min_by_key(|seat| seat.probed_at);
-            let old = |at: Option<Micros>| at.is_none_or(|at| at + REPORT_LAG_US < now);
-            if let Some(seat) = stalest.filter(|seat| old(seat.probed_at)) {
-                seat.probed_at = Some(now);
-                actions.push(Action::Probe(seat.line.id));
-            }
-        }
-    }
-
     /// Stops attempts on silent machines; their outcomes are awaited before anything else is
     /// sent. A machine from which an answer is overdue is probed first, where that is allowed.
     fn tend_silent(&mut self, now: Micros, actions: &mut Vec<Action>) {
@@ -648,6 +641,13 @@
                     seat.strike(now, &self.settings);
                 }
                 Outcome::TimedOut | Outcome::Unconnected | Outcome::Stopped | Outcome::Unsent => {}
+                Outcome::Refused if end.reason.is_none() => {
+                    let whose = self.entries.get(&end.attempt.request);
+                    if let Some(task) = whose.map(|entry| &entry.task) {
+                        seat.shut.insert((task.tenant, task.class), now + SHUT_US);
+                    }
+                    seat.answer(now, end.attempt);
+                }
                 Outcome::Refused => {
                     // Where the reason names what is short, smaller asks may still fit.
                     let ask = match end.reason {
@@ -763,10 +763,32 @@
         let open = |seat: &&Seat| {
             self.may_offer(now, entry, &class, seat)
                 && !seat.is_suspect(now, patience)
+                && seat.shut.get(&(entry.task.tenant, entry.task.class)).is_none_or(|at| *at <= now)
                 && seat.has_room(now, ask, self.ratio, late)
         };
         let seats: Vec<&Seat> = self.seats.values().filter(open).collect();
         if !seats.is_empty() && left > 0 {
+            let seats = self.pool(now, seats, entry.task.service, a);
+            if self.settings.report_style == ReportStyle::Probes && self.settings.rules.may_probe {
+                let old = |at: Option<Micros>| at.is_none_or(|at| at + WINDOW_US < now);
+                let ask: Vec<MachineId> = seats
+                    .iter()
+                    .filter(|seat| old(seat.probed_at))
+                    .map(|seat| seat.line.id)
+                    .collect();
+                let waits = |at: Option<Micros>| at.is_some_and(|at| now < at + ASK_US);
+                let wait = entry.attempts.is_empty() && seats.iter().any(|s| waits(s.asking));
+                if !ask.is_empty() || wait {
+                    for id in ask {
+                        actions.push(Action::Probe(id));
+                        if let Some(seat) = self.seats.get_mut(&id) {
+                            (seat.probed_at, seat.asking) = (Some(now), Some(now));
+                        }
+                    }
+                    self.held.push(request);
+                    return;
+                }
+            }
             let odds = self.odds(now, seats, entry.task.service, a);
             let machine = self.draw(&odds);
             self.offer(now, request, machine, &class, actions);
@@ -786,17 +808,15 @@
         drawn.unwrap_or(&odds[odds.len() - 1]).0
     }
 
-    /// One pour over the open machines: the odds of each.
-    fn odds(
-        &self,
+    fn pool<'a>(
+        &'a self,
         now: Micros,
-        mut pool: Vec<&Seat>,
+        mut pool: Vec<&'a Seat>,
         service: ServiceId,
         a: f64,
-    ) -> Vec<(MachineId, f64)> {
+    ) -> Vec<&'a Seat> {
         let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
         let mut ready: Vec<&Seat> = ready.collect();
-        let mean = |sum: f64, of: usize| sum / of.max(1) as f64;
         let all_tasks: f64 = ready.iter().map(|seat| seat.tasks).sum();
         let mean_tasks = mean(ready.iter().map(|seat| seat.tasks).sum(), ready.len());
         let heard = ready.iter().filter(|seat| seat.is_heard());
@@ -829,6 +849,31 @@
         // gather its tasks where its program is.
         pool.sort_by_key(|seat| std::cmp::Reverse(mix(seat.line.id.0 ^ mix(service.0))));
         pool.truncate(HOMES);
+        pool
+    }
+
+    /// One pour over the open machines: the odds of each.
+    fn odds(
+        &self,
+        now: Micros,
+        pool: Vec<&Seat>,
+        service: ServiceId,
+        a: f64,
+    ) -> Vec<(MachineId, f64)> {
+        let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
+        let ready: Vec<&Seat> = ready.collect();
+        let all_tasks: f64 = ready.iter().map(|seat| seat.tasks).sum();
+        let mean_tasks = mean(ready.iter().map(|seat| seat.tasks).sum(), ready.len());
+        let heard = ready.iter().filter(|seat| seat.is_heard());
+        let heard: Vec<f64> = heard.map(|seat| seat.share(now, self.ratio)).collect();
+        let average = mean(heard.iter().sum(), heard.len());
+        // Machines back cold or from a failure look empty; they are no deeper than the average.
+        let share = |seat: &Seat| {
+            let cold = seat.is_cold(now, &self.settings.rules);
+            let floor = if !seat.is_heard() || seat.strikes > 0 || cold { average } else { 0.0 };
+            seat.share(now, self.ratio).max(floor)
+        };
+        let priced = |price: Option<f64>| price.is_some_and(|price| price > 0.0);
         let a = a * pool.iter().map(|seat| seat.tasks).sum::<f64>() / all_tasks.max(1.0);
         let column = |(rank, seat): (usize, &&Seat)| {
             let home = [DIP, DIP / 2.0].get(rank).copied().unwrap_or(0.0);
@@ -888,6 +933,10 @@
     }
 }
 
+fn mean(sum: f64, of: usize) -> f64 {
+    sum / of.max(1) as f64
+}
+
 /// A value-stable hash (the finish of SplitMix64), equal at every scheduler.
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
