--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,7 +32,7 @@
 /// then a start that sets up its program is through.
 const UNPROBED: u64 = 4;
 /// Depth of the dip for a service's home or holder, as a fraction of a mean machine.
-const DIP: f64 = 0.55;
+const DIP: f64 = 0.25;
 /// Ask.
 const ASK_US: Micros = 200_000;
 /// Shut.
