Count a without the arrival at hand, over a longer span where a scheduler is quiet

Cause: the count in the second after an arrival is at least one; M times that is up to four times what a large quiet fleet gets, and the draw goes flat.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,6 +37,10 @@
 const ASK_US: Micros = 200_000;
 /// Shut.
 const SHUT_US: Micros = 12_000_000;
+/// Longest span in which own arrivals are counted.
+const SPAN_US: Micros = 10_000_000;
+/// Own arrivals that are enough to count over a shorter span.
+const ENOUGH: usize = 8;
 /// Homes of a service.
 const HOMES: usize = 4;
 /// Depth of the dip for machines of the own zone, as a fraction of a mean machine.
@@ -358,6 +362,7 @@
     /// When the watch on the list is to be asked for again; `None` before the first time.
     watch_due: Option<Micros>,
     watch_failures: u32,
+    started: Option<Micros>,
     logged_at: Option<Micros>,
 }
 
@@ -381,6 +386,7 @@
             ticking: false,
             watch_due: None,
             watch_failures: 0,
+            started: None,
             logged_at: None,
         }
     }
@@ -390,6 +396,7 @@
         if self.settings.list_on_request && self.watch_due.is_none() {
             self.watch(now, actions);
         }
+        self.started.get_or_insert(now);
         for event in events {
             self.fold(now, event, actions);
         }
@@ -691,10 +698,17 @@
         f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
     }
 
-    /// The paper's a: the told number of schedulers times the own arrivals of the window.
+    /// The paper's a: the told number of schedulers times the own arrivals in a window. What comes at
+    /// this moment is left out, and a quiet scheduler counts over a longer span: the count just after
+    /// an arrival is never under one, which M times over is more than a large quiet fleet gets.
     fn poured(&mut self, now: Micros) -> f64 {
-        self.arrivals.retain(|(at, _)| now <= at + WINDOW_US);
-        let own: f64 = self.arrivals.iter().map(|(_, size)| size).sum();
+        self.arrivals.retain(|(at, _)| now <= at + SPAN_US);
+        let before = self.arrivals.iter().rev().filter(|(at, _)| *at < now);
+        let enough = before.clone().nth(ENOUGH - 1).map_or(0, |(at, _)| *at);
+        let lived = now.saturating_sub(self.started.unwrap_or(now));
+        let span = (now - enough).min(SPAN_US).min(lived).max(WINDOW_US);
+        let own: f64 = before.filter(|(at, _)| now <= at + span).map(|(_, size)| size).sum();
+        let own = own * WINDOW_US as f64 / span as f64;
         own * f64::from(self.settings.schedulers.max(1))
     }
 
