Fold the draw to one linear pass; guard cold machines, one class, own stalls at size

Cause: at 400 placers every scheduler could send its first offer to a returned machine at once; one class left unanswered by a machine that serves others was never seen; own standstills blamed machines. Change: where told cold offers are fewer than placers, first turns fall at random phases of a longer window, three deviations under the told offers. An offer sent before the latest answered ask is passed over where a yes comes at acceptance: it is stopped, and its tenant and class leave the machine for 12 s, as after an error or a refusal that names no shortage. Silence counts from the end of an own gap in turns. Safe tasks that may have run are held. Spread is counted in one pass, the smallest set by its order.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,25 +28,21 @@
 const ANSWERS: usize = 64;
 /// Multiple of the slowest remembered answer after which a machine counts as silent.
 const PATIENCE: u64 = 2;
-/// Aims without any answer that make a machine silent where it can't be asked whether it lives: by
-/// then a start that sets up its program is through.
+/// Aims without an answer that make a machine silent where it can't be probed: a set-up is through by then.
 const UNPROBED: u64 = 4;
 /// Depth of the dip for a service's home or holder, as a fraction of a mean machine.
 const DIP: f64 = 0.25;
-/// Ask.
-const ASK_US: Micros = 200_000;
-/// Shut.
-const SHUT_US: Micros = 12_000_000;
-/// Longest span in which own arrivals are counted.
-const SPAN_US: Micros = 10_000_000;
-/// Own arrivals that are enough to count over a shorter span.
+/// Microseconds that a task waits for the reports of its pool: a line of asks takes about as long.
+const ASK_US: Micros = 2 * TICK_US;
+/// Microseconds for which a tenant and class avoid a machine that turned them away: only a try brings news.
+const SHUT_US: Micros = 4 * REFUSAL_US;
+/// Microseconds, at most, in which a quiet scheduler counts its arrivals: half a usual life of a task.
+const SPAN_US: Micros = 10 * WINDOW_US;
+/// Own arrivals that are enough to count over a shorter span: by then chance is a third of the count.
 const ENOUGH: usize = 8;
-/// Homes of a service.
+/// Machines in the pool of a service: enough to find a low one, few enough to share its program.
 const HOMES: usize = 4;
-/// Depth of the dip for machines of the own zone, as a fraction of a mean machine.
-const ZONE_DIP: f64 = 0.1;
-/// Rise of a column for each own start that waits on the machine, as a fraction of a mean machine:
-/// a few of them outweigh the dip of a home, so a queue of starts is not made longer.
+/// Rise of a column for each own start that waits, as a fraction of a mean machine: a few outweigh the dip.
 const START_RISE: f64 = 0.1;
 /// Fraction of its capacity up to which a machine of the smallest set is meant to be filled.
 const PACK_FILL: f64 = 0.6;
@@ -98,13 +94,6 @@
 
 // ---- Fleet view ----
 
-/// The told size of a machine.
-fn size_of(settings: &Settings, line: &Machine) -> Load {
-    let kind = settings.kinds.get(usize::from(line.kind));
-    let told = |x: Option<f64>| x.unwrap_or(0.0);
-    kind.map_or(Load::default(), |kind| Load::told(told(kind.cores), told(kind.memory)))
-}
-
 /// The told multiples of its size that a machine accepts.
 fn accepts(settings: &Settings) -> Load {
     let told = |x: Option<f64>| x.filter(|x| x.is_finite() && *x > 0.0).unwrap_or(1.0);
@@ -143,22 +132,25 @@
     starting: BTreeSet<AttemptId>,
     strikes: u32,
     barred_until: Micros,
+    /// When the latest offer or probe was sent that it answered.
+    looked_at: Micros,
     /// When it last answered anything, probes too.
     heard_at: Micros,
     probed_at: Option<Micros>,
-    asking: Option<Micros>,
+    /// The last probe was for its report, and has not come back.
+    asked_for: bool,
     /// Tenants and classes that it turns away without a named shortage, and until when.
     shut: BTreeMap<(u16, u16), Micros>,
 }
 
 impl Seat {
     fn new(line: &Machine, settings: &Settings) -> Self {
-        let size = size_of(settings, line);
+        let kind = settings.kinds.get(usize::from(line.kind)).cloned().unwrap_or_default();
+        let size = Load::told(kind.cores.unwrap_or(0.0), kind.memory.unwrap_or(0.0));
         let limit = size.times(accepts(settings));
         let calm = settings.classes.iter().filter_map(|class| class.calm).fold(1.0, f64::min);
         let mean = |of: Option<f64>, room: f64| of.map(|of| room / of);
-        let fill =
-            [mean(settings.mean_cores, limit.cores), mean(settings.mean_memory, limit.memory)];
+        let fill = [mean(settings.mean_cores, limit.cores), mean(settings.mean_memory, limit.memory)];
         let told = fill.into_iter().flatten().filter(|tasks| tasks.is_finite() && *tasks > 0.0);
         Self {
             line: line.clone(),
@@ -234,15 +226,21 @@
         refused.is_some_and(|(_, load)| ask.cores >= load.cores || ask.memory >= load.memory)
     }
 
-    /// Whether the ask fits what the machine accepts and, by reports, its memory. The part kept for growth
-    /// is open to a late task that is larger than it: such a one would else wait in vain.
-    fn has_room(&self, now: Micros, ask: Load, ratio: Load, late: bool) -> bool {
-        let (used, own) = (self.used(ratio).map(|used| used.memory), ask.memory * ratio.memory);
-        let large = own > self.size.memory * (1.0 - MEMORY_EASE);
-        let roof = self.size.memory * if large && late { 1.0 } else { MEMORY_EASE };
+    /// Whether the ask fits what the machine accepts and, by reports, its memory.
+    fn has_room(&self, now: Micros, ask: Load, ratio: Load) -> bool {
+        let (roof, grown) = (self.ease.memory, ask.memory * ratio.memory);
         !self.refuses(now, ask)
             && self.asked().plus(ask).share(self.limit) <= 1.0
-            && used.is_none_or(|used| self.size.memory <= 0.0 || used + own <= roof)
+            && self.used(ratio).is_none_or(|used| roof <= 0.0 || used.memory + grown <= roof)
+    }
+
+    /// The number of the place that a spread counts over.
+    fn place(&self, place: Place) -> u64 {
+        match place {
+            Place::Machine => self.line.id.0,
+            Place::Cell => u64::from(self.line.cell),
+            Place::Zone => u64::from(self.line.zone),
+        }
     }
 
     fn is_cold(&self, now: Micros, rules: &Rules) -> bool {
@@ -250,17 +248,26 @@
         self.line.ready_at.is_some_and(|at| now < at.saturating_add(warm_after))
     }
 
-    /// Guards rule 4: own offers in a window stay under an equal part of what a cold machine bears.
-    fn cold_budget_left(&self, now: Micros, settings: &Settings) -> bool {
+    /// Guards rule 4: own offers in a window stay under an equal part of what a cold machine bears. Where
+    /// that part is under one, turns are rarer and the first comes at a phase of the scheduler's own, or all
+    /// would send their one offer at once. Phases fall by chance, so three deviations are kept in hand.
+    /// It hurts where few of many have tasks, as the others' turns pass unused.
+    fn cold_budget_left(&self, now: Micros, settings: &Settings, salt: u64) -> bool {
         let (rules, schedulers) = (&settings.rules, f64::from(settings.schedulers.max(1)));
-        let (Some(offers), Some(window)) = (rules.cold_offers, rules.overload_us) else {
+        let told = rules.cold_offers.zip(rules.overload_us).zip(self.line.ready_at);
+        let Some(((offers, window), ready_at)) = told.filter(|_| self.is_cold(now, rules)) else {
             return true;
         };
-        // Less than one offer a window makes the window longer.
-        let part = (offers / schedulers).max(1e-3);
-        let window = window as f64 * (1.0 / part).max(1.0);
-        let young = self.cold_offers.iter().filter(|at| **at as f64 + window > now as f64);
-        !self.is_cold(now, rules) || (young.count() as f64) < part.max(1.0).floor()
+        let offers = offers.max(0.0);
+        if offers >= schedulers {
+            let young = self.cold_offers.iter().filter(|at| **at + window > now).count();
+            return (young as f64) < (offers / schedulers).floor();
+        }
+        let root = ((9.0 + 4.0 * offers).sqrt() - 3.0) / 2.0;
+        let turn = (window as f64 * schedulers / (root * root).max(1e-3)) as Micros;
+        let phase = mix(salt ^ mix(self.line.id.0 ^ mix(ready_at))) as f64 / u64::MAX as f64;
+        let first = ready_at.saturating_add((turn as f64 * phase) as Micros);
+        now >= first && self.cold_offers.last().is_none_or(|at| at.saturating_add(turn) <= now)
     }
 
     /// A failed connect, probe or attempt: stay away, longer each time.
@@ -272,21 +279,24 @@
 
     /// An answer: the way back is a step for each, so one lucky answer does not clear a jam.
     fn answer(&mut self, now: Micros, attempt: AttemptId) {
-        self.waiting.remove(&attempt);
+        let sent = self.waiting.remove(&attempt).unwrap_or(0);
+        self.looked_at = self.looked_at.max(sent);
         self.heard_at = now;
         self.strikes /= 2;
     }
 
-    /// Offers wait and nothing at all came back since: a hang, a stall or a cut link. A machine that
-    /// still answers others or probes is slow, not silent: giving its offers up would only start
-    /// copies elsewhere. It hurts where a machine answers probes but no offers: those run out.
-    fn is_silent(&self, now: Micros, patience: Micros) -> bool {
-        let oldest = self.waiting.values().min();
-        oldest.is_some_and(|sent| sent.max(&self.heard_at) + patience < now)
+    /// Asks are looked at in their order: one sent before the latest answered one was seen and left
+    /// without an answer, by a machine that serves others but not this class. It shows only where a yes
+    /// comes at acceptance, and would hurt on machines that look at asks out of order.
+    fn passed_over(&self, sent: Micros, settings: &Settings) -> bool {
+        !settings.yes_when_running && sent < self.looked_at
     }
 
-    fn is_suspect(&self, now: Micros, patience: Micros) -> bool {
-        now < self.barred_until || self.is_silent(now, patience)
+    /// Offers wait and nothing at all came back since: a hang, a stall or a cut link. A machine that still
+    /// answers others or probes is slow, not silent: to give its offers up would only start copies.
+    fn is_silent(&self, now: Micros, awake_since: Micros, patience: Micros) -> bool {
+        let oldest = self.waiting.values().min();
+        oldest.is_some_and(|sent| (*sent).max(self.heard_at).max(awake_since) + patience < now)
     }
 }
 
@@ -303,6 +313,8 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Run {
     Out,
+    /// Out, and asked to stop.
+    Stopping,
     Never,
     Perhaps,
 }
@@ -311,21 +323,18 @@
     machine: MachineId,
     sent: Micros,
     run: Run,
-    stopped: bool,
 }
 
 /// A request that owes an answer.
 struct Entry {
     task: Task,
     deadline: Micros,
-    /// Half its time; after it the task is late.
-    patient_until: Micros,
     attempts: Vec<Attempt>,
 }
 
 impl Entry {
     fn is_out(&self) -> bool {
-        self.attempts.iter().any(|attempt| attempt.run == Run::Out)
+        self.attempts.iter().any(|attempt| matches!(attempt.run, Run::Out | Run::Stopping))
     }
     /// The first attempt that may have run.
     fn first_perhaps(&self) -> Option<&Attempt> {
@@ -358,11 +367,17 @@
     /// Requests to draw for at the end of this step, in order.
     due: Vec<RequestId>,
     held: Vec<RequestId>,
-    ticking: bool,
     /// When the watch on the list is to be asked for again; `None` before the first time.
     watch_due: Option<Micros>,
     watch_failures: u32,
-    started: Option<Micros>,
+    /// Until when a task may wait for the report of a probe.
+    probing: Micros,
+    /// When this scheduler started or last came back from a gap in its own turns.
+    awake_since: Micros,
+    /// When the next look is due, if any.
+    tick_due: Option<Micros>,
+    /// Its own number for phases that must differ between schedulers.
+    salt: u64,
     logged_at: Option<Micros>,
 }
 
@@ -383,10 +398,12 @@
             ratio: Load { cores, memory },
             due: Vec::new(),
             held: Vec::new(),
-            ticking: false,
             watch_due: None,
             watch_failures: 0,
-            started: None,
+            probing: 0,
+            awake_since: Micros::MAX,
+            tick_due: None,
+            salt: mix(seed),
             logged_at: None,
         }
     }
@@ -396,7 +413,10 @@
         if self.settings.list_on_request && self.watch_due.is_none() {
             self.watch(now, actions);
         }
-        self.started.get_or_insert(now);
+        if self.awake_since == Micros::MAX || self.tick_due.is_some_and(|due| due + TICK_US < now) {
+            // This scheduler stood still: the silence was its own, and no machine is blamed for it.
+            self.awake_since = now;
+        }
         for event in events {
             self.fold(now, event, actions);
         }
@@ -404,19 +424,11 @@
         for request in std::mem::take(&mut self.due) {
             self.place(now, request, actions);
         }
-        if self.held.len() > held && false {
-            let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
-            let suspect = ready.clone().filter(|s| s.is_suspect(now, self.patience(0))).count();
-            let full = ready.clone().filter(|s| s.share(now, self.ratio) >= 1.0).count();
-            let line = format!(
-                "holding {} tasks: of {} ready machines {suspect} are suspect, {full} full",
-                self.held.len(),
-                ready.count()
-            );
-            self.log(now, line, actions);
-        }
-        if !self.entries.is_empty() && !self.ticking {
-            self.ticking = true;
+        if self.held.len() > held && self.probing <= now {
+            self.log(now, format!("holding {} tasks: no machine may take them", self.held.len()), actions);
+        }
+        if !self.entries.is_empty() && self.tick_due.is_none() {
+            self.tick_due = Some(now + TICK_US);
             actions.push(Action::Timer { token: TICK, after_us: TICK_US });
         }
     }
@@ -436,8 +448,7 @@
                 let deadline = now.saturating_add(*grace_us);
                 let (task, attempts) = (task.clone(), Vec::new());
                 self.due.push(task.request);
-                let patient_until = now.saturating_add(grace_us / 2);
-                let entry = Entry { task, deadline, patient_until, attempts };
+                let entry = Entry { task, deadline, attempts };
                 self.entries.insert(entry.task.request, entry);
             }
             Event::Adopted { task, machine } => {
@@ -467,30 +478,28 @@
                 // What is still out would only take room from a task that is wanted.
                 let entry = self.entries.remove(request);
                 let attempts = entry.iter().flat_map(|entry| entry.attempts.iter().zip(0..));
-                let out =
-                    attempts.filter(|(attempt, _)| attempt.run == Run::Out && !attempt.stopped);
-                for (_, number) in out.filter(|_| self.settings.rules.may_stop) {
-                    let request = *request;
-                    actions.push(Action::Stop(AttemptId { request, number }));
-                }
+                let out = attempts.filter(|(attempt, _)| attempt.run == Run::Out);
+                let stop = out.map(|(_, number)| Action::Stop(AttemptId { request: *request, number }));
+                actions.extend(stop.filter(|_| self.settings.rules.may_stop));
             }
             Event::Woken(TICK) => {
-                self.ticking = false;
+                self.tick_due = None;
                 self.due.append(&mut self.held);
                 self.tend_silent(now, actions);
             }
             Event::Woken(WATCH) => match self.watch_due {
-                Some(due) if now < due => self.wake_watch(due - now, actions),
+                Some(due) if now < due => actions.push(Action::Timer { token: WATCH, after_us: due - now }),
                 _ => self.watch(now, actions),
             },
             Event::Woken(_) | Event::Peer { .. } => {}
-            Event::Probed { machine, answered, report, .. } => {
+            Event::Probed { machine, answered, took_us, report } => {
                 self.report(now, *machine, report);
                 self.due.append(&mut self.held);
                 if let Some(seat) = self.seats.get_mut(machine) {
-                    seat.asking = None;
+                    seat.asked_for = false;
                     if *answered {
                         seat.heard_at = now;
+                        seat.looked_at = seat.looked_at.max(now.saturating_sub(*took_us));
                     } else {
                         seat.strike(now, &self.settings);
                     }
@@ -499,18 +508,12 @@
         }
     }
 
-    // -- news --
-
     /// Asks for changes of the list; a watch that stays silent is asked for again in time.
     fn watch(&mut self, now: Micros, actions: &mut Vec<Action>) {
         actions.push(Action::Watch(true));
         let most = self.settings.rules.must_ask_us;
         self.watch_due = Some(most.map_or(Micros::MAX, |most| now + most));
-        most.into_iter().for_each(|most| self.wake_watch(most, actions));
-    }
-
-    fn wake_watch(&self, after_us: Micros, actions: &mut Vec<Action>) {
-        actions.push(Action::Timer { token: WATCH, after_us });
+        actions.extend(most.map(|after_us| Action::Timer { token: WATCH, after_us }));
     }
 
     fn listed(&mut self, now: Micros, listing: &Listing, actions: &mut Vec<Action>) {
@@ -550,7 +553,7 @@
         let wait = (wait as f64 * (0.5 + self.uniform())) as Micros;
         self.watch_failures += 1;
         self.watch_due = Some(now + wait);
-        self.wake_watch(wait, actions);
+        actions.push(Action::Timer { token: WATCH, after_us: wait });
         self.log(now, "the machine list does not answer; asking again".to_owned(), actions);
     }
 
@@ -559,8 +562,8 @@
             let at = self.settings.report_fields.iter().position(|f| *f == field)?;
             report.get(at).copied().filter(|value| value.is_finite())
         };
-        let left = (find(ReportField::Cores), find(ReportField::Memory));
-        if let ((Some(cores), Some(memory)), Some(seat)) = (left, self.seats.get_mut(&machine)) {
+        let left = find(ReportField::Cores).zip(find(ReportField::Memory));
+        if let (Some((cores, memory)), Some(seat)) = (left, self.seats.get_mut(&machine)) {
             seat.report(now, Load { cores, memory }, self.settings.report_counts_asks);
         }
     }
@@ -577,9 +580,7 @@
         let seat = self.seats.get_mut(&standing.machine);
         match (note, seat) {
             (Note::Cores(amount), _) => learn(&mut self.ratio.cores, amount, standing.load.cores),
-            (Note::Memory(amount), _) => {
-                learn(&mut self.ratio.memory, amount, standing.load.memory)
-            }
+            (Note::Memory(amount), _) => learn(&mut self.ratio.memory, amount, standing.load.memory),
             (Note::Runs, Some(seat)) => {
                 seat.starting.remove(&attempt);
             }
@@ -599,7 +600,7 @@
         let patience = self.patience(aim.unwrap_or(0));
         for seat in self.seats.values_mut().filter(|_| self.settings.rules.may_probe) {
             let old = seat.probed_at.is_none_or(|at| at + patience / 4 < now);
-            if old && seat.is_silent(now, patience / 4) {
+            if old && seat.is_silent(now, self.awake_since, patience / 4) {
                 seat.probed_at = Some(now);
                 actions.push(Action::Probe(seat.line.id));
             }
@@ -608,12 +609,15 @@
         for (request, entry) in self.entries.iter_mut().filter(|_| self.settings.rules.may_stop) {
             for (attempt, number) in entry.attempts.iter_mut().zip(0..) {
                 let seat = self.seats.get(&attempt.machine);
-                let silent = seat.is_some_and(|seat| seat.is_silent(now, patience));
-                if attempt.run == Run::Out && !attempt.stopped && silent {
-                    attempt.stopped = true;
+                let early = attempt.sent.max(self.awake_since) + patience / 2 >= now;
+                let silent = seat.is_some_and(|seat| {
+                    seat.is_silent(now, self.awake_since, patience)
+                        || !early && seat.passed_over(attempt.sent, &self.settings)
+                });
+                if attempt.run == Run::Out && silent {
+                    attempt.run = Run::Stopping;
                     stopped += 1;
-                    let request = *request;
-                    actions.push(Action::Stop(AttemptId { request, number }));
+                    actions.push(Action::Stop(AttemptId { request: *request, number }));
                 }
             }
         }
@@ -622,8 +626,6 @@
         }
     }
 
-    // -- ledger --
-
     fn stand(&mut self, now: Micros, attempt: AttemptId, standing: Standing) {
         if let Some(seat) = self.seats.get_mut(&standing.machine) {
             seat.change(now, standing.load);
@@ -636,42 +638,46 @@
         let Some(standing) = self.standing.remove(&end.attempt) else {
             return;
         };
+        let entry = self.entries.get(&end.attempt.request);
         if let Some(seat) = self.seats.get_mut(&standing.machine) {
             seat.change(now, standing.load.times(Load::both(-1.0)));
             seat.starting.remove(&end.attempt);
-            seat.waiting.remove(&end.attempt);
             let held = seat.services.entry(standing.service).or_default();
             *held = held.saturating_sub(1);
             seat.services.retain(|_, held| *held > 0);
+            let sent = seat.waiting.get(&end.attempt);
+            let passed = sent.is_some_and(|at| seat.passed_over(*at, &self.settings));
+            // A task that is turned down, failed or passed over with no word of a shortage tells of its
+            // tenant or class, not of the machine, which may have room for all others.
+            let shut = match end.outcome {
+                Outcome::TimedOut | Outcome::Stopped => passed,
+                Outcome::Refused => end.reason.is_none(),
+                outcome => outcome == Outcome::Error,
+            };
+            if let Some(Entry { task, .. }) = entry.filter(|_| shut) {
+                seat.shut.insert((task.tenant, task.class), now + SHUT_US);
+            }
             match end.outcome {
-                Outcome::TimedOut | Outcome::Unconnected | Outcome::Stopped if !end.closed => {
-                    seat.strike(now, &self.settings);
-                }
-                Outcome::TimedOut | Outcome::Unconnected | Outcome::Stopped | Outcome::Unsent => {}
-                Outcome::Refused if end.reason.is_none() => {
-                    let whose = self.entries.get(&end.attempt.request);
-                    if let Some(task) = whose.map(|entry| &entry.task) {
-                        seat.shut.insert((task.tenant, task.class), now + SHUT_US);
+                Outcome::TimedOut | Outcome::Unconnected | Outcome::Stopped if !shut => {
+                    seat.waiting.remove(&end.attempt);
+                    if !end.closed {
+                        seat.strike(now, &self.settings);
                     }
-                    seat.answer(now, end.attempt);
-                }
-                Outcome::Refused => {
-                    // Where the reason names what is short, smaller asks may still fit.
-                    let ask = match end.reason {
-                        Some(Reason::NoCores) => Load { memory: f64::INFINITY, ..standing.load },
-                        Some(Reason::NoMemory) => Load { cores: f64::INFINITY, ..standing.load },
-                        _ => Load::default(),
-                    };
-                    seat.refused = Some((now, ask));
-                    seat.answer(now, end.attempt);
-                }
-                Outcome::Finished | Outcome::Error | Outcome::Reset => {
-                    seat.answer(now, end.attempt)
                 }
+                Outcome::Unsent => drop(seat.waiting.remove(&end.attempt)),
+                _ => seat.answer(now, end.attempt),
+            }
+            if end.outcome == Outcome::Refused && !shut {
+                // Where the reason names what is short, smaller asks may still fit.
+                let ask = match end.reason {
+                    Some(Reason::NoCores) => Load { memory: f64::INFINITY, ..standing.load },
+                    Some(Reason::NoMemory) => Load { cores: f64::INFINITY, ..standing.load },
+                    _ => Load::default(),
+                };
+                seat.refused = Some((now, ask));
             }
         }
-        let never =
-            matches!(end.outcome, Outcome::Refused | Outcome::Unconnected | Outcome::Unsent);
+        let never = matches!(end.outcome, Outcome::Refused | Outcome::Unconnected | Outcome::Unsent);
         let request = end.attempt.request;
         if end.closed {
             self.entries.remove(&request);
@@ -683,8 +689,6 @@
         }
     }
 
-    // -- draws --
-
     /// A load in tasks of mean size.
     fn mean_size(&self, load: Load) -> f64 {
         let part = |x: f64, mean: Option<f64>| mean.filter(|mean| *mean > 0.0).map(|mean| x / mean);
@@ -705,26 +709,21 @@
         self.arrivals.retain(|(at, _)| now <= at + SPAN_US);
         let before = self.arrivals.iter().rev().filter(|(at, _)| *at < now);
         let enough = before.clone().nth(ENOUGH - 1).map_or(0, |(at, _)| *at);
-        let lived = now.saturating_sub(self.started.unwrap_or(now));
-        let span = (now - enough).min(SPAN_US).min(lived).max(WINDOW_US);
+        let span = (now - enough).min(SPAN_US).min(now - self.awake_since).max(WINDOW_US);
         let own: f64 = before.filter(|(at, _)| now <= at + span).map(|(_, size)| size).sum();
-        let own = own * WINDOW_US as f64 / span as f64;
-        own * f64::from(self.settings.schedulers.max(1))
+        own * WINDOW_US as f64 / span as f64 * f64::from(self.settings.schedulers.max(1))
     }
 
     /// After how long without an answer a machine counts as silent.
     fn patience(&self, aim: Micros) -> Micros {
         let slowest = PATIENCE * self.answers.iter().max().copied().unwrap_or(0);
         let aim = aim.max(TICK_US);
-        if self.settings.rules.may_probe {
-            slowest.clamp(aim, aim * 2)
-        } else {
-            slowest.max(aim * UNPROBED)
-        }
+        if self.settings.rules.may_probe { slowest.clamp(aim, aim * 2) } else { slowest.max(aim * UNPROBED) }
     }
 
-    /// Rules 2 to 5 for one offer. Every send passes here.
-    fn may_offer(&self, now: Micros, entry: &Entry, class: &Class, seat: &Seat) -> bool {
+    /// Rules 2 to 5 for one offer, but for the spread over cells and zones: `full` holds the places that
+    /// have their most. Every send passes here.
+    fn may_offer(&self, now: Micros, entry: &Entry, class: &Class, seat: &Seat, full: &[u64]) -> bool {
         let grouped = |first: &Attempt| {
             let other = self.seats.get(&first.machine).map(|seat| &seat.line);
             other.is_some_and(|other| match class.group {
@@ -733,35 +732,36 @@
                 Group::Cell => other.cell == seat.line.cell,
             })
         };
-        let fresh =
-            |first: &Attempt| class.window_us.is_some_and(|window| now < first.sent + window);
         let may_repeat = entry.first_perhaps().is_none_or(|first| match class.effect {
             Effect::Safe => true,
-            Effect::Keyed => fresh(first) && grouped(first),
+            Effect::Keyed => {
+                grouped(first) && class.window_us.is_some_and(|window| now < first.sent + window)
+            }
             Effect::Unsafe => false,
         });
-        let spread_left = class.spread.is_none_or(|(place, most)| {
-            let same = |other: &&Seat| match place {
-                Place::Machine => other.line.id == seat.line.id,
-                Place::Cell => other.line.cell == seat.line.cell,
-                Place::Zone => other.line.zone == seat.line.zone,
-            };
-            let there = self.seats.values().filter(same);
-            let held = there.filter_map(|seat| seat.services.get(&entry.task.service));
-            held.sum::<u32>() < most
-        });
         seat.line.health == Health::Ready
             && class.kind.is_none_or(|kind| kind == seat.line.kind)
             && !entry.is_out()
             && !self.is_spent(entry)
             && may_repeat
-            && spread_left
-            && seat.cold_budget_left(now, &self.settings)
+            && class.spread.is_none_or(|(place, _)| !full.contains(&seat.place(place)))
+            && seat.cold_budget_left(now, &self.settings, self.salt)
+    }
+
+    /// The places that hold the most that a class allows of one service: one pass over the fleet.
+    fn full_places(&self, class: &Class, service: ServiceId) -> Vec<u64> {
+        let Some((place, most)) = class.spread else {
+            return Vec::new();
+        };
+        let mut held: BTreeMap<u64, u32> = BTreeMap::new();
+        for seat in self.seats.values() {
+            *held.entry(seat.place(place)).or_default() += seat.services.get(&service).unwrap_or(&0);
+        }
+        held.into_iter().filter(|(_, held)| *held >= most).map(|(place, _)| place).collect()
     }
 
     fn is_spent(&self, entry: &Entry) -> bool {
-        let most = self.settings.rules.max_attempts;
-        most.is_some_and(|most| entry.attempts.len() >= most as usize)
+        self.settings.rules.max_attempts.is_some_and(|most| entry.attempts.len() >= most as usize)
     }
 
     fn place(&mut self, now: Micros, request: RequestId, actions: &mut Vec<Action>) {
@@ -769,48 +769,51 @@
         let Some(entry) = self.entries.get(&request).filter(|entry| !entry.is_out()) else {
             return;
         };
-        let class = self.settings.classes.get(usize::from(entry.task.class));
-        let class = class.cloned().unwrap_or_default();
-        let (ask, left) = (Load::of(&entry.task), entry.deadline.saturating_sub(now));
+        let class = self.settings.classes.get(usize::from(entry.task.class)).cloned().unwrap_or_default();
+        let (service, ask) = (entry.task.service, Load::of(&entry.task));
+        let left = entry.deadline.saturating_sub(now);
+        let whose = (entry.task.tenant, entry.task.class);
         let patience = self.patience(class.aim_us);
-        let late = now >= entry.patient_until;
+        let full = self.full_places(&class, service);
         let open = |seat: &&Seat| {
-            self.may_offer(now, entry, &class, seat)
-                && !seat.is_suspect(now, patience)
-                && seat.shut.get(&(entry.task.tenant, entry.task.class)).is_none_or(|at| *at <= now)
-                && seat.has_room(now, ask, self.ratio, late)
+            self.may_offer(now, entry, &class, seat, &full)
+                && seat.barred_until <= now
+                && !seat.is_silent(now, self.awake_since, patience)
+                && seat.shut.get(&whose).is_none_or(|until| *until <= now)
+                && seat.has_room(now, ask, self.ratio)
         };
         let seats: Vec<&Seat> = self.seats.values().filter(open).collect();
+        let lost = entry.first_perhaps().is_some() && class.effect != Effect::Safe;
         if !seats.is_empty() && left > 0 {
-            let seats = self.pool(now, seats, entry.task.service, a);
-            if self.settings.report_style == ReportStyle::Probes && self.settings.rules.may_probe {
-                let old = |at: Option<Micros>| at.is_none_or(|at| at + WINDOW_US < now);
-                let ask: Vec<MachineId> = seats
-                    .iter()
-                    .filter(|seat| old(seat.probed_at))
-                    .map(|seat| seat.line.id)
-                    .collect();
-                let waits = |at: Option<Micros>| at.is_some_and(|at| now < at + ASK_US);
-                let wait = entry.attempts.is_empty() && seats.iter().any(|s| waits(s.asking));
-                if !ask.is_empty() || wait {
-                    for id in ask {
-                        actions.push(Action::Probe(id));
-                        if let Some(seat) = self.seats.get_mut(&id) {
-                            (seat.probed_at, seat.asking) = (Some(now), Some(now));
-                        }
-                    }
-                    self.held.push(request);
-                    return;
-                }
+            let odds = self.odds(now, seats, service, a);
+            if !self.ask_pool(now, &odds, actions) {
+                let machine = self.draw(&odds);
+                return self.offer(now, request, machine, actions);
             }
-            let odds = self.odds(now, seats, entry.task.service, a);
-            let machine = self.draw(&odds);
-            self.offer(now, request, machine, &class, actions);
-        } else if self.is_spent(entry) || entry.first_perhaps().is_some() || left <= 2 * TICK_US {
-            self.give_up(request, &class, actions);
-        } else {
-            self.held.push(request);
+        } else if self.is_spent(entry) || lost || left <= 2 * TICK_US {
+            return self.give_up(request, &class, actions);
+        }
+        self.held.push(request);
+    }
+
+    /// Where only probes report, machines of the pool with old news are probed; the task waits a little.
+    fn ask_pool(&mut self, now: Micros, odds: &[(MachineId, f64)], actions: &mut Vec<Action>) -> bool {
+        if self.settings.report_style != ReportStyle::Probes || !self.settings.rules.may_probe {
+            return false;
+        }
+        let mut wait = false;
+        for (id, _) in odds {
+            let seat = self.seats.entry(*id).or_default();
+            if seat.probed_at.is_none_or(|at| at + WINDOW_US < now) {
+                (seat.probed_at, seat.asked_for) = (Some(now), true);
+                actions.push(Action::Probe(*id));
+            }
+            wait |= seat.asked_for && seat.probed_at.is_some_and(|at| now < at + ASK_US);
+        }
+        if wait {
+            self.probing = now + ASK_US;
         }
+        wait
     }
 
     fn draw(&mut self, odds: &[(MachineId, f64)]) -> MachineId {
@@ -822,106 +825,63 @@
         drawn.unwrap_or(&odds[odds.len() - 1]).0
     }
 
-    fn pool<'a>(
-        &'a self,
-        now: Micros,
-        mut pool: Vec<&'a Seat>,
-        service: ServiceId,
-        a: f64,
-    ) -> Vec<&'a Seat> {
+    /// One pour over the open machines: the odds of each in the pool.
+    fn odds(&self, now: Micros, mut pool: Vec<&Seat>, service: ServiceId, a: f64) -> Vec<(MachineId, f64)> {
         let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
         let mut ready: Vec<&Seat> = ready.collect();
-        let all_tasks: f64 = ready.iter().map(|seat| seat.tasks).sum();
-        let mean_tasks = mean(ready.iter().map(|seat| seat.tasks).sum(), ready.len());
-        let heard = ready.iter().filter(|seat| seat.is_heard());
-        let heard: Vec<f64> = heard.map(|seat| seat.share(now, self.ratio)).collect();
-        let average = mean(heard.iter().sum(), heard.len());
+        let mean = |sum: f64, of: usize| sum / of.max(1) as f64;
+        let tasks: f64 = ready.iter().map(|seat| seat.tasks).sum();
+        let mean_tasks = mean(tasks, ready.len());
+        let heard = ready.iter().filter(|seat| seat.is_heard()).map(|seat| seat.share(now, self.ratio));
+        let average = mean(heard.clone().sum(), heard.count());
         // Machines back cold or from a failure look empty; they are no deeper than the average.
         let share = |seat: &Seat| {
             let cold = seat.is_cold(now, &self.settings.rules);
             let floor = if !seat.is_heard() || seat.strikes > 0 || cold { average } else { 0.0 };
             seat.share(now, self.ratio).max(floor)
         };
-        let priced = |price: Option<f64>| price.is_some_and(|price| price > 0.0);
-        if priced(self.settings.prices.fleet) {
+        if self.settings.prices.fleet.is_some_and(|price| price > 0.0) {
             // The smallest set that holds the load, in an order that all schedulers share.
             let load: f64 = ready.iter().map(|seat| share(seat) * seat.tasks).sum::<f64>() + a;
-            let id = |seat: &Seat| mix(seat.line.id.0);
-            ready.sort_by(|x, y| y.tasks.total_cmp(&x.tasks).then(id(x).cmp(&id(y))));
+            let order = |x: &Seat, y: &Seat| {
+                y.tasks.total_cmp(&x.tasks).then(mix(x.line.id.0).cmp(&mix(y.line.id.0)))
+            };
+            ready.sort_by(|x, y| order(x, y));
             let mut room = 0.0;
-            ready.retain(|seat| {
-                let needed = room < load;
+            let last = ready.iter().find(|seat| {
                 room += seat.tasks * PACK_FILL;
-                needed
+                room >= load
             });
-            let needed = |seat: &&Seat| ready.iter().any(|other| other.line.id == seat.line.id);
+            let needed = |seat: &&Seat| last.is_none_or(|last| order(seat, last).is_le());
             if pool.iter().any(needed) {
                 pool.retain(needed);
             }
         }
         // The homes of a service are the same machines at every scheduler: without a word they
-        // gather its tasks where its program is.
-        pool.sort_by_key(|seat| std::cmp::Reverse(mix(seat.line.id.0 ^ mix(service.0))));
+        // gather its tasks where its program is. The other services' water falls elsewhere.
+        pool.sort_by_cached_key(|seat| std::cmp::Reverse(mix(seat.line.id.0 ^ mix(service.0))));
         pool.truncate(HOMES);
-        pool
-    }
-
-    /// One pour over the open machines: the odds of each.
-    fn odds(
-        &self,
-        now: Micros,
-        pool: Vec<&Seat>,
-        service: ServiceId,
-        a: f64,
-    ) -> Vec<(MachineId, f64)> {
-        let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
-        let ready: Vec<&Seat> = ready.collect();
-        let all_tasks: f64 = ready.iter().map(|seat| seat.tasks).sum();
-        let mean_tasks = mean(ready.iter().map(|seat| seat.tasks).sum(), ready.len());
-        let heard = ready.iter().filter(|seat| seat.is_heard());
-        let heard: Vec<f64> = heard.map(|seat| seat.share(now, self.ratio)).collect();
-        let average = mean(heard.iter().sum(), heard.len());
-        // Machines back cold or from a failure look empty; they are no deeper than the average.
-        let share = |seat: &Seat| {
-            let cold = seat.is_cold(now, &self.settings.rules);
-            let floor = if !seat.is_heard() || seat.strikes > 0 || cold { average } else { 0.0 };
-            seat.share(now, self.ratio).max(floor)
-        };
-        let priced = |price: Option<f64>| price.is_some_and(|price| price > 0.0);
-        let a = a * pool.iter().map(|seat| seat.tasks).sum::<f64>() / all_tasks.max(1.0);
+        let a = a * pool.iter().map(|seat| seat.tasks).sum::<f64>() / tasks.max(1.0);
         let column = |(rank, seat): (usize, &&Seat)| {
             let home = [DIP, DIP / 2.0].get(rank).copied().unwrap_or(0.0);
             let holds = if seat.services.contains_key(&service) { DIP } else { 0.0 };
-            let near = self.settings.zone == Some(seat.line.zone);
-            let near = near && priced(self.settings.prices.cross_zone);
-            let dip = home.max(holds) + if near { ZONE_DIP } else { 0.0 };
-            (share(seat) + seat.starting.len() as f64 * START_RISE - dip) * mean_tasks
+            (share(seat) + seat.starting.len() as f64 * START_RISE - home.max(holds)) * mean_tasks
         };
         let columns: Vec<f64> = pool.iter().enumerate().map(column).collect();
         let odds = tidal_probabilities(&columns, a).into_iter().zip(pool);
         odds.map(|(p, seat)| (seat.line.id, p * seat.tasks)).collect()
     }
 
-    fn offer(
-        &mut self,
-        now: Micros,
-        request: RequestId,
-        machine: MachineId,
-        class: &Class,
-        actions: &mut Vec<Action>,
-    ) {
+    fn offer(&mut self, now: Micros, request: RequestId, machine: MachineId, actions: &mut Vec<Action>) {
         let Some(entry) = self.entries.get_mut(&request) else {
             return;
         };
-        let left = entry.deadline - now;
-        // A copy of a start that only waits makes a jam worse, so an attempt has all the time there is
-        // where silent machines can be told by stopping; else half of it leaves time for another.
-        let whole = self.settings.rules.may_stop || class.effect == Effect::Unsafe;
-        let within_us = Some(if whole { left } else { (left / 2).max(1) });
+        // A copy of a start that only waits makes a jam worse, so an attempt has all the time there is;
+        // silent machines are told by stopping.
+        let within_us = Some(entry.deadline - now);
         let number = entry.attempts.len() as u16;
         let attempt = AttemptId { request, number };
-        let (run, sent, stopped) = (Run::Out, now, false);
-        entry.attempts.push(Attempt { machine, sent, run, stopped });
+        entry.attempts.push(Attempt { machine, sent: now, run: Run::Out });
         let (service, load) = (entry.task.service, Load::of(&entry.task));
         self.stand(now, attempt, Standing { machine, service, load });
         if let Some(seat) = self.seats.get_mut(&machine) {
@@ -937,20 +897,12 @@
     /// The final answer where no attempt is out.
     fn give_up(&mut self, request: RequestId, class: &Class, actions: &mut Vec<Action>) {
         if let Some(entry) = self.entries.remove(&request) {
-            let stay_away_us = None;
-            actions.push(if may_decline(&entry, class) {
-                Action::Refuse { request, stay_away_us }
-            } else {
-                Action::Fail(request)
-            });
+            let refusal = Action::Refuse { request, stay_away_us: None };
+            actions.push(if may_decline(&entry, class) { refusal } else { Action::Fail(request) });
         }
     }
 }
 
-fn mean(sum: f64, of: usize) -> f64 {
-    sum / of.max(1) as f64
-}
-
 /// A value-stable hash (the finish of SplitMix64), equal at every scheduler.
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
