--- a/src/logic.rs
+++ b/src/logic.rs
@@ -605,8 +605,10 @@
                 actions.push(Action::Probe(seat.line.id));
             }
         }
-        let mut stopped = 0;
+        let patiences = self.settings.classes.iter().map(|class| self.patience(class.aim_us));
+        let (patiences, mut stopped): (Vec<Micros>, u32) = (patiences.collect(), 0);
         for (request, entry) in self.entries.iter_mut().filter(|_| self.settings.rules.may_stop) {
+            let patience = patiences.get(usize::from(entry.task.class)).copied().unwrap_or(patience);
             for (attempt, number) in entry.attempts.iter_mut().zip(0..) {
                 let seat = self.seats.get(&attempt.machine);
                 let early = attempt.sent.max(self.awake_since) + patience / 2 >= now;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -325,3 +325,13 @@
         assert!(served(1) && served(2), "{wild}");
     }
 }
+
+#[test]
+fn an_offer_is_given_up_after_its_own_aims_not_the_shortest() {
+    // A set-up of a class with a long aim takes long where others are quick.
+    let mut told = settings();
+    told.classes[2].aim_us = 2 * SECOND;
+    let mut bed = Bed::new(told, vec![machine(1, 0)]);
+    bed.step(&[arrived(1, 2)]);
+    assert!(!bed.wait(4 * SECOND).contains(&Action::Stop(attempt(1, 0))));
+}
