--- a/src/logic.rs
+++ b/src/logic.rs
@@ -775,12 +775,10 @@
         let (service, ask) = (entry.task.service, Load::of(&entry.task));
         let left = entry.deadline.saturating_sub(now);
         let whose = (entry.task.tenant, entry.task.class);
-        let patience = self.patience(class.aim_us);
         let full = self.full_places(&class, service);
         let open = |seat: &&Seat| {
             self.may_offer(now, entry, &class, seat, &full)
                 && seat.barred_until <= now
-                && !seat.is_silent(now, self.awake_since, patience)
                 && seat.shut.get(&whose).is_none_or(|until| *until <= now)
                 && seat.has_room(now, ask, self.ratio)
         };
