No wait for the pool's reports past a task's last look

It now draws on what is known. Test fails without it. It holds against any wait near a deadline; it costs fresh news for tasks that are nearly over. The places full of a service are searched, not scanned.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -746,7 +746,7 @@
             && !entry.is_out()
             && !self.is_spent(entry)
             && may_repeat
-            && class.spread.is_none_or(|(place, _)| !full.contains(&seat.place(place)))
+            && class.spread.is_none_or(|(place, _)| full.binary_search(&seat.place(place)).is_err())
             && seat.cold_budget_left(now, &self.settings, self.salt)
     }
 
@@ -786,7 +786,8 @@
         let lost = entry.first_perhaps().is_some() && class.effect != Effect::Safe;
         if !seats.is_empty() && left > 0 {
             let odds = self.odds(now, seats, service, a);
-            if !self.ask_pool(now, &odds, actions) {
+            // A wait must end in a look before the deadline.
+            if left <= 2 * TICK_US || !self.ask_pool(now, &odds, actions) {
                 let machine = self.draw(&odds);
                 return self.offer(now, request, machine, actions);
             }
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -135,6 +135,15 @@
     assert_eq!(offers(&bed.wait(SECOND)).len(), 1, "unanswered probes hold it for a moment only");
 }
 
+#[test]
+fn no_task_waits_for_news_past_its_deadline() {
+    let mut told = Settings { report_style: ReportStyle::Probes, ..reporting() };
+    told.rules.may_probe = true;
+    let mut bed = Bed::new(told, vec![machine(1, 0), machine(2, 0)]);
+    let short = Event::Arrived { task: task(1, 0), grace_us: SECOND / 20 };
+    assert_eq!(offers(&bed.step(&[short])).len(), 1, "the next look would come too late");
+}
+
 /// The mean of `a` over many schedulers shows in the draw: with few arrivals in the fleet the lowest machine
 /// of the pool is drawn, with many each scheduler spreads.
 #[test]
