Workspace: DRMAA types and messages, node protocol, checked settings

The program around the module needs its words before its parts. Adds crates/drmaa (DRMAA 1.0 attributes, states, codes, partial timestamps, native specification with pointing errors, JSON-RPC framing by winnow), crates/nodeproto (framed, checksummed messages, bounded lengths) and crates/settings (TOML checked whole, each error with line, key and fix).

--- /dev/null
+++ b/crates/audit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/nodeproto/src/lib.rs
@@ -0,0 +1,30 @@
+//! The protocol between a placer and its nodes: messages, their bytes, and frames with a checksum.
+//!
+//! What this crate is not: it opens no socket and decides nothing. [`encode`] makes the bytes of a
+//! frame, [`Reader`] cuts incoming bytes into frames and reads them; both ends use both.
+//! `docs/node-protocol.md` describes the bytes for whoever writes a node in another language.
+//!
+//! A garbled frame is never taken for another: each frame ends in a CRC-32C, each answer names the
+//! attempt it is about, and an attempt's id names the life of the placer that made it.
+#![forbid(unsafe_code)]
+
+mod codec;
+mod frame;
+mod message;
+
+pub use codec::decode;
+pub use frame::{FrameError, Reader, encode};
+pub use message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
+
+/// The version of the protocol that this crate speaks.
+pub const VERSION: u8 = 1;
+/// Bytes of a frame's body at most.
+pub const MAX_BODY: usize = 64 * 1024;
+/// Bytes of a name at most: placers, nodes, jobs, classes, tenants, services, sessions.
+pub const MAX_NAME: usize = 256;
+/// Bytes of a text at most: reasons for the staff.
+pub const MAX_TEXT: usize = 1024;
+/// Bytes of a task's payload at most.
+pub const MAX_PAYLOAD: usize = 32 * 1024;
+/// Values of a load report at most.
+pub const MAX_REPORT: usize = 8;
--- /dev/null
+++ b/crates/nodeproto/tests/frames.rs
@@ -0,0 +1,158 @@
+//! Messages survive their bytes; anything else is refused without a panic.
+
+use proptest::prelude::*;
+use reedring_nodeproto::*;
+
+fn attempt() -> impl Strategy<Value = AttemptId> {
+    (any::<u64>(), any::<u64>(), any::<u16>()).prop_map(|(life, request, number)| AttemptId {
+        life,
+        request,
+        number,
+    })
+}
+
+fn task() -> impl Strategy<Value = Task> {
+    let names = prop::collection::vec("[a-zäöü0-9./-]{0,12}", 5);
+    let asks = (0.0..1e6, 0.0..1e6, any::<u64>(), any::<u64>(), any::<u32>());
+    let payload = prop::collection::vec(any::<u8>(), 0..64);
+    (names, asks, payload, 0..3_u8, 0..3_u8).prop_map(|(names, asks, payload, repeat, group)| Task {
+        session: names[0].clone(),
+        job: names[1].clone(),
+        class: names[2].clone(),
+        tenant: names[3].clone(),
+        service: names[4].clone(),
+        repeat: [Repeat::Safe, Repeat::Keyed, Repeat::Unsafe][usize::from(repeat)],
+        group: [Group::All, Group::Hall, Group::Rack][usize::from(group)],
+        window_ms: asks.4,
+        key: asks.3,
+        cores: asks.0,
+        memory: asks.1,
+        life_ms: asks.2,
+        payload,
+    })
+}
+
+fn end() -> impl Strategy<Value = End> {
+    prop_oneof![
+        any::<u8>().prop_map(End::Exited),
+        any::<u8>().prop_map(End::Signaled),
+        Just(End::Evicted),
+        Just(End::PushedOut),
+        Just(End::SentAway),
+        Just(End::Stopped),
+        Just(End::Unknown),
+        "[a-z ]{0,20}".prop_map(End::Error),
+    ]
+}
+
+fn held() -> impl Strategy<Value = Held> {
+    let state = prop_oneof![
+        Just(HeldState::Waiting),
+        Just(HeldState::Accepted),
+        Just(HeldState::Running),
+        Just(HeldState::Suspended),
+        (end(), any::<bool>()).prop_map(|(end, ran)| HeldState::Ended { end, ran }),
+    ];
+    (attempt(), task(), state).prop_map(|(attempt, task, state)| Held { attempt, task, state })
+}
+
+fn report() -> impl Strategy<Value = Vec<f64>> {
+    prop::collection::vec(-1e9..1e9, 0..MAX_REPORT)
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    prop_oneof![
+        ("[a-z]{0,9}", any::<u64>(), any::<u64>()).prop_map(|(placer, life, link)| Message::Hello {
+            placer,
+            life,
+            link
+        }),
+        (attempt(), task(), any::<u32>()).prop_map(|(attempt, task, within_ms)| Message::Offer {
+            attempt,
+            task,
+            within_ms
+        }),
+        attempt().prop_map(|attempt| Message::Stop { attempt }),
+        attempt().prop_map(|attempt| Message::Ack { attempt }),
+        any::<u64>().prop_map(|nonce| Message::Probe { nonce }),
+        ("[a-z]{0,9}", any::<u64>(), any::<u64>(), any::<bool>())
+            .prop_map(|(node, life, up_ms, can_suspend)| Message::Welcome { node, life, up_ms, can_suspend }),
+        (prop::collection::vec(held(), 0..5), any::<bool>())
+            .prop_map(|(held, last)| Message::Holds { held, last }),
+        (attempt(), report()).prop_map(|(attempt, report)| Message::Accepted { attempt, report }),
+        (attempt(), 0..Reason::ALL.len(), "[a-z ]{0,30}", report()).prop_map(
+            |(attempt, reason, text, report)| {
+                Message::Refused { attempt, reason: Reason::ALL[reason], text, report }
+            }
+        ),
+        (attempt(), 0..Topic::ALL.len(), 0.0..1e9).prop_map(|(attempt, topic, amount)| Message::Note {
+            attempt,
+            topic: Topic::ALL[topic],
+            amount
+        }),
+        (attempt(), end(), any::<bool>(), report()).prop_map(|(attempt, end, ran, report)| Message::Ended {
+            attempt,
+            end,
+            ran,
+            report
+        }),
+        (any::<u64>(), report()).prop_map(|(nonce, report)| Message::Report { nonce, report }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn messages_survive_their_bytes(messages in prop::collection::vec(message(), 1..5), step in 1_usize..50) {
+        let bytes: Vec<u8> = messages.iter().flat_map(encode).collect();
+        let (mut reader, mut found) = (Reader::default(), Vec::new());
+        for chunk in bytes.chunks(step) {
+            reader.push(chunk);
+            while let Some((message, frame)) = reader.next_message().unwrap() {
+                prop_assert_eq!(&decode(frame).unwrap(), &message);
+                found.push(message);
+            }
+        }
+        prop_assert_eq!(found, messages);
+    }
+
+    /// The link's guard against garbled bytes that still look like an answer.
+    #[test]
+    fn one_garbled_byte_is_never_a_message(message in message(), at in any::<prop::sample::Index>(), by in 1..=255_u8) {
+        let mut bytes = encode(&message);
+        let at = at.index(bytes.len());
+        bytes[at] ^= by;
+        let mut reader = Reader::default();
+        reader.push(&bytes);
+        // A longer length waits for bytes that never come; everything else is an error.
+        prop_assert!(!matches!(reader.next_message(), Ok(Some(_))));
+    }
+
+    #[test]
+    fn noise_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let mut reader = Reader::default();
+        reader.push(&bytes);
+        while let Ok(Some(_)) = reader.next_message() {}
+    }
+}
+
+#[test]
+fn limits_hold() {
+    let mut reader = Reader::default();
+    reader.push(&[0, 1, 0, 1, VERSION, 4, 0, 0]);
+    assert_eq!(reader.next_message().unwrap_err(), FrameError::Long(65_537));
+    let mut reader = Reader::default();
+    reader.push(&[0, 0, 0, 8, 9, 4, 0, 0]);
+    assert_eq!(reader.next_message().unwrap_err(), FrameError::Version(9));
+    let long = Message::Hello { placer: "ä".repeat(MAX_NAME), life: 1, link: 1 };
+    let Message::Hello { placer, .. } = decode(&encode(&long)).unwrap() else { panic!("no hello") };
+    assert_eq!(placer.len(), MAX_NAME);
+}
+
+#[test]
+fn the_bytes_of_a_frame_stay_as_documented() {
+    let stop = Message::Stop { attempt: AttemptId { life: 1, request: 2, number: 3 } };
+    let bytes = encode(&stop);
+    let want = [0, 0, 0, 18, 1, 3, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 2, 0, 3];
+    assert_eq!(bytes[..26], want);
+    assert_eq!(bytes[26..], crc32c::crc32c(&want).to_be_bytes());
+}
--- /dev/null
+++ b/crates/settings/src/nodes.rs
@@ -0,0 +1,131 @@
+//! The node list: one `[[node]]` table a node.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+use crate::problem::{Checker, Problems};
+use crate::settings::Settings;
+
+/// Whether a node may get new tasks, by the list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Health {
+    /// It takes tasks.
+    #[default]
+    Ready,
+    /// It wraps up its work.
+    Draining,
+    /// It was removed.
+    Gone,
+}
+
+impl Health {
+    /// The word of the list.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeEntry {
+    /// Its name, the same at every placer.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its kind, by number in the settings.
+    pub kind: u16,
+    /// Its rack; empty where the list does not say.
+    pub rack: String,
+    /// Its hall; empty where the list does not say.
+    pub hall: String,
+    /// Whether it takes tasks.
+    pub health: Health,
+    /// Cores that no accepted task asked for, where told.
+    pub free_cores: Option<f64>,
+    /// Memory that no accepted task asked for, where told.
+    pub free_memory: Option<f64>,
+}
+
+/// A whole list. A node that it lacks is gone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct NodeList {
+    /// The lines.
+    pub nodes: Vec<NodeEntry>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    #[serde(default)]
+    node: Vec<NodeTable>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct NodeTable {
+    name: Spanned<String>,
+    address: Spanned<String>,
+    kind: Option<Spanned<String>>,
+    #[serde(default)]
+    rack: String,
+    #[serde(default)]
+    hall: String,
+    #[serde(default)]
+    health: Health,
+    free_cores: Option<f64>,
+    free_memory: Option<f64>,
+}
+
+impl NodeList {
+    /// Reads and checks a text against the kinds of the settings.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it.
+    pub fn parse(text: &str, file: &str, settings: &Settings) -> Result<Self, Problems> {
+        let mut check = Checker::new(file, text);
+        let read: File = check.read()?;
+        check.names(read.node.iter().map(|node| &node.name), "node");
+        let kinds: Vec<&str> = settings.kinds.iter().map(|kind| kind.name.as_str()).collect();
+        let mut nodes: Vec<NodeEntry> = Vec::new();
+        for (n, node) in read.node.iter().enumerate() {
+            let key = |field: &str| format!("node[{n}].{field}");
+            let Ok(address) = node.address.get_ref().parse::<SocketAddr>() else {
+                let fix = "write it as `127.0.0.1:7000` or `[::1]:7000`";
+                let message = format!("`{}` is no address; {fix}", node.address.get_ref());
+                check.wrong(node.address.span(), key("address"), message);
+                continue;
+            };
+            if let Some(other) = nodes.iter().find(|other| other.address == address) {
+                let message = format!("{address} is the address of `{}` too", other.name);
+                check.wrong(node.address.span(), key("address"), message);
+            }
+            let kind = match &node.kind {
+                Some(kind) => check.find(kind, &kinds, &key("kind"), "kind"),
+                None if kinds.len() <= 1 => Some(0),
+                None => {
+                    let fix = format!("the settings name several kinds; write one of {}", kinds.join(", "));
+                    check.wrong(node.name.span(), key("kind"), fix);
+                    None
+                }
+            };
+            nodes.push(NodeEntry {
+                name: node.name.get_ref().clone(),
+                address,
+                kind: kind.unwrap_or(0) as u16,
+                rack: node.rack.clone(),
+                hall: node.hall.clone(),
+                health: node.health,
+                free_cores: node.free_cores,
+                free_memory: node.free_memory,
+            });
+        }
+        check.finish(Self { nodes })
+    }
+}
--- a/tests/legal.rs
+++ b/tests/legal.rs
@@ -157,10 +157,10 @@
             }
             _ => {
                 let placed: Vec<_> = referee.standing.iter().map(|(id, at)| (*id, *at)).collect();
-                if let Some((id, at)) = placed.get(pick % placed.len().max(1)) {
-                    if referee.book[&id.request.0].answered {
-                        end(&mut referee, &mut batch, *id, *at, Outcome::Finished);
-                    }
+                if let Some((id, at)) = placed.get(pick % placed.len().max(1))
+                    && referee.book[&id.request.0].answered
+                {
+                    end(&mut referee, &mut batch, *id, *at, Outcome::Finished);
                 }
             }
         }
