A working placer: core, DRMAA front, node links, stand-in nodes, Rust client

Need: the program that runs the module for real. crates/core is the sans-I/O core (ledger, sessions, links, timers; its own decisions in decide.rs as tables with exhaustive tests), crates/placer the tokio shell, crates/standin a small host model, crates/client the blocking DRMAA client, crates/audit the trace and the judge of the five rules, crates/site a whole site on loopback. The module and the adapter are untouched.

--- /dev/null
+++ b/crates/core/src/ask.rs
@@ -0,0 +1,87 @@
+//! What a job asks for: its template, its category and its class made into one.
+
+use reedring::Micros;
+use reedring_drmaa::native::Native;
+use reedring_drmaa::template::nearest;
+use reedring_drmaa::{Error, ErrorCode, JobSpec, Result};
+use reedring_nodeproto::{MAX_NAME, MAX_PAYLOAD};
+use reedring_settings::Settings;
+
+/// A job's template with what it comes to. All jobs of one submission share it.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Ask {
+    pub spec: JobSpec,
+    pub class: u16,
+    pub tenant: u16,
+    pub service: String,
+    /// The key of a keyed class, before the index of a bulk submission is added.
+    pub key: Option<String>,
+    pub cores: f64,
+    pub memory: f64,
+    pub life_us: Option<Micros>,
+}
+
+fn denied(code: ErrorCode, message: String) -> Error {
+    Error::new(code, message)
+}
+
+/// A name among those of the settings.
+fn position(name: &str, known: &[&str], what: &str) -> Result<u16> {
+    let at = known.iter().position(|known| *known == name);
+    let at = at.ok_or_else(|| {
+        let near = nearest(name, known).map(|near| format!("did you mean `{near}`?"));
+        let fix = near.unwrap_or_else(|| format!("known are {}", known.join(", ")));
+        denied(ErrorCode::InvalidAttributeValue, format!("`{name}` is no {what} of this placer; {fix}"))
+    })?;
+    Ok(at as u16)
+}
+
+impl Ask {
+    /// Makes one of a template.
+    ///
+    /// # Errors
+    /// `DeniedByDrm` for a template without a command, `InvalidAttributeValue` for an unknown category,
+    /// class or tenant, and what [`Native::parse`] and [`JobSpec::check`] say.
+    pub fn new(spec: JobSpec, settings: &Settings) -> Result<Self> {
+        spec.check()?;
+        if spec.command.is_empty() {
+            return Err(denied(ErrorCode::DeniedByDrm, "drmaa_remote_command is not set".to_owned()));
+        }
+        let size = serde_json::to_vec(&spec).map_or(usize::MAX, |bytes| bytes.len());
+        // Room for the digits of an index in each place that may hold one.
+        if size + 256 > MAX_PAYLOAD {
+            let text = format!("the template has {size} bytes, at most {} fit", MAX_PAYLOAD - 256);
+            return Err(denied(ErrorCode::InvalidAttributeValue, text));
+        }
+        let own = Native::parse(&spec.native)?;
+        let native = match spec.category.as_str() {
+            "" => own,
+            name => {
+                let names: Vec<&str> = settings.categories.iter().map(|c| c.name.as_str()).collect();
+                let at = position(name, &names, "job category")?;
+                own.or(&settings.categories[usize::from(at)].native)
+            }
+        };
+        let classes: Vec<&str> = settings.classes.iter().map(|class| class.name.as_str()).collect();
+        let class = native.class.as_deref().map_or(Ok(0), |name| position(name, &classes, "class"))?;
+        let tenants: Vec<&str> = settings.tenants.iter().map(String::as_str).collect();
+        let tenant = native.tenant.as_deref().map_or(Ok(0), |name| position(name, &tenants, "tenant"))?;
+        let told = &settings.classes[usize::from(class)];
+        // Without a word, the jobs of one program in one class are one service.
+        let service = native.service.unwrap_or_else(|| format!("{}:{}", told.name, spec.command));
+        if service.len() > MAX_NAME {
+            let text = format!("the service has {} bytes, at most {MAX_NAME} fit", service.len());
+            return Err(denied(ErrorCode::InvalidAttributeValue, text));
+        }
+        Ok(Self {
+            class,
+            tenant,
+            service,
+            key: native.key,
+            cores: native.cores.unwrap_or(told.cores),
+            memory: native.memory.unwrap_or(told.memory),
+            life_us: native.life_us,
+            spec,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/decide.rs
@@ -0,0 +1,264 @@
+//! What the core decides itself, as pure functions with their tables.
+//!
+//! Where tasks go, and what may be offered or refused, the decision module says. What is left is to read
+//! what a node's word means for an attempt, and what may be done again. Each function answers from its
+//! arguments alone, and `tests` goes through every case.
+
+use reedring::Effect;
+use reedring_nodeproto::{End, HeldState};
+use reedring_settings::ComesAgain;
+
+/// What the ledger knows of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// Offered, no answer yet.
+    Out,
+    /// Accepted by its node.
+    Accepted,
+    /// Given up, and its node was asked to stop it.
+    Stopping,
+}
+
+/// What a node's word about all it holds means for one attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing changed.
+    Keep,
+    /// It was accepted, and the word was lost on the way.
+    Place,
+    /// It is over.
+    Over {
+        /// How.
+        end: End,
+        /// It ran, or may have.
+        ran: bool,
+    },
+    /// It never reached the node, and can't any more.
+    NeverRan,
+    /// Nobody knows whether it ran; no copy is left.
+    PerhapsRan,
+    /// It was accepted, and no copy is left.
+    Gone,
+    /// Its node holds it though it was given up: ask once more to stop it.
+    StopAgain,
+}
+
+/// Reads a node's list of what it holds.
+///
+/// | ledger | held: waiting | held: accepted, running, suspended | held: over | not held, same life | not held, new life |
+/// | --- | --- | --- | --- | --- | --- |
+/// | out | keep | place | over | never ran | perhaps ran |
+/// | accepted | keep | keep | over | gone | gone |
+/// | stopping | stop again | stop again | over | never ran | perhaps ran |
+///
+/// "Not held, same life" proves that an unanswered offer never ran: a node that greets a newer link drops
+/// what it has not read from the older one, and keeps each end until it is acknowledged.
+pub fn reconcile(known: Known, held: Option<&HeldState>, same_life: bool) -> Verdict {
+    match (known, held) {
+        (_, Some(HeldState::Ended { end, ran })) => Verdict::Over { end: end.clone(), ran: *ran },
+        (Known::Stopping, Some(_)) => Verdict::StopAgain,
+        (Known::Out, Some(HeldState::Waiting)) | (Known::Accepted, Some(_)) => Verdict::Keep,
+        (Known::Out, Some(_)) => Verdict::Place,
+        (Known::Accepted, None) => Verdict::Gone,
+        (Known::Out | Known::Stopping, None) if same_life => Verdict::NeverRan,
+        (Known::Out | Known::Stopping, None) => Verdict::PerhapsRan,
+    }
+}
+
+/// Where a job stands when a node tells of a copy that the ledger had closed, or never knew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// The ledger knows no such job, and this life never did.
+    Unknown,
+    /// It was this life's, and is forgotten.
+    Forgotten,
+    /// It waits for a place.
+    Waiting,
+    /// Another copy of it was accepted.
+    Elsewhere,
+    /// It is over, or is being ended.
+    Over,
+}
+
+/// What becomes of such a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LateCopy {
+    /// It is the job's copy from now on.
+    Adopt,
+    /// Its node is asked to stop it.
+    Stop,
+}
+
+/// Decides on a copy that turns up late: one live copy of a job is kept at most, and none of a job whose
+/// owner has its final answer.
+///
+/// | job | copy |
+/// | --- | --- |
+/// | unknown: a life of this placer before placed it | adopted |
+/// | waits for a place | adopted; what was still out for it is stopped |
+/// | forgotten, over, or placed elsewhere | stopped |
+pub fn late_copy(standing: Standing) -> LateCopy {
+    match standing {
+        Standing::Unknown | Standing::Waiting => LateCopy::Adopt,
+        Standing::Forgotten | Standing::Elsewhere | Standing::Over => LateCopy::Stop,
+    }
+}
+
+/// What is known of a copy that was accepted and is no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It never started: handed back by its node.
+    NeverRan,
+    /// It ended, by its node's word or because its node started anew without it.
+    Ended,
+    /// Its node is gone from the list and does not answer; it may run still.
+    Unknown,
+}
+
+/// Whether a lost task is placed again (rule 2).
+///
+/// | class says | never ran | ended | unknown |
+/// | --- | --- | --- | --- |
+/// | always (safe classes alone) | again | again | again |
+/// | ended | again | again | no |
+/// | never | again | no | no |
+pub fn comes_again(rule: ComesAgain, loss: Loss) -> bool {
+    match (rule, loss) {
+        (_, Loss::NeverRan) | (ComesAgain::Always, _) | (ComesAgain::Ended, Loss::Ended) => true,
+        (ComesAgain::Ended, Loss::Unknown) | (ComesAgain::Never, _) => false,
+    }
+}
+
+/// Where a submission that was made to an earlier life of the placer stands now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// A node holds the task: it is that job.
+    Held,
+    /// No node holds it, but one that could has not told yet.
+    Untold,
+    /// All nodes told, and none holds it.
+    NotHeld,
+}
+
+/// What a submission that an earlier life may have carried out does for one job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resubmission {
+    /// The job is there already.
+    TakeUp,
+    /// Wait for nodes to tell.
+    Wait,
+    /// Place it as new.
+    Start,
+    /// It may have run and ended unseen: its owner is told that it failed, which promises nothing.
+    Fail,
+}
+
+/// Decides on a submission repeated to the successor of a placer that died.
+///
+/// A task that nobody holds may have run to its end before: its node forgot it once the dead placer had
+/// acknowledged the end. Only a safe class may be started on that knowledge.
+pub fn resubmission(effect: Effect, repeat: Repeat, may_wait: bool) -> Resubmission {
+    match (repeat, effect) {
+        (Repeat::Held, _) => Resubmission::TakeUp,
+        (Repeat::Untold, _) if may_wait => Resubmission::Wait,
+        (_, Effect::Safe) => Resubmission::Start,
+        (_, Effect::Keyed | Effect::Unsafe) => Resubmission::Fail,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const KNOWN: [Known; 3] = [Known::Out, Known::Accepted, Known::Stopping];
+
+    fn states() -> Vec<Option<HeldState>> {
+        let over = |end, ran| Some(HeldState::Ended { end, ran });
+        vec![
+            None,
+            Some(HeldState::Waiting),
+            Some(HeldState::Accepted),
+            Some(HeldState::Running),
+            Some(HeldState::Suspended),
+            over(End::Exited(0), true),
+            over(End::Stopped, false),
+        ]
+    }
+
+    #[test]
+    fn an_end_that_was_told_is_an_end_whatever_the_ledger_held() {
+        for known in KNOWN {
+            for same_life in [false, true] {
+                let held = HeldState::Ended { end: End::Evicted, ran: true };
+                let over = Verdict::Over { end: End::Evicted, ran: true };
+                assert_eq!(reconcile(known, Some(&held), same_life), over);
+            }
+        }
+    }
+
+    /// Rule 2: only what can't have run counts as never run.
+    #[test]
+    fn never_ran_is_said_only_of_unanswered_offers_to_a_node_that_lived_on() {
+        for known in KNOWN {
+            for held in states() {
+                for same_life in [false, true] {
+                    let verdict = reconcile(known, held.as_ref(), same_life);
+                    let proven = held.is_none() && same_life && known != Known::Accepted;
+                    assert_eq!(verdict == Verdict::NeverRan, proven, "{known:?} {held:?} {same_life}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_held_copy_is_never_forgotten() {
+        for known in KNOWN {
+            for held in states().into_iter().flatten() {
+                let verdict = reconcile(known, Some(&held), true);
+                let over = matches!(held, HeldState::Ended { .. });
+                let want = match known {
+                    _ if over => matches!(verdict, Verdict::Over { .. }),
+                    Known::Stopping => verdict == Verdict::StopAgain,
+                    Known::Accepted => verdict == Verdict::Keep,
+                    Known::Out => matches!(verdict, Verdict::Keep | Verdict::Place),
+                };
+                assert!(want, "{known:?} {held:?}: {verdict:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn one_copy_of_a_job_is_kept_at_most() {
+        for standing in [Standing::Forgotten, Standing::Elsewhere, Standing::Over] {
+            assert_eq!(late_copy(standing), LateCopy::Stop);
+        }
+        for standing in [Standing::Unknown, Standing::Waiting] {
+            assert_eq!(late_copy(standing), LateCopy::Adopt);
+        }
+    }
+
+    #[test]
+    fn only_a_class_that_allows_it_comes_again_after_it_ran() {
+        use ComesAgain::{Always, Ended, Never};
+        let again = |rule| [Loss::NeverRan, Loss::Ended, Loss::Unknown].map(|loss| comes_again(rule, loss));
+        assert_eq!(again(Always), [true, true, true]);
+        assert_eq!(again(Ended), [true, true, false]);
+        assert_eq!(again(Never), [true, false, false]);
+    }
+
+    #[test]
+    fn a_repeat_to_a_successor_starts_safe_tasks_alone() {
+        let repeats = [Repeat::Held, Repeat::Untold, Repeat::NotHeld];
+        for effect in [Effect::Safe, Effect::Keyed, Effect::Unsafe] {
+            for repeat in repeats {
+                for may_wait in [false, true] {
+                    let got = resubmission(effect, repeat, may_wait);
+                    let starts = got == Resubmission::Start;
+                    assert!(!starts || effect == Effect::Safe && repeat != Repeat::Held);
+                    assert_eq!(got == Resubmission::TakeUp, repeat == Repeat::Held);
+                    assert_eq!(got == Resubmission::Wait, repeat == Repeat::Untold && may_wait);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/io.rs
@@ -0,0 +1,104 @@
+//! What the core is told and what it answers.
+
+use std::net::SocketAddr;
+
+use reedring_drmaa::rpc::{Call, Response};
+use reedring_nodeproto::Message;
+use reedring_settings::NodeList;
+
+/// A client's connection, as the shell numbers it.
+pub type ConnId = u64;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A client calls.
+    Call {
+        /// Its connection.
+        conn: ConnId,
+        /// The id of the call on that connection.
+        id: u64,
+        /// The call.
+        call: Call,
+    },
+    /// A client's connection ended; what it waited for it will ask for again.
+    ClientGone(ConnId),
+    /// The node list, whole. A node that it lacks is gone.
+    Listed(NodeList),
+    /// A link to a node stands: its welcome was read. What it holds follows as messages.
+    LinkUp {
+        /// The node, by its name in the list.
+        node: String,
+        /// Its own name, which must be the same.
+        called: String,
+        /// Its life.
+        life: u64,
+        /// Milliseconds since its start.
+        up_ms: u64,
+        /// It can suspend tasks.
+        can_suspend: bool,
+    },
+    /// A message of a node. Messages of a link come after its `LinkUp` and before its `LinkDown`.
+    Message {
+        /// The node.
+        node: String,
+        /// The message.
+        message: Message,
+    },
+    /// A link ended, or one could not be made.
+    LinkDown {
+        /// The node.
+        node: String,
+        /// Why, for the staff.
+        why: String,
+    },
+    /// Nothing but time passed.
+    Tick,
+}
+
+/// How much a line matters to the staff.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Something is wrong with the site or a node.
+    Warn,
+    /// Worth a line.
+    Info,
+}
+
+/// Something to do, in order.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Answer a client.
+    Reply {
+        /// Its connection.
+        conn: ConnId,
+        /// The answer.
+        response: Response,
+    },
+    /// Keep a link to this node: connect, say hello, and connect again when it breaks.
+    Connect {
+        /// The node.
+        node: String,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Keep no link to this node any more.
+    Disconnect {
+        /// The node.
+        node: String,
+    },
+    /// Send a message on a node's link. If that link has ended meanwhile the message is dropped.
+    Send {
+        /// The node.
+        node: String,
+        /// The message.
+        message: Message,
+    },
+    /// A line for the staff.
+    Log {
+        /// How much it matters.
+        level: Level,
+        /// The line.
+        line: String,
+    },
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,52 @@
-//! Placeholder.
+//! The core of a placer: its ledger of jobs and attempts, its sessions, its links to nodes and its
+//! timers, around the decision module.
+//!
+//! What this crate is not: it opens no socket, reads no clock and draws no random number but the
+//! module's own, from the seed. It is told what happened as [`Input`]s with the time, and answers with
+//! [`Output`]s; equal inputs give equal outputs. Where a task goes is the module's decision alone. What
+//! the core decides itself - what a node's report means for a job, whether a lost task comes again,
+//! what a repeated submission may do - stands in [`decide`] as pure functions.
+//!
+//! The whole run loop of a shell:
+//!
+//! ```
+//! use reedring_core::{Core, Input, Output, Start};
+//! use reedring_drmaa::rpc::Call;
+//! use reedring_settings::Settings;
+//!
+//! let text = r#"
+//!     placer = { name = "p", listen = "127.0.0.1:0", nodes = "nodes.toml" }
+//!     class = [{ name = "play", repeat = "safe", aim = "1s", give_up = "8s" }]
+//! "#;
+//! let settings = Settings::parse(text, "example").unwrap();
+//! let mut core = Core::new(settings, Start { now: 0, unix_us: 0, life: 1, seed: 7 });
+//!
+//! // Take in what came, in order, ...
+//! core.handle(10, Input::Call { conn: 1, id: 1, call: Call::Version {} });
+//! // ... let the module decide once for the batch, ...
+//! core.flush(10);
+//! // ... carry out what came of it, ...
+//! while let Some(output) = core.poll() {
+//!     if let Output::Reply { conn, response } = output {
+//!         assert_eq!((conn, response.id), (1, Some(1)));
+//!     }
+//! }
+//! // ... and come back with the next input, or when the next timer is due.
+//! assert_eq!(core.next_wake(), None);
+//! ```
+#![forbid(unsafe_code)]
+
+mod ask;
+mod calls;
+mod core;
+pub mod decide;
+mod io;
+mod jobs;
+mod links;
+mod names;
+mod sessions;
+mod timers;
+
+pub use crate::core::{Core, Start};
+pub use crate::io::{ConnId, Input, Level, Output};
+pub use crate::names::{machine_id, service_id};
--- /dev/null
+++ b/crates/core/src/links.rs
@@ -0,0 +1,242 @@
+//! Nodes: the list's line, the operator's word, and the link.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use reedring::{self as module, AttemptId, MachineId, Micros};
+use reedring_drmaa::rpc::NodeLine;
+use reedring_nodeproto::{Held, Reason};
+use reedring_settings::{Health, NodeEntry, Settings, Site};
+
+use crate::jobs::NodeNo;
+use crate::names::{Places, machine_id};
+
+/// The link to a node.
+#[derive(Debug, Default)]
+pub(crate) enum Link {
+    /// Never made, and no try has failed yet.
+    #[default]
+    Fresh,
+    Down,
+    /// It stands; what the node holds is being told.
+    Greeted(Vec<Held>),
+    Up,
+}
+
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub name: String,
+    pub machine: MachineId,
+    pub address: SocketAddr,
+    pub entry: NodeEntry,
+    /// The list holds it.
+    pub listed: bool,
+    /// An operator drains it.
+    pub drained: bool,
+    pub link: Link,
+    /// Counts links, so that a timer knows its own.
+    pub links: u64,
+    /// The node's life and its start, once it was met.
+    pub life: Option<u64>,
+    pub started: Option<Micros>,
+    pub can_suspend: bool,
+    /// It has told what it holds since this placer started.
+    pub told: bool,
+    /// Own attempts at it.
+    pub attempts: BTreeSet<AttemptId>,
+    /// Its refusals, by reason.
+    pub refusals: BTreeMap<Reason, u64>,
+    /// What the module was told last.
+    line: Option<module::Machine>,
+}
+
+impl Node {
+    pub fn is_up(&self) -> bool {
+        matches!(self.link, Link::Up)
+    }
+
+    /// Ready, draining or gone, by the list and the operator.
+    pub fn health(&self) -> Health {
+        match self.entry.health {
+            _ if !self.listed => Health::Gone,
+            Health::Ready if self.drained => Health::Draining,
+            health => health,
+        }
+    }
+
+    /// It was met at this life of its own: a new life has a start of its own.
+    pub fn met(&mut self, now: Micros, life: u64, up_ms: u64) -> bool {
+        let same = self.life == Some(life);
+        if !same {
+            self.life = Some(life);
+            self.started = Some(now.saturating_sub(up_ms.saturating_mul(1_000)));
+        }
+        same
+    }
+
+    pub fn node_line(
+        &self,
+        waiting: usize,
+        held: usize,
+        cores: f64,
+        memory: f64,
+        kinds: &[String],
+    ) -> NodeLine {
+        let refusal = |(reason, count): (&Reason, &u64)| (reason.word().to_owned(), *count);
+        let listed = if self.listed { self.entry.health } else { Health::Gone };
+        NodeLine {
+            node: self.name.clone(),
+            address: self.address.to_string(),
+            kind: kinds.get(usize::from(self.entry.kind)).cloned().unwrap_or_default(),
+            rack: self.entry.rack.clone(),
+            hall: self.entry.hall.clone(),
+            listed: listed.word().to_owned(),
+            drained: self.drained,
+            linked: self.is_up(),
+            waiting,
+            held,
+            cores,
+            memory,
+            refusals: self.refusals.iter().map(refusal).collect(),
+        }
+    }
+}
+
+/// All nodes that were ever listed in this life.
+#[derive(Debug, Default)]
+pub(crate) struct Nodes {
+    pub all: BTreeMap<NodeNo, Node>,
+    numbers: BTreeMap<String, NodeNo>,
+    machines: BTreeMap<MachineId, NodeNo>,
+    pub halls: Places,
+    racks: Places,
+}
+
+/// What a new list means for one node's link.
+pub(crate) enum Relink {
+    Connect(NodeNo),
+    /// It moved to another address.
+    Move(NodeNo),
+    /// It left the list.
+    Left(NodeNo),
+}
+
+impl Nodes {
+    pub fn number(&self, name: &str) -> Option<NodeNo> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn of_machine(&self, machine: MachineId) -> Option<NodeNo> {
+        self.machines.get(&machine).copied()
+    }
+
+    pub fn named(&mut self, name: &str) -> Option<(NodeNo, &mut Node)> {
+        let number = self.numbers.get(name).copied()?;
+        self.all.get_mut(&number).map(|node| (number, node))
+    }
+
+    /// Takes a whole list in; answers what it means for links, and names that can't be told apart.
+    pub fn list(&mut self, entries: Vec<NodeEntry>) -> (Vec<Relink>, Vec<String>) {
+        let (mut relinks, mut clashes) = (Vec::new(), Vec::new());
+        let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
+        for (number, node) in &mut self.all {
+            if node.listed && !listed.contains(node.name.as_str()) {
+                node.listed = false;
+                relinks.push(Relink::Left(*number));
+            }
+        }
+        for entry in entries {
+            let machine = machine_id(&entry.name);
+            match self.numbers.get(&entry.name).copied() {
+                None if self.machines.contains_key(&machine) => clashes.push(entry.name),
+                None => {
+                    let number = self.all.len() as NodeNo;
+                    self.numbers.insert(entry.name.clone(), number);
+                    self.machines.insert(machine, number);
+                    let node = Node {
+                        name: entry.name.clone(),
+                        machine,
+                        address: entry.address,
+                        entry,
+                        listed: true,
+                        drained: false,
+                        link: Link::Fresh,
+                        links: 0,
+                        life: None,
+                        started: None,
+                        can_suspend: false,
+                        told: false,
+                        attempts: BTreeSet::new(),
+                        refusals: BTreeMap::new(),
+                        line: None,
+                    };
+                    self.all.insert(number, node);
+                    relinks.push(Relink::Connect(number));
+                }
+                Some(number) => {
+                    if let Some(node) = self.all.get_mut(&number) {
+                        let (back, moved) = (!node.listed, node.address != entry.address);
+                        (node.listed, node.address, node.entry) = (true, entry.address, entry);
+                        if moved {
+                            relinks.push(Relink::Move(number));
+                        } else if back {
+                            relinks.push(Relink::Connect(number));
+                        }
+                    }
+                }
+            }
+        }
+        (relinks, clashes)
+    }
+
+    /// The lines that the module does not know yet. A node is told of once its link was made or has failed
+    /// once: before, the module could only spend attempts on it.
+    pub fn news(&mut self, site: &Site) -> Vec<module::Machine> {
+        let mut news = Vec::new();
+        let numbers: Vec<NodeNo> = self.all.keys().copied().collect();
+        for number in numbers {
+            if let Some(line) = self.line(number, site) {
+                news.push(line);
+            }
+        }
+        news
+    }
+
+    /// The line of one node, where the module does not know it yet.
+    pub fn line(&mut self, number: NodeNo, site: &Site) -> Option<module::Machine> {
+        let node = self.all.get_mut(&number)?;
+        if matches!(node.link, Link::Fresh | Link::Greeted(_)) && node.line.is_none() {
+            return None;
+        }
+        let health = match node.health() {
+            Health::Ready => module::Health::Ready,
+            Health::Draining => module::Health::Draining,
+            Health::Gone => module::Health::Gone,
+        };
+        let line = module::Machine {
+            id: node.machine,
+            zone: self.halls.number(&node.entry.hall),
+            kind: node.entry.kind,
+            cell: self.racks.number(&format!("{}\n{}", node.entry.hall, node.entry.rack)),
+            health,
+            // Only a young node's start matters, and only where the site tells what young means.
+            ready_at: node.started.filter(|_| site.warm_after_us.is_some()),
+            free_cores: node.entry.free_cores,
+            free_memory: node.entry.free_memory,
+        };
+        (node.line.as_ref() != Some(&line)).then(|| {
+            node.line = Some(line.clone());
+            line
+        })
+    }
+
+    /// Every node that could hold a task has told since this placer started.
+    pub fn all_told(&self) -> bool {
+        self.all.values().filter(|node| node.listed).all(|node| node.told)
+    }
+}
+
+/// The names of the settings' kinds.
+pub(crate) fn kind_names(settings: &Settings) -> Vec<String> {
+    settings.kinds.iter().map(|kind| kind.name.clone()).collect()
+}
--- /dev/null
+++ b/crates/core/src/names.rs
@@ -0,0 +1,53 @@
+//! Names to the numbers of the decision module.
+
+use std::collections::BTreeMap;
+
+use reedring::{MachineId, ServiceId, TaskKey};
+
+/// A value-stable hash of a name (FNV-1a, finished by SplitMix64): the same at every placer, as the
+/// module's shared orders need it.
+fn stable(name: &str) -> u64 {
+    let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    let hash = name.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, fold);
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+/// The machine's number at every placer.
+pub fn machine_id(node: &str) -> MachineId {
+    MachineId(stable(node))
+}
+
+/// The number of a class's service at every placer.
+pub fn service_id(class: &str, service: &str) -> ServiceId {
+    ServiceId(stable(&format!("{class}\n{service}")))
+}
+
+/// The number of a keyed task's key, the same for every submission of that key.
+pub(crate) fn task_key(class: &str, key: &str) -> TaskKey {
+    TaskKey(stable(&format!("{class}\n{key}")))
+}
+
+/// Numbers for racks and halls, in the order in which they are first named.
+#[derive(Debug, Default)]
+pub(crate) struct Places(BTreeMap<String, u16>);
+
+impl Places {
+    pub fn number(&mut self, name: &str) -> u16 {
+        let next = self.0.len() as u16;
+        *self.0.entry(name.to_owned()).or_insert(next)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_of_names_stay_what_they_are() {
+        // Placers of different versions must agree on the order of machines.
+        assert_eq!(machine_id("node-1").0, 1_411_048_690_986_509_909);
+        assert_ne!(machine_id("node-1"), machine_id("node-2"));
+    }
+}
--- /dev/null
+++ b/crates/core/src/timers.rs
@@ -0,0 +1,54 @@
+//! Timers by the time at which they are due.
+
+use std::collections::BTreeMap;
+
+use reedring::{AttemptId, Micros};
+
+/// What a timer is for. None is ever withdrawn: what it asks is checked when it comes due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Timer {
+    /// One of the module's own.
+    Module(u64),
+    /// The time of an attempt is over.
+    Attempt(AttemptId),
+    /// A node's word on a stopped attempt is overdue.
+    StopWait(AttemptId),
+    /// The fate of what was on a cut link counts as unknown now; the number is the link's.
+    Reattach { node: u32, link: u64 },
+    /// A probe is overdue.
+    Probe(u64),
+    /// A job's start time has come, or the wait of a lost one is over.
+    Ask(u64),
+    /// A job's last moment to be placed.
+    GiveUp { job: u64, request: u64 },
+    /// A job has run for as long as it may.
+    WallLimit(u64),
+    /// A client has waited long enough.
+    Wait { session: u32, call: u64 },
+    /// Repeated submissions wait no longer for nodes to say what they hold.
+    Settle,
+    /// Jobs that are over are forgotten.
+    Sweep,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    due: BTreeMap<(Micros, u64), Timer>,
+    made: u64,
+}
+
+impl Timers {
+    pub fn set(&mut self, at: Micros, timer: Timer) {
+        self.made += 1;
+        self.due.insert((at, self.made), timer);
+    }
+
+    pub fn next(&self) -> Option<Micros> {
+        self.due.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    pub fn pop(&mut self, now: Micros) -> Option<Timer> {
+        let first = self.due.first_entry().filter(|first| first.key().0 <= now)?;
+        Some(first.remove())
+    }
+}
--- a/crates/drmaa/src/rpc.rs
+++ b/crates/drmaa/src/rpc.rs
@@ -29,9 +29,9 @@
     /// All calls with numbers below this one were answered, and their answers can be forgotten.
     #[serde(default)]
     pub settled: u64,
-    /// The call may have been made before.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub again: bool,
+    /// The life of the placer to which the call was first sent, as [`Answer::Session`] told it. A placer of
+    /// another life knows by it that one before it may have carried the call out.
+    pub sent_to: u64,
 }
 
 /// Jobs of a session.
@@ -69,7 +69,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "method", content = "params")]
 pub enum Call {
-    /// Opens a session, or takes it up again.
+    /// Opens a session, or takes it up again; answers [`Answer::Session`].
     #[serde(rename = "drmaa_init")]
     Init {
         /// The session.
@@ -303,6 +303,11 @@
 pub enum Answer {
     /// Done.
     Done,
+    /// The session is open.
+    Session {
+        /// The placer's life: another one each time it is started.
+        life: u64,
+    },
     /// Jobs were taken.
     Submitted(Submitted),
     /// A job's end.
--- a/crates/nodeproto/src/codec.rs
+++ b/crates/nodeproto/src/codec.rs
@@ -303,7 +303,7 @@
         }
         kind::OFFER => {
             let (attempt, within_ms, task) = (attempt, be_u32, task).parse_next(input)?;
-            Message::Offer { attempt, task, within_ms }
+            Message::Offer { attempt, task: Box::new(task), within_ms }
         }
         kind::STOP => Message::Stop { attempt: attempt(input)? },
         kind::PROBE => Message::Probe { nonce: be_u64.parse_next(input)? },
--- a/crates/nodeproto/src/message.rs
+++ b/crates/nodeproto/src/message.rs
@@ -211,7 +211,7 @@
         /// The attempt.
         attempt: AttemptId,
         /// The task.
-        task: Task,
+        task: Box<Task>,
         /// Milliseconds within which an answer is of use; 0 without a bound.
         within_ms: u32,
     },
--- a/crates/nodeproto/tests/frames.rs
+++ b/crates/nodeproto/tests/frames.rs
@@ -69,7 +69,7 @@
         }),
         (attempt(), task(), any::<u32>()).prop_map(|(attempt, task, within_ms)| Message::Offer {
             attempt,
-            task,
+            task: Box::new(task),
             within_ms
         }),
         attempt().prop_map(|attempt| Message::Stop { attempt }),
--- /dev/null
+++ b/crates/placer/src/links.rs
@@ -0,0 +1,216 @@
+//! Links to nodes: one task each, which connects, greets, and connects again when the link breaks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use reedring_audit::Event;
+use reedring_core::Input;
+use reedring_nodeproto::{Message, Reader, encode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::clients::Came;
+use crate::run::Shared;
+
+/// Messages that wait for a node which does not read; one more, and the link is cut.
+const QUEUE: usize = 65_536;
+/// Between two tries to connect: the first, doubled each time up to the last.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LAST_WAIT: Duration = Duration::from_secs(2);
+
+struct Link {
+    address: SocketAddr,
+    out: mpsc::Sender<Message>,
+    task: JoinHandle<()>,
+}
+
+/// The links that the core wants kept.
+#[derive(Default)]
+pub(crate) struct Links {
+    all: BTreeMap<String, Link>,
+    /// Links made to each node, over all its tasks.
+    made: BTreeMap<String, u64>,
+}
+
+impl Links {
+    pub fn connect(
+        &mut self,
+        node: String,
+        address: SocketAddr,
+        shared: &Arc<Shared>,
+        came: &mpsc::Sender<Came>,
+    ) {
+        self.keep(node, address, shared, came, None);
+    }
+
+    /// Keeps a link from now on, in place of the one before; the core hears `first` before all of it.
+    fn keep(
+        &mut self,
+        node: String,
+        address: SocketAddr,
+        shared: &Arc<Shared>,
+        came: &mpsc::Sender<Came>,
+        first: Option<Came>,
+    ) {
+        self.disconnect(&node);
+        let (out, messages) = mpsc::channel(QUEUE);
+        // Numbers of links only go up, over tasks too: a node takes the larger for the newer.
+        let number = self.made.entry(node.clone()).or_default();
+        *number += 1 << 32;
+        let (shared, came) = (Arc::clone(shared), came.clone());
+        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came };
+        let task = tokio::spawn(async move {
+            if let Some(first) = first {
+                let _ = keeper.came.send(first).await;
+            }
+            keeper.keep(messages).await;
+        });
+        self.all.insert(node, Link { address, out, task });
+    }
+
+    pub fn disconnect(&mut self, node: &str) {
+        if let Some(link) = self.all.remove(node) {
+            link.task.abort();
+        }
+    }
+
+    pub fn send(&mut self, node: &str, message: Message, shared: &Arc<Shared>, came: &mpsc::Sender<Came>) {
+        let Some(link) = self.all.get(node) else { return };
+        if link.out.try_send(message).is_ok() {
+            return;
+        }
+        let (node, address) = (node.to_owned(), link.address);
+        let why = format!("it reads nothing, {QUEUE} messages wait; the link is cut");
+        let down = Came::Input(Input::LinkDown { node: node.clone(), why });
+        self.keep(node, address, shared, came, Some(down));
+    }
+}
+
+struct Keeper {
+    node: String,
+    address: SocketAddr,
+    number: u64,
+    shared: Arc<Shared>,
+    came: mpsc::Sender<Came>,
+}
+
+impl Keeper {
+    async fn keep(mut self, mut messages: mpsc::Receiver<Message>) {
+        let mut wait = FIRST_WAIT;
+        loop {
+            self.number += 1;
+            let why = match self.link(&mut messages).await {
+                Ok(why) => {
+                    wait = FIRST_WAIT;
+                    why
+                }
+                Err(why) => why,
+            };
+            self.shared.record_link(Event::LinkDown, &self.node, self.number, why.as_bytes());
+            let down = Input::LinkDown { node: self.node.clone(), why };
+            if self.came.send(Came::Input(down)).await.is_err() {
+                return;
+            }
+            // What was meant for the link that ended is void.
+            while messages.try_recv().is_ok() {}
+            tokio::time::sleep(wait).await;
+            wait = (wait * 2).min(LAST_WAIT);
+        }
+    }
+
+    /// One link from its start to its end: why it ended, or why it never stood.
+    async fn link(&mut self, messages: &mut mpsc::Receiver<Message>) -> Result<String, String> {
+        let limit = self.shared.connect_timeout;
+        let connect = tokio::time::timeout(limit, TcpStream::connect(self.address)).await;
+        let stream = connect.map_err(|_| "no connection in time".to_owned())?;
+        let stream = stream.map_err(|error| format!("no connection: {error}"))?;
+        let _ = stream.set_nodelay(true);
+        let (mut read, mut write) = stream.into_split();
+        let shared = &self.shared;
+        let hello = Message::Hello { placer: shared.name.clone(), life: shared.life, link: self.number };
+        self.write(&mut write, &[hello]).await.map_err(|error| format!("no greeting: {error}"))?;
+        let mut reader = Reader::default();
+        let greeting = tokio::time::timeout(limit, self.greeted(&mut read, &mut reader)).await;
+        greeting.map_err(|_| "no greeting in time".to_owned())??;
+        let why = tokio::select! {
+            why = self.reads(&mut read, &mut reader) => why,
+            why = self.writes(&mut write, messages) => why,
+        };
+        Ok(why)
+    }
+
+    /// Reads the welcome and tells the core that the link stands.
+    async fn greeted(&self, read: &mut OwnedReadHalf, reader: &mut Reader) -> Result<(), String> {
+        loop {
+            match reader.next_message() {
+                Ok(Some((message, bytes))) => {
+                    self.shared.record_link(Event::FromNode, &self.node, self.number, bytes);
+                    let Message::Welcome { node: called, life, up_ms, can_suspend } = message else {
+                        return Err("it did not greet".to_owned());
+                    };
+                    let node = self.node.clone();
+                    let up = Input::LinkUp { node, called, life, up_ms, can_suspend };
+                    return self.came.send(Came::Input(up)).await.map_err(|_| "the placer ends".to_owned());
+                }
+                Ok(None) => {}
+                Err(error) => return Err(error.to_string()),
+            }
+            let mut buffer = [0; 4096];
+            match read.read(&mut buffer).await {
+                Ok(0) => return Err("the link ended before its greeting".to_owned()),
+                Ok(count) => reader.push(&buffer[..count]),
+                Err(error) => return Err(format!("no greeting: {error}")),
+            }
+        }
+    }
+
+    async fn reads(&self, read: &mut OwnedReadHalf, reader: &mut Reader) -> String {
+        let mut buffer = vec![0; 64 * 1024];
+        loop {
+            loop {
+                match reader.next_message() {
+                    Ok(Some((message, bytes))) => {
+                        self.shared.record_link(Event::FromNode, &self.node, self.number, bytes);
+                        let input = Input::Message { node: self.node.clone(), message };
+                        if self.came.send(Came::Input(input)).await.is_err() {
+                            return "the placer ends".to_owned();
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(error) => return error.to_string(),
+                }
+            }
+            match read.read(&mut buffer).await {
+                Ok(0) => return "the node closed the link".to_owned(),
+                Ok(count) => reader.push(&buffer[..count]),
+                Err(error) => return format!("the link broke: {error}"),
+            }
+        }
+    }
+
+    async fn writes(&self, write: &mut OwnedWriteHalf, messages: &mut mpsc::Receiver<Message>) -> String {
+        let mut batch = Vec::new();
+        while messages.recv_many(&mut batch, 256).await > 0 {
+            if let Err(error) = self.write(write, &batch).await {
+                return format!("the link broke: {error}");
+            }
+            batch.clear();
+        }
+        "the placer ends the link".to_owned()
+    }
+
+    async fn write(&self, write: &mut OwnedWriteHalf, batch: &[Message]) -> std::io::Result<()> {
+        let mut bytes = Vec::new();
+        for message in batch {
+            let frame = encode(message);
+            self.shared.record_link(Event::ToNode, &self.node, self.number, &frame);
+            bytes.extend_from_slice(&frame);
+        }
+        write.write_all(&bytes).await
+    }
+}
--- /dev/null
+++ b/crates/placer/src/run.rs
@@ -0,0 +1,315 @@
+//! A placer's runtime: the core's task, and all that feeds it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc as blocking;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use reedring_audit::{Event, Recorder};
+use reedring_core::{Core, Input, Level, Output, Start};
+use reedring_settings::{Address, Settings};
+use tokio::net::{TcpListener, UnixListener};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clients::{self, Came, Clients, Listener};
+use crate::links::Links;
+use crate::source::{NodeSource, Update};
+
+/// Inputs taken into the core before the module decides on them.
+const BATCH: usize = 512;
+/// Inputs that wait for the core; whoever brings one more waits.
+const INPUTS: usize = 8_192;
+
+/// What a placer is started with beside its settings.
+pub struct Options {
+    /// Where its node list comes from.
+    pub source: Box<dyn NodeSource>,
+    /// Records what crosses its sockets.
+    pub recorder: Option<Arc<Recorder>>,
+    /// The settings' text, for the trace.
+    pub settings_text: String,
+    /// Threads of its runtime; 1 runs the sockets on the core's thread.
+    pub threads: usize,
+}
+
+/// Why a placer did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// Its runtime or thread could not be made.
+    #[error("placer {name}: can't start its runtime: {error}")]
+    Runtime {
+        /// The placer.
+        name: String,
+        /// Why.
+        error: io::Error,
+    },
+    /// Its address can't be listened on.
+    #[error("placer {name}: can't listen on {address}: {error}")]
+    Listen {
+        /// The placer.
+        name: String,
+        /// The address.
+        address: String,
+        /// Why.
+        error: io::Error,
+    },
+}
+
+/// What every task of a placer knows.
+pub(crate) struct Shared {
+    pub name: String,
+    pub life: u64,
+    pub connect_timeout: Duration,
+    recorder: Option<Arc<Recorder>>,
+}
+
+impl Shared {
+    pub fn record(&self, event: Event, peer: &str, link: u64, bytes: &[u8]) {
+        if let Some(recorder) = &self.recorder {
+            recorder.record(event, &self.name, peer, link, bytes);
+        }
+    }
+
+    pub fn record_with(&self, event: Event, link: u64, bytes: impl FnOnce() -> Vec<u8>) {
+        if self.recorder.is_some() {
+            self.record(event, "", link, &bytes());
+        }
+    }
+
+    pub fn record_link(&self, event: Event, node: &str, link: u64, bytes: &[u8]) {
+        self.record(event, node, link, bytes);
+    }
+}
+
+enum Order {
+    /// Stand still for so long, as a placer does whose host is overloaded.
+    Stall(Duration),
+}
+
+/// A running placer.
+pub struct Placer {
+    name: String,
+    contact: String,
+    life: u64,
+    orders: mpsc::UnboundedSender<Order>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+    recorder: Option<Arc<Recorder>>,
+    socket: Option<PathBuf>,
+}
+
+impl Placer {
+    /// Starts a placer in a thread and a runtime of its own.
+    ///
+    /// # Errors
+    /// See [`StartError`].
+    pub fn start(settings: Settings, options: Options) -> Result<Self, StartError> {
+        let name = settings.name.clone();
+        let runtime_error = |error| StartError::Runtime { name: name.clone(), error };
+        let mut builder = match options.threads {
+            0 | 1 => tokio::runtime::Builder::new_current_thread(),
+            _ => tokio::runtime::Builder::new_multi_thread(),
+        };
+        if options.threads > 1 {
+            builder.worker_threads(options.threads);
+        }
+        let runtime = builder.enable_all().build().map_err(runtime_error)?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let life = unix.as_micros() as u64;
+        let (orders, ordered) = mpsc::unbounded_channel();
+        let (stop, stopped) = oneshot::channel();
+        let (ready, started) = blocking::channel();
+        let socket = match &settings.listen {
+            Address::Unix(path) => Some(path.clone()),
+            Address::Tcp(_) => None,
+        };
+        let recorder = options.recorder.clone();
+        let thread = std::thread::Builder::new().name(name.clone()).spawn(move || {
+            let begin = async {
+                let (listener, contact) = match listen(&settings).await {
+                    Ok(bound) => bound,
+                    Err(error) => return drop(ready.send(Err(error))),
+                };
+                let _ = ready.send(Ok(contact));
+                let life = (life, unix);
+                tokio::select! {
+                    () = run(settings, options, listener, life, ordered) => {}
+                    _ = stopped => {}
+                }
+            };
+            runtime.block_on(begin);
+            // What still runs ends here, and its sockets with it.
+            runtime.shutdown_background();
+        });
+        let thread = thread.map_err(runtime_error)?;
+        let contact = started.recv().map_err(|_| runtime_error(io::Error::other("its thread ended")))??;
+        Ok(Self { name, contact, life, orders, stop: Some(stop), thread: Some(thread), recorder, socket })
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Its contact string for DRMAA clients.
+    pub fn contact(&self) -> &str {
+        &self.contact
+    }
+
+    /// This life of it.
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    /// Makes it stand still.
+    pub fn stall(&self, time: Duration) {
+        let _ = self.orders.send(Order::Stall(time));
+    }
+
+    /// Ends it at once; whatever it knew is lost.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+            if let Some(recorder) = &self.recorder {
+                recorder.record(Event::PlacerEnded, &self.name, "", self.life, b"");
+            }
+            if let Some(socket) = &self.socket {
+                let _ = std::fs::remove_file(socket);
+            }
+        }
+    }
+}
+
+impl Drop for Placer {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+async fn listen(settings: &Settings) -> Result<(Listener, String), StartError> {
+    let error = |address: String| {
+        let name = settings.name.clone();
+        move |error| StartError::Listen { name, address, error }
+    };
+    match &settings.listen {
+        Address::Tcp(address) => {
+            let listener = TcpListener::bind(address).await.map_err(error(address.to_string()))?;
+            let bound: SocketAddr = listener.local_addr().map_err(error(address.to_string()))?;
+            Ok((Listener::Tcp(listener), format!("tcp:{bound}")))
+        }
+        Address::Unix(path) => {
+            let shown = path.display().to_string();
+            // A socket that nobody answers on is left from a placer that was killed.
+            if path.exists() && std::os::unix::net::UnixStream::connect(path).is_err() {
+                let _ = std::fs::remove_file(path);
+            }
+            let listener = UnixListener::bind(path).map_err(error(shown.clone()))?;
+            Ok((Listener::Unix(listener), format!("unix:{shown}")))
+        }
+    }
+}
+
+fn monotonic_ns() -> u64 {
+    static BEGAN: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    BEGAN.get_or_init(Instant::now).elapsed().as_nanos() as u64
+}
+
+async fn run(
+    settings: Settings,
+    options: Options,
+    listener: Listener,
+    (life, unix): (u64, Duration),
+    mut orders: mpsc::UnboundedReceiver<Order>,
+) {
+    let clock = Instant::now();
+    let now = || clock.elapsed().as_micros() as u64;
+    let shared = Arc::new(Shared {
+        name: settings.name.clone(),
+        life,
+        connect_timeout: Duration::from_micros(settings.links.connect_us),
+        recorder: options.recorder,
+    });
+    shared.record(Event::PlacerStarted, "", life, options.settings_text.as_bytes());
+    let seed = settings.seed.unwrap_or(life);
+    let limit = settings.limits.connections;
+    let mut core = Core::new(settings, Start { now: now(), unix_us: unix.as_micros() as u64, life, seed });
+    core.time_module(monotonic_ns);
+    let (came, mut coming) = mpsc::channel(INPUTS);
+    let (listed, mut lists) = mpsc::channel(4);
+    tokio::spawn(clients::accept(listener, limit, Arc::clone(&shared), came.clone()));
+    tokio::spawn(options.source.run(listed));
+    let mut shell = Shell { clients: Clients::default(), links: Links::default(), shared, came };
+    let mut batch = Vec::with_capacity(BATCH);
+    loop {
+        let wake = core.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
+        tokio::select! {
+            _ = coming.recv_many(&mut batch, BATCH) => {}
+            Some(update) = lists.recv() => shell.listed(&mut core, now(), update),
+            Some(Order::Stall(time)) = orders.recv() => std::thread::sleep(time),
+            () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => {}
+        }
+        for news in batch.drain(..) {
+            match news {
+                Came::Open(conn, out) => shell.clients.open(conn, out),
+                Came::Answer(conn, response) => shell.clients.reply(conn, response),
+                Came::Input(input) => {
+                    if let Input::ClientGone(conn) = input {
+                        shell.clients.gone(conn);
+                    }
+                    core.handle(now(), input);
+                }
+            }
+        }
+        core.flush(now());
+        while let Some(output) = core.poll() {
+            shell.carry_out(output);
+        }
+    }
+}
+
+struct Shell {
+    clients: Clients,
+    links: Links,
+    shared: Arc<Shared>,
+    came: mpsc::Sender<Came>,
+}
+
+impl Shell {
+    fn listed(&self, core: &mut Core, now: u64, update: Update) {
+        match update {
+            Update::List(list, text) => {
+                self.shared.record(Event::Listed, "", 0, text.as_bytes());
+                core.handle(now, Input::Listed(list));
+            }
+            Update::Failed(why) => {
+                tracing::warn!(
+                    placer = self.shared.name,
+                    "the node list can't be used, the old one holds: {why}"
+                );
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Reply { conn, response } => self.clients.reply(conn, response),
+            Output::Connect { node, address } => self.links.connect(node, address, &self.shared, &self.came),
+            Output::Disconnect { node } => self.links.disconnect(&node),
+            Output::Send { node, message } => {
+                self.links.send(&node, message, &self.shared, &self.came);
+            }
+            Output::Log { level: Level::Warn, line } => tracing::warn!(placer = self.shared.name, "{line}"),
+            Output::Log { level: Level::Info, line } => tracing::info!(placer = self.shared.name, "{line}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,10 @@
+//! A whole site in one process, on loopback: placers, stand-in nodes, and what a test, a trial or a
+//! measurement does to them.
+//!
+//! [`Site`] starts and ends placers and nodes and keeps the node list; [`badday`] plays a script against
+//! one; [`load`] submits jobs to one and measures.
+#![forbid(unsafe_code)]
+
+mod site;
+
+pub use site::{Plan, Site, SiteError};
