--- /dev/null
+++ b/crates/core/tests/simulation.rs
@@ -0,0 +1,288 @@
+//! The core against node models in simulated time, under faults drawn from a seed.
+
+mod world;
+
+use proptest::prelude::*;
+use rand_core::Rng;
+use reedring_nodeproto::Repeat;
+use reedring_settings::Health;
+use world::{MS, SECOND, World};
+
+/// Jobs in three classes while faults fall, then everything is healed and awaited.
+fn day(seed: u64, faults: usize, restarts: bool) -> World {
+    let mut world = World::new(4, seed);
+    world.run_for(50 * MS);
+    for _ in 0..faults {
+        let class = ["safe", "keyed", "unsafe"][world.draw.next_u32() as usize % 3];
+        let (count, life) = (1 + u64::from(world.draw.next_u32() % 6), 20 + u64::from(world.draw.next_u32() % 400));
+        world.submit(class, count, life);
+        world.wait_any();
+        let n = world.draw.next_u32() as usize % world.nodes();
+        match world.draw.next_u32() % 10 {
+            0 | 1 => world.cut(n),
+            2 => world.lose_answers(n),
+            3 if world.is_up(n) => world.kill_node(n),
+            3 => world.start_node(n),
+            4 => world.hang(n, true),
+            5 => world.hang(n, false),
+            6 => world.list(n, Health::Draining),
+            7 => world.list(n, Health::Ready),
+            8 => world.list(n, Health::Gone),
+            _ if restarts => world.restart_placer(),
+            _ => {}
+        }
+        let after = u64::from(world.draw.next_u32() % 200) * MS;
+        let until = world.now + after;
+        while world.now < until {
+            world.run_for(10 * MS);
+            world.wait_any();
+            one_copy(&world);
+        }
+    }
+    for n in 0..world.nodes() {
+        world.hang(n, false);
+        world.list(n, Health::Ready);
+        if !world.is_up(n) {
+            world.start_node(n);
+        }
+    }
+    for _ in 0..1_500 {
+        world.run_for(10 * MS);
+        world.wait_any();
+        one_copy(&world);
+    }
+    world
+}
+
+/// Rule 2 at the nodes: an unsafe job stands once at most at any moment.
+fn one_copy(world: &World) {
+    for (job, copies) in world.standing() {
+        if world.copies[&job].repeat == Some(Repeat::Unsafe) {
+            assert!(copies.len() <= 1, "{job} stands {} times", copies.len());
+        }
+    }
+}
+
+fn judge(world: &World, restarts: bool) {
+    assert_eq!(world.errors, Vec::<String>::new());
+    assert_eq!(world.late_offers, Vec::<String>::new());
+    // Rule 2: what must not run twice ran once at most, over all lives of nodes and placer.
+    for (job, copies) in &world.copies {
+        if copies.repeat == Some(Repeat::Unsafe) {
+            assert!(copies.ran.len() <= 1, "{job} ran as {:?}", copies.ran);
+        }
+    }
+    // Nothing is left standing that nobody waits for.
+    assert_eq!(world.standing().len(), 0, "{:?}", world.standing());
+    // Rule 1: exactly one outcome for each job that was taken; a placer that is killed loses some.
+    for (job, infos) in &world.told {
+        assert_eq!(infos.len(), 1, "{job}: {infos:?}");
+    }
+    if !restarts {
+        let untold: Vec<&String> = world.taken.iter().filter(|job| !world.told.contains_key(*job)).collect();
+        assert!(untold.is_empty(), "no outcome for {untold:?}");
+    }
+    for infos in world.told.values() {
+        let outcome = infos[0].usage("reedring.outcome").unwrap();
+        let ran = world.copies.get(&infos[0].job).map_or(0, |copies| copies.ran.len());
+        // A refusal promises that asking again is harmless.
+        let unsafe_job = world.copies.get(&infos[0].job).is_some_and(|c| c.repeat == Some(Repeat::Unsafe));
+        assert!(!(outcome == "refused" && unsafe_job && ran > 0), "{infos:?}");
+    }
+}
+
+#[test]
+fn without_faults_every_job_is_placed_and_runs_once() {
+    let mut world = World::new(4, 1);
+    world.run_for(50 * MS);
+    for class in ["safe", "keyed", "unsafe"] {
+        world.submit(class, 20, 100);
+    }
+    for _ in 0..500 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    judge(&world, false);
+    assert_eq!(world.told.len(), 60);
+    let placed = world.told.values().filter(|infos| infos[0].usage("reedring.outcome") == Some("placed"));
+    assert_eq!(placed.count(), 60);
+    assert!(world.copies.values().all(|copies| copies.ran.len() == 1));
+}
+
+#[test]
+fn equal_seeds_give_equal_runs() {
+    let (one, two, other) = (day(5, 30, true), day(5, 30, true), day(6, 30, true));
+    assert_eq!((one.fingerprint, &one.told), (two.fingerprint, &two.told));
+    assert_ne!(one.fingerprint, other.fingerprint);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn rules_hold_under_faults(seed in any::<u64>()) {
+        judge(&day(seed, 40, false), false);
+    }
+
+    #[test]
+    fn rules_hold_over_restarts_of_the_placer(seed in any::<u64>()) {
+        judge(&day(seed, 40, true), true);
+    }
+}
+
+/// The link is cut right after a node accepted an unsafe task, and its answer is lost.
+#[test]
+fn an_unsafe_task_whose_acceptance_was_lost_is_found_on_the_next_link() {
+    let mut world = World::new(1, 3);
+    world.run_for(50 * MS);
+    world.submit("unsafe", 1, 300);
+    while world.standing().is_empty() {
+        world.run_for(100);
+    }
+    world.lose_answers(0);
+    for _ in 0..300 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    judge(&world, false);
+    let info = &world.told.values().next().unwrap()[0];
+    assert_eq!(info.usage("reedring.outcome"), Some("placed"));
+}
+
+/// An offer that was lost on a cut link never ran, and may be sent again even for an unsafe task.
+#[test]
+fn an_offer_that_never_arrived_is_sent_again() {
+    let mut world = World::new(2, 3);
+    world.run_for(50 * MS);
+    world.submit("unsafe", 1, 300);
+    // Both links are cut while the offer is on its way.
+    (0..2).for_each(|n| world.cut(n));
+    for _ in 0..400 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    judge(&world, false);
+    assert_eq!(world.told.values().next().unwrap()[0].usage("reedring.outcome"), Some("placed"));
+}
+
+/// A keyed task's node goes silent, a further try is sent in its group, and the first copy comes back.
+#[test]
+fn a_first_copy_that_comes_back_is_the_only_one() {
+    let mut world = World::new(4, 9);
+    world.run_for(50 * MS);
+    (0..4).for_each(|n| world.hang(n, true));
+    world.submit("keyed", 1, 500);
+    world.run_for(1_500 * MS);
+    (0..4).for_each(|n| world.hang(n, false));
+    for _ in 0..600 {
+        world.wait_any();
+        world.run_for(10 * MS);
+        assert!(world.standing().values().all(|copies| copies.len() <= 1));
+    }
+    judge(&world, false);
+    assert_eq!(world.told.len(), 1);
+}
+
+/// A placer dies with tasks out; its successor takes up what nodes hold and starts none of it again.
+#[test]
+fn a_successor_takes_up_what_nodes_hold() {
+    let mut world = World::new(4, 11);
+    world.run_for(50 * MS);
+    for class in ["safe", "keyed", "unsafe"] {
+        world.submit(class, 5, 2_000);
+    }
+    world.run_for(200 * MS);
+    assert_eq!(world.standing().len(), 15);
+    world.restart_placer();
+    for _ in 0..600 {
+        world.wait_any();
+        world.run_for(10 * MS);
+        assert!(world.standing().values().all(|copies| copies.len() == 1));
+    }
+    judge(&world, false);
+    assert_eq!(world.told.len(), 15);
+    assert!(world.copies.values().all(|copies| copies.ran.len() == 1));
+}
+
+/// The answer of a submission is lost with its placer: asked again, the successor finds the jobs.
+#[test]
+fn a_submission_repeated_to_the_successor_is_not_started_twice() {
+    let mut world = World::new(4, 12);
+    world.run_for(50 * MS);
+    let call = world.submit("unsafe", 6, 3_000);
+    // The answer is on its way when the placer dies, while its offers have left.
+    world.run_for(100);
+    assert!(world.open.contains_key(&call));
+    world.run_for(0);
+    let lost = world.open.clone();
+    world.run_for(100 * MS);
+    world.open = lost;
+    world.restart_placer();
+    for _ in 0..800 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    judge(&world, false);
+    assert_eq!(world.taken.len(), 6);
+    assert_eq!(world.told.len(), 6);
+    assert!(world.copies.values().all(|copies| copies.ran.len() == 1));
+}
+
+/// A node leaves the list for good with live tasks: safe ones come again, others are told as failed.
+#[test]
+fn a_node_gone_with_live_tasks() {
+    for (class, again) in [("safe", true), ("unsafe", false)] {
+        let mut world = World::new(2, 13);
+        world.run_for(50 * MS);
+        world.submit(class, 1, 800);
+        world.run_for(100 * MS);
+        let job = world.standing().into_keys().next().unwrap();
+        let at = (0..2).find(|n| world.holds(*n)).unwrap();
+        world.list(at, Health::Gone);
+        world.kill_node(at);
+        for _ in 0..600 {
+            world.wait_any();
+            world.run_for(10 * MS);
+        }
+        let info = &world.told[&job][0];
+        assert_eq!(info.usage("reedring.attempts"), Some(if again { "2" } else { "1" }), "{info:?}");
+        assert_eq!(matches!(info.end, reedring_drmaa::End::Exited { .. }), again, "{info:?}");
+    }
+}
+
+/// The drain is told while an offer is on its way.
+#[test]
+fn a_drain_told_while_an_offer_is_on_its_way() {
+    let mut world = World::new(2, 14);
+    world.run_for(50 * MS);
+    for round in 0..20 {
+        world.submit("safe", 3, 50);
+        world.list(round % 2, Health::Draining);
+        world.run_for(300 * MS);
+        world.wait_any();
+        world.list(round % 2, Health::Ready);
+        world.run_for(50 * MS);
+    }
+    for _ in 0..500 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    judge(&world, false);
+    assert_eq!(world.told.len(), 60);
+}
+
+/// A clock of the placer that stands still for seconds, as a stalled host's does.
+#[test]
+fn a_long_standstill_leaves_every_job_with_one_outcome() {
+    let mut world = World::new(2, 15);
+    world.run_for(50 * MS);
+    world.submit("safe", 20, 100);
+    world.submit("unsafe", 20, 100);
+    world.now += 10 * SECOND;
+    for _ in 0..800 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    judge(&world, false);
+    assert_eq!(world.told.len(), 40);
+}
--- /dev/null
+++ b/crates/core/tests/world/mod.rs
@@ -0,0 +1,513 @@
+//! A whole site in simulated time: placers' cores and node models, joined by links that a test cuts.
+//! Nothing here reads a clock: equal seeds give equal runs.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand_core::Rng;
+use rand_pcg::Pcg32;
+use reedring_core::{Core, Input, Output, Start};
+use reedring_drmaa::rpc::{Answer, Call, CallKey, Range, Response};
+use reedring_drmaa::{JobInfo, JobSpec};
+use reedring_nodeproto::{AttemptId, End, Message, Repeat};
+use reedring_settings::{Health, NodeEntry, NodeList, Settings};
+use reedring_standin::{Config, Effect, Groups, Node};
+
+pub const MS: u64 = 1_000;
+pub const SECOND: u64 = 1_000_000;
+
+pub const SETTINGS: &str = r#"
+    placer = { name = "p", listen = "127.0.0.1:0", nodes = "nodes.toml" }
+    kind = [{ name = "k", cores = 16.0, memory = 64.0 }]
+    [site]
+    max_attempts = 4
+    may_probe = true
+    drain_grace = "100ms"
+    [links]
+    reattach = "200ms"
+    stop_wait = "200ms"
+    lost_after = "2s"
+    [limits]
+    settle = "500ms"
+    [[class]]
+    name = "safe"
+    repeat = "safe"
+    aim = "300ms"
+    give_up = "3s"
+    again_after = "200ms"
+    [[class]]
+    name = "keyed"
+    repeat = "keyed"
+    group = "hall"
+    window = "2s"
+    aim = "300ms"
+    give_up = "3s"
+    again_after = "200ms"
+    [[class]]
+    name = "unsafe"
+    repeat = "unsafe"
+    aim = "300ms"
+    give_up = "3s"
+"#;
+
+type LinkId = u64;
+
+enum Due {
+    /// A message arrives at a node.
+    AtNode(LinkId, Message),
+    /// A message arrives at the placer.
+    AtPlacer(LinkId, Message),
+    /// The placer tries to connect.
+    Connect(usize),
+    /// The placer hears that a link ended.
+    Down(LinkId),
+    /// The client hears an answer.
+    Answer(u64, Box<Response>),
+}
+
+struct Place {
+    config: Config,
+    node: Option<Node>,
+    lives: u64,
+}
+
+struct Link {
+    node: usize,
+    /// The placer's side has not heard of its end.
+    known: bool,
+    /// Bytes still pass.
+    alive: bool,
+    greeted: bool,
+}
+
+/// What a job's copies did at the nodes.
+#[derive(Debug, Default)]
+pub struct Copies {
+    pub repeat: Option<Repeat>,
+    /// Attempts that some node accepted and did not hand back unstarted.
+    pub ran: BTreeSet<AttemptId>,
+}
+
+pub struct World {
+    pub now: u64,
+    pub core: Core,
+    pub life: u64,
+    settings: Settings,
+    due: BTreeMap<(u64, u64), Due>,
+    made: u64,
+    places: Vec<Place>,
+    links: BTreeMap<LinkId, Link>,
+    wanted: BTreeSet<usize>,
+    groups: Groups,
+    pub list: Vec<NodeEntry>,
+    pub draw: Pcg32,
+    /// Calls without an answer, by number, as their client made them.
+    pub open: BTreeMap<u64, Call>,
+    last_call: u64,
+    session: String,
+    sent_to: BTreeMap<u64, u64>,
+    /// What the client was told of each job.
+    pub told: BTreeMap<String, Vec<JobInfo>>,
+    pub taken: BTreeSet<String>,
+    pub errors: Vec<String>,
+    pub copies: BTreeMap<String, Copies>,
+    /// When each node was told to the placer as closed, and offers that left later than the grace.
+    closed: BTreeMap<usize, u64>,
+    pub late_offers: Vec<String>,
+    /// Everything that left the core, folded into a number.
+    pub fingerprint: u64,
+}
+
+impl World {
+    pub fn new(nodes: usize, seed: u64) -> Self {
+        let settings = Settings::parse(SETTINGS, "world").unwrap();
+        let place = |n: usize| {
+            let mut config = Config::named(&format!("node-{n}"));
+            (config.cores, config.memory) = (16.0, 64.0);
+            (config.look_ms, config.start_ms) = (1.0, 5.0);
+            config.hall = ["a", "b"][n % 2].to_owned();
+            Place { config, node: None, lives: 0 }
+        };
+        let entry = |n: usize| NodeEntry {
+            name: format!("node-{n}"),
+            address: format!("127.0.0.1:{}", 7_000 + n).parse().unwrap(),
+            kind: 0,
+            rack: "r".to_owned(),
+            hall: ["a", "b"][n % 2].to_owned(),
+            health: Health::Ready,
+            free_cores: None,
+            free_memory: None,
+        };
+        let start = Start { now: SECOND, unix_us: SECOND, life: 1, seed };
+        let mut world = Self {
+            now: SECOND,
+            core: Core::new(settings.clone(), start),
+            life: 1,
+            settings,
+            due: BTreeMap::new(),
+            made: 0,
+            places: (0..nodes).map(place).collect(),
+            links: BTreeMap::new(),
+            wanted: BTreeSet::new(),
+            groups: Groups::default(),
+            list: (0..nodes).map(entry).collect(),
+            draw: Pcg32::new(seed, 7),
+            open: BTreeMap::new(),
+            last_call: 0,
+            session: "s".to_owned(),
+            sent_to: BTreeMap::new(),
+            told: BTreeMap::new(),
+            taken: BTreeSet::new(),
+            errors: Vec::new(),
+            copies: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            late_offers: Vec::new(),
+            fingerprint: 0,
+        };
+        (0..nodes).for_each(|n| world.start_node(n));
+        world.tell_list();
+        world.init();
+        world
+    }
+
+    pub fn nodes(&self) -> usize {
+        self.places.len()
+    }
+
+    fn later(&mut self, after: u64, due: Due) {
+        self.made += 1;
+        self.due.insert((self.now + after, self.made), due);
+    }
+
+    fn latency(&mut self) -> u64 {
+        200 + u64::from(self.draw.next_u32() % 800)
+    }
+
+    // ---- What a test does ----
+
+    pub fn start_node(&mut self, n: usize) {
+        let place = &mut self.places[n];
+        place.lives += 1;
+        place.node = Some(Node::new(place.config.clone(), place.lives, 5, self.now));
+    }
+
+    pub fn kill_node(&mut self, n: usize) {
+        if let Some(mut node) = self.places[n].node.take() {
+            node.die(&mut self.groups);
+        }
+        self.cut(n);
+    }
+
+    pub fn is_up(&self, n: usize) -> bool {
+        self.places[n].node.is_some()
+    }
+
+    pub fn hang(&mut self, n: usize, hangs: bool) {
+        if let Some(node) = self.places[n].node.as_mut() {
+            node.fault.hangs = hangs;
+        }
+    }
+
+    /// Cuts the links of a node: bytes on their way are lost, and the placer hears of it a little later.
+    pub fn cut(&mut self, n: usize) {
+        let ids: Vec<LinkId> =
+            self.links.iter().filter(|(_, link)| link.node == n && link.alive).map(|(id, _)| *id).collect();
+        for id in ids {
+            if let Some(link) = self.links.get_mut(&id) {
+                link.alive = false;
+            }
+            if let Some(node) = self.places[n].node.as_mut() {
+                node.link_gone(id);
+            }
+            let after = self.latency();
+            self.later(after, Due::Down(id));
+        }
+    }
+
+    /// Loses everything that is on its way to or from a node without ending the link's life at the node
+    /// before the placer's: the half-closed case, where the last answers never arrive.
+    pub fn lose_answers(&mut self, n: usize) {
+        let links = &self.links;
+        self.due.retain(|_, due| match due {
+            Due::AtPlacer(id, _) => links.get(id).is_none_or(|link| link.node != n),
+            _ => true,
+        });
+        self.cut(n);
+    }
+
+    pub fn list(&mut self, n: usize, health: Health) {
+        self.list[n].health = health;
+        self.tell_list();
+    }
+
+    fn tell_list(&mut self) {
+        for (n, entry) in self.list.iter().enumerate() {
+            if entry.health == Health::Ready {
+                self.closed.remove(&n);
+            } else {
+                self.closed.entry(n).or_insert(self.now);
+            }
+        }
+        let list = NodeList { nodes: self.list.clone() };
+        self.input(Input::Listed(list));
+    }
+
+    /// Kills the placer and starts its successor; the client makes its open calls again.
+    pub fn restart_placer(&mut self) {
+        self.life += 1;
+        let ids: Vec<LinkId> = self.links.keys().copied().collect();
+        for id in ids {
+            let Some(link) = self.links.remove(&id) else { continue };
+            if let Some(node) = self.places[link.node].node.as_mut() {
+                node.link_gone(id);
+            }
+        }
+        self.due.retain(|_, due| matches!(due, Due::AtNode(..)));
+        self.wanted.clear();
+        let start = Start { now: self.now, unix_us: self.now, life: self.life, seed: self.life };
+        self.core = Core::new(self.settings.clone(), start);
+        self.tell_list();
+        self.init();
+        let again: Vec<(u64, Call)> = self.open.iter().map(|(n, call)| (*n, call.clone())).collect();
+        for (number, call) in again {
+            self.input(Input::Call { conn: 1, id: number, call });
+        }
+    }
+
+    fn init(&mut self) {
+        let call = Call::Init { session: self.session.clone() };
+        self.input(Input::Call { conn: 1, id: 0, call });
+    }
+
+    pub fn call(&mut self, make: impl FnOnce(CallKey) -> Call) -> u64 {
+        self.last_call += 1;
+        let number = self.last_call;
+        self.sent_to.insert(number, self.life);
+        let key = CallKey { session: self.session.clone(), call: number, settled: 0, sent_to: self.life };
+        let call = make(key);
+        self.open.insert(number, call.clone());
+        self.input(Input::Call { conn: 1, id: number, call });
+        number
+    }
+
+    pub fn submit(&mut self, class: &str, count: u64, life_ms: u64) -> u64 {
+        let native = format!("class={class} service={class}-svc life={life_ms}ms cores=0.5 memory=1");
+        let job = JobSpec { command: "work".to_owned(), native, ..JobSpec::default() };
+        let range = Range { first: 1, last: count, step: 1 };
+        self.call(|key| Call::RunBulkJobs { key, job: Box::new(job), range })
+    }
+
+    /// Keeps one call open that waits for any job.
+    pub fn wait_any(&mut self) {
+        if !self.open.values().any(|call| matches!(call, Call::Wait { .. })) {
+            self.call(|key| Call::Wait { key, job: None, timeout_s: -1 });
+        }
+    }
+
+    // ---- How it runs ----
+
+    pub fn input(&mut self, input: Input) {
+        self.core.handle(self.now, input);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        self.core.flush(self.now);
+        while let Some(output) = self.core.poll() {
+            self.carry_out(output);
+        }
+    }
+
+    fn fold(&mut self, text: &str) {
+        for byte in text.bytes().chain(self.now.to_be_bytes()) {
+            self.fingerprint = (self.fingerprint ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+
+    fn number(&self, name: &str) -> usize {
+        self.list.iter().position(|entry| entry.name == name).unwrap()
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        self.fold(&format!("{output:?}"));
+        match output {
+            Output::Connect { node, .. } => {
+                let n = self.number(&node);
+                self.wanted.insert(n);
+                self.later(MS, Due::Connect(n));
+            }
+            Output::Disconnect { node } => {
+                let n = self.number(&node);
+                self.wanted.remove(&n);
+                self.cut(n);
+            }
+            Output::Send { node, message } => {
+                let n = self.number(&node);
+                if let (Message::Offer { attempt, .. }, Some(since)) = (&message, self.closed.get(&n)) {
+                    if self.now > since + 100 * MS {
+                        self.late_offers.push(format!("{attempt:?} to {node}"));
+                    }
+                }
+                let id = self.links.iter().find(|(_, link)| link.node == n && link.alive && link.known);
+                if let Some(id) = id.map(|(id, _)| *id) {
+                    let after = self.latency();
+                    self.later(after, Due::AtNode(id, message));
+                }
+            }
+            Output::Reply { response, .. } => {
+                let after = self.latency();
+                self.later(after, Due::Answer(self.life, Box::new(response)));
+            }
+            Output::Log { .. } => {}
+        }
+    }
+
+    fn effects(&mut self, n: usize) {
+        let Some(node) = self.places[n].node.as_mut() else { return };
+        for effect in node.effects() {
+            match effect {
+                Effect::Send(id, message) => {
+                    self.saw(&message);
+                    let after = self.latency();
+                    self.later(after, Due::AtPlacer(id, message));
+                }
+                Effect::Close(id) => {
+                    if let Some(link) = self.links.get_mut(&id).filter(|link| link.alive) {
+                        link.alive = false;
+                        let after = self.latency();
+                        self.later(after, Due::Down(id));
+                    }
+                }
+                Effect::FellOver => self.kill_node(n),
+            }
+        }
+        // Copies that stand, whether or not anybody is told.
+        if let Some(node) = self.places[n].node.as_ref() {
+            for (attempt, task) in node.held() {
+                let copies = self.copies.entry(task.job.clone()).or_default();
+                copies.repeat = Some(task.repeat);
+                copies.ran.insert(attempt);
+            }
+        }
+    }
+
+    fn saw(&mut self, message: &Message) {
+        // Handed back before it started: it never ran.
+        if let Message::Ended { attempt, end: End::Stopped, ran: false, .. } = message {
+            self.copies.values_mut().for_each(|copies| drop(copies.ran.remove(attempt)));
+        }
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::AtNode(id, message) => {
+                let Some(n) = self.links.get(&id).filter(|link| link.alive).map(|link| link.node) else { return };
+                let (now, groups) = (self.now, &mut self.groups);
+                if let Some(node) = self.places[n].node.as_mut() {
+                    node.message(now, id, message, groups);
+                }
+                self.effects(n);
+            }
+            Due::AtPlacer(id, message) => {
+                let Some(link) = self.links.get_mut(&id).filter(|link| link.known && link.alive) else { return };
+                let node = self.list[link.node].name.clone();
+                let first = !link.greeted;
+                link.greeted = true;
+                match message {
+                    Message::Welcome { node: called, life, up_ms, can_suspend } if first => {
+                        self.input(Input::LinkUp { node, called, life, up_ms, can_suspend });
+                    }
+                    message => self.input(Input::Message { node, message }),
+                }
+            }
+            Due::Connect(n) => {
+                if !self.wanted.contains(&n) || self.links.values().any(|link| link.node == n && link.known) {
+                    return;
+                }
+                if self.places[n].node.is_none() {
+                    let node = self.list[n].name.clone();
+                    self.input(Input::LinkDown { node, why: "refused".to_owned() });
+                    return self.later(100 * MS, Due::Connect(n));
+                }
+                self.made += 1;
+                let id = self.made;
+                self.links.insert(id, Link { node: n, known: true, alive: true, greeted: false });
+                let hello = Message::Hello { placer: "p".to_owned(), life: self.life, link: id };
+                let after = self.latency();
+                self.later(after, Due::AtNode(id, hello));
+            }
+            Due::Down(id) => {
+                let Some(link) = self.links.remove(&id) else { return };
+                let node = self.list[link.node].name.clone();
+                self.input(Input::LinkDown { node, why: "cut".to_owned() });
+                self.later(50 * MS, Due::Connect(link.node));
+            }
+            Due::Answer(life, response) => {
+                if life == self.life {
+                    self.answered(*response);
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, response: Response) {
+        let Some(id) = response.id.filter(|id| *id != 0) else { return };
+        let Some(call) = self.open.remove(&id) else {
+            return self.errors.push(format!("call {id} was answered twice"));
+        };
+        match (response.result, response.error) {
+            (Some(Answer::Submitted(submitted)), None) => self.taken.extend(submitted.jobs),
+            (Some(Answer::Ended(info)), None) => {
+                self.told.entry(info.job.clone()).or_default().push(info);
+            }
+            (Some(_), None) => {}
+            // A wait that finds no job is made again when there are some.
+            (None, Some(_)) if matches!(call, Call::Wait { .. }) => {}
+            (_, error) => self.errors.push(format!("{call:?}: {error:?}")),
+        }
+    }
+
+    /// Runs until this time.
+    pub fn run_until(&mut self, until: u64) {
+        while self.now < until {
+            let message = self.due.first_key_value().map(|((at, _), _)| *at);
+            let timer = self.core.next_wake();
+            let nodes = self.places.iter().filter_map(|place| place.node.as_ref()?.next_us());
+            let next = nodes.chain(message).chain(timer).min().unwrap_or(until);
+            self.now = next.clamp(self.now, until);
+            for n in 0..self.places.len() {
+                let (now, groups) = (self.now, &mut self.groups);
+                if let Some(node) = self.places[n].node.as_mut().filter(|node| node.next_us().is_some_and(|at| at <= now)) {
+                    node.tick(now, groups);
+                    self.effects(n);
+                }
+            }
+            while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                let due = entry.remove();
+                self.happen(due);
+            }
+            if self.core.next_wake().is_some_and(|at| at <= self.now) {
+                self.input(Input::Tick);
+            }
+        }
+    }
+
+    pub fn run_for(&mut self, us: u64) {
+        self.run_until(self.now + us);
+    }
+
+    pub fn holds(&self, n: usize) -> bool {
+        self.places[n].node.as_ref().is_some_and(|node| node.held().next().is_some())
+    }
+
+    /// Live copies by job, over all nodes.
+    pub fn standing(&self) -> BTreeMap<String, Vec<AttemptId>> {
+        let mut standing: BTreeMap<String, Vec<AttemptId>> = BTreeMap::new();
+        for node in self.places.iter().filter_map(|place| place.node.as_ref()) {
+            for (attempt, task) in node.held() {
+                standing.entry(task.job.clone()).or_default().push(attempt);
+            }
+        }
+        standing
+    }
+}
--- a/crates/site/src/load.rs
+++ b/crates/site/src/load.rs
@@ -101,7 +101,7 @@
                     _ => outcomes[2] += 1,
                 }
                 if let Some((from, to)) = time("submission_time").zip(time("reedring.placed_time")) {
-                    times.saturating_record(((to - from) * 1e6).max(1.0) as u64);
+                    times.record(((to - from) * 1e6).max(1.0) as u64).unwrap_or_default();
                 }
             }
             Ok((outcomes, times))
