--- a/crates/libdrmaa/src/calls.rs
+++ b/crates/libdrmaa/src/calls.rs
@@ -18,6 +18,8 @@
     Error::new(ErrorCode::InvalidArgument, text)
 }
 
+// `c_long` has 32 bits on some targets.
+#[allow(clippy::useless_conversion)]
 fn timeout(seconds: c_long) -> Result<Option<Duration>> {
     match i64::from(seconds) {
         WAIT_FOREVER => Ok(None),
