--- /dev/null
+++ b/crates/constraint/src/check.rs
@@ -0,0 +1,189 @@
+//! What is wrong with a tree by itself, or beside what the site knows.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+use crate::error::{Mistake, nearest};
+use crate::fleet::{Attr, Fleet};
+use crate::tree::{Compare, Constraint, Expr, Field, Op, Rule, Strength, Value};
+
+/// Whether a value can be compared so with a field: the part of the types that the text alone shows.
+pub(crate) fn fits(
+    text: &str,
+    field: &Field,
+    op: Op,
+    value: &Value,
+    at: Range<usize>,
+) -> Result<(), Mistake> {
+    let wrong = |message: String, here: &str, help: &str| {
+        Err(Mistake::new(text, at.clone(), message, here).help(help))
+    };
+    match (field, op, value) {
+        (_, Op::In, Value::Set(_)) | (Field::Attr(_), Op::Has, Value::Text(_)) => Ok(()),
+        (_, Op::In, _) => wrong("`in` needs a set".into(), "no set", "write it as {\"a\", \"b\"}"),
+        (Field::Attr(_), Op::Has, _) => {
+            wrong("a set holds texts".into(), "no text", "write the text in quotes")
+        }
+        (field, Op::Has, _) => {
+            wrong(format!("`{field}` is one text, not a set"), "`has` needs a set", "write `=`")
+        }
+        (_, _, Value::Set(_)) => wrong("a set compares with `in` alone".into(), "a set", "write `in`"),
+        (Field::Kind | Field::Rack | Field::Hall | Field::Name, Op::Eq | Op::Ne, Value::Text(_)) => Ok(()),
+        (Field::Attr(_), Op::Eq | Op::Ne, _) => Ok(()),
+        (Field::Attr(_), _, Value::Number(_) | Value::Version(_)) => Ok(()),
+        (Field::Attr(_), op, Value::Text(_)) => wrong(
+            format!("texts have no order for `{}`", op.word()),
+            "a text",
+            "write a number without quotes, or a version such as v6.1",
+        ),
+        (field, Op::Eq | Op::Ne, _) => wrong(format!("`{field}` is a text"), "no text", "write it in quotes"),
+        (field, op, _) => wrong(
+            format!("`{field}` is a text, and texts have no order for `{}`", op.word()),
+            "no order",
+            "use `=`, `!=` or `in`",
+        ),
+    }
+}
+
+/// What every machine that fits must satisfy: conjunctions of comparisons, flattened.
+fn musts<'a>(expr: &'a Expr, found: &mut Vec<&'a Compare>) {
+    match expr {
+        Expr::And(all) => all.iter().for_each(|inner| musts(inner, found)),
+        Expr::Compare(compare) => found.push(compare),
+        _ => {}
+    }
+}
+
+/// Whether two comparisons of one field exclude each other.
+fn exclude(a: &Compare, b: &Compare) -> bool {
+    let one_of = |compare: &Compare| match (&compare.value, compare.op) {
+        (Value::Text(text), Op::Eq) => Some(vec![text.clone()]),
+        (Value::Set(all), Op::In) => Some(all.clone()),
+        _ => None,
+    };
+    if let Some((one, other)) = one_of(a).zip(one_of(b)) {
+        return !one.iter().any(|text| other.contains(text));
+    }
+    match (a.op, &a.value, b.op, &b.value) {
+        (Op::Eq, x, Op::Ne, y) | (Op::Ne, x, Op::Eq, y) => x == y,
+        (_, Value::Number(x), _, Value::Number(y)) => apart(a.op, *x, b.op, *y),
+        _ => false,
+    }
+}
+
+/// The range of numbers that a comparison leaves: its ends, and whether they belong to it.
+fn range(op: Op, x: f64) -> Option<(f64, bool, f64, bool)> {
+    let (low, high) = (f64::NEG_INFINITY, f64::INFINITY);
+    Some(match op {
+        Op::Eq => (x, true, x, true),
+        Op::Lt => (low, false, x, false),
+        Op::Le => (low, false, x, true),
+        Op::Gt => (x, false, high, false),
+        Op::Ge => (x, true, high, false),
+        _ => return None,
+    })
+}
+
+fn apart(a: Op, x: f64, b: Op, y: f64) -> bool {
+    let Some((one, other)) = range(a, x).zip(range(b, y)) else { return false };
+    let before =
+        |a: (f64, bool, f64, bool), b: (f64, bool, f64, bool)| a.2 < b.0 || a.2 == b.0 && !(a.3 && b.1);
+    before(one, other) || before(other, one)
+}
+
+/// Finds required comparisons that no machine whatsoever can satisfy together.
+pub(crate) fn contradiction(constraint: &Constraint, text: &str) -> Result<(), Mistake> {
+    let mut found: Vec<&Compare> = Vec::new();
+    for clause in constraint.clauses.iter().filter(|clause| clause.strength == Strength::Require) {
+        if let Rule::Where(expr) = &clause.rule {
+            musts(expr, &mut found);
+        }
+    }
+    let mut by_field: BTreeMap<&Field, Vec<&Compare>> = BTreeMap::new();
+    for compare in found {
+        let others = by_field.entry(&compare.field).or_default();
+        if let Some(other) = others.iter().find(|other| exclude(other, compare)) {
+            let message = format!("`{other}` and `{compare}` can't both hold on any machine");
+            // Clauses that came by `use` have their places in another text.
+            let inside = |span: &Range<usize>| text.get(span.clone()).is_some();
+            let mistake = Mistake::new(text, compare.span.clone(), message, "contradicts");
+            return Err(if inside(&other.span) { mistake.also(other.span.clone(), "this") } else { mistake });
+        }
+        others.push(compare);
+    }
+    Ok(())
+}
+
+/// What a site knows: names and types, for errors beside the text's own.
+#[derive(Clone, Debug, Default)]
+pub struct Schema {
+    /// The kinds of the settings.
+    pub kinds: Vec<String>,
+    /// Attributes of the node list with the type that they have: `text`, `number`, `version` or `set`.
+    pub attrs: BTreeMap<String, &'static str>,
+}
+
+impl Schema {
+    /// The types of a fleet's attributes.
+    pub fn of(kinds: Vec<String>, fleet: &Fleet) -> Self {
+        let attrs = fleet.lines().iter().flat_map(|line| line.attrs.iter());
+        Self { kinds, attrs: attrs.map(|(name, attr)| (name.clone(), attr.kind())).collect() }
+    }
+
+    /// Checks a constraint beside the site: unknown kinds and attributes, and types that do not fit.
+    ///
+    /// # Errors
+    /// The first mistake.
+    pub fn check(&self, constraint: &Constraint, text: &str) -> Result<(), Mistake> {
+        for clause in &constraint.clauses {
+            if let Rule::Where(expr) = &clause.rule {
+                self.expr(expr, text)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn expr(&self, expr: &Expr, text: &str) -> Result<(), Mistake> {
+        match expr {
+            Expr::And(all) | Expr::Or(all) => all.iter().try_for_each(|inner| self.expr(inner, text)),
+            Expr::Not(inner) => self.expr(inner, text),
+            Expr::Compare(compare) => self.compare(compare, text),
+            Expr::Near(..) | Expr::Apart(..) => Ok(()),
+        }
+    }
+
+    fn compare(&self, compare: &Compare, text: &str) -> Result<(), Mistake> {
+        let span = if text.get(compare.span.clone()).is_some() { compare.span.clone() } else { 0..0 };
+        let unknown = |what: &str, name: &str, known: Vec<&str>| {
+            let near = nearest(name, known.iter().copied()).map(|near| format!("did you mean `{near}`?"));
+            let list = if known.is_empty() {
+                "none is known".to_owned()
+            } else {
+                format!("known are {}", known.join(", "))
+            };
+            let mistake = Mistake::new(text, span.clone(), format!("no {what} `{name}`"), "unknown");
+            Err(mistake.help(near.unwrap_or(list)))
+        };
+        match (&compare.field, &compare.value) {
+            (Field::Kind, Value::Text(name)) if !self.kinds.is_empty() && !self.kinds.contains(name) => {
+                unknown("kind", name, self.kinds.iter().map(String::as_str).collect())
+            }
+            (Field::Attr(name), value) => {
+                let Some(kind) = self.attrs.get(name) else {
+                    return unknown("attribute", name, self.attrs.keys().map(String::as_str).collect());
+                };
+                let fits = match (compare.op, value) {
+                    (Op::Has, _) => *kind == "set",
+                    (Op::In, _) => *kind == "text",
+                    (_, value) => *kind == Attr::kind_of(value),
+                };
+                if fits {
+                    return Ok(());
+                }
+                let message = format!("`attr.{name}` is a {kind} on the node list");
+                Err(Mistake::new(text, span, message, format!("compared as a {}", Attr::kind_of(value))))
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -136,6 +136,7 @@
             kind: 0,
             rack: "r".to_owned(),
             hall: ["a", "b"][n % 2].to_owned(),
+            attrs: BTreeMap::new(),
             health: Health::Ready,
             free_cores: None,
             free_memory: None,
--- a/crates/drmaa/src/native.rs
+++ b/crates/drmaa/src/native.rs
@@ -19,7 +19,7 @@
 use crate::template::nearest;
 
 /// The names that a specification may hold, each with what it means.
-pub const NAMES: [(&str, &str); 7] = [
+pub const NAMES: [(&str, &str); 9] = [
     ("class", "the class of the task, by its name in the settings"),
     ("tenant", "whose task it is, by its name in the settings"),
     ("service", "the service that the task belongs to: one class, one program"),
@@ -27,6 +27,8 @@
     ("life", "how long it should run: a number with ms, s, m or h"),
     ("cores", "cores it asks for, over 0"),
     ("memory", "memory it asks for, over 0, in the unit of the settings"),
+    ("labels", "what others can be near to or apart from: NAME:VALUE, joined by commas"),
+    ("constraint", "where it may stand, in the words of docs/constraints.md, in quotes"),
 ];
 
 /// A specification as read; what it does not say is `None`.
@@ -46,6 +48,10 @@
     pub cores: Option<f64>,
     /// `memory`.
     pub memory: Option<f64>,
+    /// `labels`.
+    pub labels: Option<Vec<(String, String)>>,
+    /// `constraint`: its text.
+    pub constraint: Option<String>,
 }
 
 /// Characters of a specification at most.
@@ -94,6 +100,16 @@
     Error::new(code, format!("native specification, {place}: {why}\n  {shown}\n  {mark}"))
 }
 
+/// Labels `NAME:VALUE`, joined by commas.
+fn labels(text: &str) -> Option<Vec<(String, String)>> {
+    let label = |text: &str| {
+        let (name, value) = text.split_once(':')?;
+        (!name.is_empty() && !value.is_empty()).then(|| (name.to_owned(), value.to_owned()))
+    };
+    let labels: Vec<(String, String)> = text.split(',').map(label).collect::<Option<_>>()?;
+    (labels.len() <= 16).then_some(labels)
+}
+
 /// A length of time such as `250ms`, `20s`, `1.5m` or `2h`, in microseconds.
 pub fn duration_us(text: &str) -> Option<u64> {
     let at = text.find(|c: char| c.is_alphabetic())?;
@@ -142,6 +158,10 @@
                 "key" => word(&mut native.key),
                 "cores" => amount(&mut native.cores),
                 "memory" => amount(&mut native.memory),
+                "constraint" => word(&mut native.constraint),
+                "labels" => labels(value)
+                    .map(|labels| native.labels.replace(labels).is_some())
+                    .ok_or("this is no list such as tier:web,zone:3, of at most 16 labels"),
                 "life" => duration_us(value)
                     .map(|us| native.life_us.replace(us).is_some())
                     .ok_or("this is not a time such as 250ms, 20s, 1.5m or 2h"),
@@ -171,6 +191,8 @@
             life_us: self.life_us.or(base.life_us),
             cores: self.cores.or(base.cores),
             memory: self.memory.or(base.memory),
+            labels: self.labels.or_else(|| base.labels.clone()),
+            constraint: self.constraint.or_else(|| base.constraint.clone()),
         }
     }
 }
--- a/crates/settings/src/nodes.rs
+++ b/crates/settings/src/nodes.rs
@@ -1,7 +1,9 @@
 //! The node list: one `[[node]]` table a node.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use reedring_constraint::Attr;
 use serde::Deserialize;
 use toml::Spanned;
 
@@ -45,6 +47,8 @@
     pub rack: String,
     /// Its hall; empty where the list does not say.
     pub hall: String,
+    /// Its attributes, for constraints.
+    pub attrs: BTreeMap<String, Attr>,
     /// Whether it takes tasks.
     pub health: Health,
     /// Cores that no accepted task asked for, where told.
@@ -78,11 +82,27 @@
     #[serde(default)]
     hall: String,
     #[serde(default)]
+    attrs: BTreeMap<String, Spanned<toml::Value>>,
+    #[serde(default)]
     health: Health,
     free_cores: Option<f64>,
     free_memory: Option<f64>,
 }
 
+/// An attribute as constraints know it.
+fn attr(value: &toml::Value) -> Option<Attr> {
+    Some(match value {
+        toml::Value::String(text) => Attr::text(text),
+        toml::Value::Integer(number) => Attr::Number(*number as f64),
+        toml::Value::Float(number) if number.is_finite() => Attr::Number(*number),
+        toml::Value::Boolean(yes) => Attr::Text(yes.to_string()),
+        toml::Value::Array(all) => {
+            Attr::Set(all.iter().map(|one| one.as_str().map(str::to_owned)).collect::<Option<_>>()?)
+        }
+        _ => return None,
+    })
+}
+
 impl NodeList {
     /// Reads and checks a text against the kinds of the settings.
     ///
@@ -115,12 +135,23 @@
                     None
                 }
             };
+            let mut attrs = BTreeMap::new();
+            for (name, value) in &node.attrs {
+                match attr(value.get_ref()) {
+                    Some(attr) => drop(attrs.insert(name.clone(), attr)),
+                    None => {
+                        let fix = "an attribute is a text, a number or a list of texts";
+                        check.wrong(value.span(), key(&format!("attrs.{name}")), fix);
+                    }
+                }
+            }
             nodes.push(NodeEntry {
                 name: node.name.get_ref().clone(),
                 address,
                 kind: kind.unwrap_or(0) as u16,
                 rack: node.rack.clone(),
                 hall: node.hall.clone(),
+                attrs,
                 health: node.health,
                 free_cores: node.free_cores,
                 free_memory: node.free_memory,
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -1,9 +1,11 @@
 //! The settings of a placer and of its site.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use reedring::{self as module, Effect, Group, Micros, Place, ReportField, ReportStyle};
+use reedring_constraint::{Constraint, Mistake};
 use reedring_drmaa::native::Native;
 use serde::Deserialize;
 use toml::Spanned;
@@ -198,6 +200,8 @@
     pub tenants: Vec<String>,
     /// Job categories.
     pub categories: Vec<Category>,
+    /// Constraints by name, for `use NAME` in others.
+    pub constraints: BTreeMap<String, String>,
 }
 
 // ---- As the file has it ----
@@ -220,6 +224,8 @@
     tenant: Vec<TenantTable>,
     #[serde(default)]
     category: Vec<CategoryTable>,
+    #[serde(default)]
+    constraint: Vec<ConstraintTable>,
 }
 
 #[derive(Deserialize)]
@@ -429,7 +435,22 @@
 /// apart when it is decided must not fall into one window at the node.
 const WIRE_JITTER_US: Micros = 100_000;
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ConstraintTable {
+    name: Spanned<String>,
+    text: Spanned<String>,
+}
+
 impl Settings {
+    /// Reads a constraint's text; `use NAME` in it is one of the settings'.
+    ///
+    /// # Errors
+    /// The first mistake.
+    pub fn constraint(&self, text: &str) -> Result<Constraint, Mistake> {
+        Constraint::parse_with(text, |name| self.constraints.get(name).map(String::as_str))
+    }
+
     /// Reads and checks a text; `file` is the name under which problems speak of it.
     ///
     /// # Errors
@@ -463,6 +484,14 @@
             tenants.push("default".to_owned());
         }
         let tenant_names: Vec<&str> = tenants.iter().map(String::as_str).collect();
+        check.names(read.constraint.iter().map(|constraint| &constraint.name), "constraint");
+        let mut constraints = BTreeMap::new();
+        for (n, constraint) in read.constraint.iter().enumerate() {
+            if let Err(mistake) = Constraint::parse(constraint.text.get_ref()) {
+                check.wrong(constraint.text.span(), format!("constraint[{n}].text"), mistake.to_string());
+            }
+            constraints.insert(constraint.name.get_ref().clone(), constraint.text.get_ref().clone());
+        }
         let mut categories = Vec::new();
         for (n, category) in read.category.iter().enumerate() {
             let key = format!("category[{n}].native");
@@ -473,6 +502,12 @@
                     continue;
                 }
             };
+            let used = |name: &str| constraints.get(name).map(String::as_str);
+            if let Some(Err(mistake)) =
+                native.constraint.as_deref().map(|text| Constraint::parse_with(text, used))
+            {
+                check.wrong(category.native.span(), key.clone(), mistake.to_string());
+            }
             let named = |name: &Option<String>| name.clone().map(|n| Spanned::new(category.native.span(), n));
             if let Some(name) = named(&native.class) {
                 check.find(&name, &class_names, &key, "class");
@@ -515,6 +550,7 @@
             classes,
             tenants,
             categories,
+            constraints,
         };
         check.finish(settings)
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -335,6 +335,14 @@
         /// Time until its owner gives up.
         grace_us: Micros,
     },
+    /// From now on only these machines may take a request; in the order of their ids. Told again whenever
+    /// they change; a request of which it is never told may go anywhere.
+    Opened {
+        /// The request.
+        request: RequestId,
+        /// The machines.
+        machines: Vec<MachineId>,
+    },
     /// A running task falls to this scheduler; its attempt 0 is made.
     Adopted {
         /// The task.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -330,6 +330,8 @@
     task: Task,
     deadline: Micros,
     attempts: Vec<Attempt>,
+    /// The only machines that may take it, in order, where such were told.
+    open: Option<Vec<MachineId>>,
 }
 
 impl Entry {
@@ -448,9 +450,20 @@
                 let deadline = now.saturating_add(*grace_us);
                 let (task, attempts) = (task.clone(), Vec::new());
                 self.due.push(task.request);
-                let entry = Entry { task, deadline, attempts };
+                let entry = Entry { task, deadline, attempts, open: None };
                 self.entries.insert(entry.task.request, entry);
             }
+            Event::Opened { request, machines } => {
+                if let Some(entry) = self.entries.get_mut(request) {
+                    // A held task that gets machines is drawn for at once, not at the next look.
+                    let held = !machines.is_empty() && !self.due.contains(request) && !entry.is_out();
+                    entry.open = Some(machines.clone());
+                    if held {
+                        self.held.retain(|other| other != request);
+                        self.due.push(*request);
+                    }
+                }
+            }
             Event::Adopted { task, machine } => {
                 let attempt = AttemptId { request: task.request, number: 0 };
                 let (machine, service, load) = (*machine, task.service, Load::of(task));
@@ -742,6 +755,7 @@
             Effect::Unsafe => false,
         });
         seat.line.health == Health::Ready
+            && entry.open.as_ref().is_none_or(|open| open.binary_search(&seat.line.id).is_ok())
             && class.kind.is_none_or(|kind| kind == seat.line.kind)
             && !entry.is_out()
             && !self.is_spent(entry)
