--- a/crates/constraint/src/eval.rs
+++ b/crates/constraint/src/eval.rs
@@ -295,6 +295,11 @@
         self.may.is_clear()
     }
 
+    /// Lines that pass every requirement as far as health and copies do not matter.
+    pub fn ever(&self) -> impl Iterator<Item = usize> + '_ {
+        self.may.ones()
+    }
+
     /// Whether it speaks of copies.
     pub fn is_about_copies(&self) -> bool {
         self.about_copies
--- a/crates/core/src/ask.rs
+++ b/crates/core/src/ask.rs
@@ -1,12 +1,17 @@
 //! What a job asks for: its template, its category and its class made into one.
 
+use std::sync::Arc;
+
 use reedring::Micros;
+use reedring_constraint::{Mistake, Own, Schema, Topic};
 use reedring_drmaa::native::Native;
 use reedring_drmaa::template::nearest;
 use reedring_drmaa::{Error, ErrorCode, JobSpec, Result};
 use reedring_nodeproto::{MAX_NAME, MAX_PAYLOAD};
 use reedring_settings::Settings;
 
+use crate::constrain::{Bound, Subject};
+
 /// A job's template with what it comes to. All jobs of one submission share it.
 #[derive(Debug, PartialEq)]
 pub(crate) struct Ask {
@@ -19,6 +24,11 @@
     pub cores: f64,
     pub memory: f64,
     pub life_us: Option<Micros>,
+    /// Where it may stand, if it says so.
+    pub bound: Option<Arc<Bound>>,
+    pub own: Own,
+    /// What its copies count as for others' constraints.
+    pub topics: Arc<Vec<Topic>>,
 }
 
 fn denied(code: ErrorCode, message: String) -> Error {
@@ -37,12 +47,19 @@
 }
 
 impl Ask {
+    /// What its constraint is about, if it has one.
+    pub fn subject(&self) -> Option<Subject> {
+        let bound = Arc::clone(self.bound.as_ref()?);
+        Some(Subject { bound, own: self.own.clone(), topics: Arc::clone(&self.topics) })
+    }
+
     /// Makes one of a template.
     ///
     /// # Errors
     /// `DeniedByDrm` for a template without a command, `InvalidAttributeValue` for an unknown category,
-    /// class or tenant, and what [`Native::parse`] and [`JobSpec::check`] say.
-    pub fn new(spec: JobSpec, settings: &Settings) -> Result<Self> {
+    /// class or tenant or a wrong constraint, and what [`Native::parse`] and [`JobSpec::check`] say. The
+    /// constraint is checked against `schema` too, where one is given.
+    pub fn new(spec: JobSpec, settings: &Settings, schema: Option<&Schema>) -> Result<Self> {
         spec.check()?;
         if spec.command.is_empty() {
             return Err(denied(ErrorCode::DeniedByDrm, "drmaa_remote_command is not set".to_owned()));
@@ -73,7 +90,21 @@
             let text = format!("the service has {} bytes, at most {MAX_NAME} fit", service.len());
             return Err(denied(ErrorCode::InvalidAttributeValue, text));
         }
+        let own = Own::service(&told.name, &service);
+        let wrong = |mistake: Mistake| denied(ErrorCode::InvalidAttributeValue, format!("constraint: {mistake}"));
+        let bound = match native.constraint.as_deref() {
+            Some(text) => {
+                let constraint = settings.constraint(text).map_err(wrong)?;
+                schema.map_or(Ok(()), |schema| schema.check(&constraint, text)).map_err(wrong)?;
+                Some(Arc::new(Bound::new(constraint, &own)))
+            }
+            None => None,
+        };
+        let topics = Arc::new(own.topics(&native.labels.unwrap_or_default()));
         Ok(Self {
+            bound,
+            own,
+            topics,
             class,
             tenant,
             service,
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -4,17 +4,18 @@
 use std::sync::Arc;
 
 use reedring::Micros;
+use reedring_constraint::{Mistake, Own, Schema};
 use reedring_drmaa::rpc::{Answer, Call, CallKey, Jobs, JobsPage, Range, Stats, Submitted};
 use reedring_drmaa::template::nearest;
 use reedring_drmaa::{Control, Error, ErrorCode, JobSpec, Result, VERSION};
 use reedring_nodeproto::Message;
 
 use crate::ask::Ask;
+use crate::constrain::{Bound, Subject};
 use crate::core::{Core, job_key};
 use crate::decide::{self, Repeat, Resubmission};
 use crate::io::ConnId;
 use crate::jobs::{Ending, Job, JobName, JobNo, Outcome, Phase, SessionNo};
-use crate::links::kind_names;
 use crate::sessions::{Parked, Record, Waiter, Waits, ended};
 use crate::timers::Timer;
 
@@ -98,6 +99,7 @@
             Call::ShowJob { job } => self.show_job(now, &job),
             Call::ListNodes {} => Ok(Answer::Nodes(self.node_lines())),
             Call::Drain { node, drain } => self.drain(now, &node, drain),
+            Call::Explain { text } => self.explain_text(&text),
             Call::Stats {} => {
                 let (live, jobs) = (self.ledger.live as u64, self.ledger.jobs.len() as u64);
                 let module_us = self.module_ns / 1_000;
@@ -150,7 +152,8 @@
             );
             return Some(Err(error(ErrorCode::InvalidArgument, text)));
         };
-        let ask = match Ask::new(spec.clone(), &self.settings) {
+        let schema = self.schema();
+        let ask = match Ask::new(spec.clone(), &self.settings, schema.as_ref()) {
             Ok(ask) => Arc::new(ask),
             Err(error) => return Some(Err(error)),
         };
@@ -208,6 +211,7 @@
                 placed: None,
                 started: None,
                 ended: None,
+                broken: None,
             });
             match step {
                 Resubmission::Start => self.begin(now, job),
@@ -518,17 +522,42 @@
         JobsPage { jobs: page.iter().take(limit).map(|(_, job)| self.job_line(job, now)).collect(), next }
     }
 
-    fn show_job(&self, now: Micros, name: &str) -> Result<Answer> {
+    fn show_job(&mut self, now: Micros, name: &str) -> Result<Answer> {
         let found = self.job_named(name).and_then(|job| self.ledger.jobs.get(&job));
         let job = found.ok_or_else(|| {
             error(ErrorCode::InvalidJob, format!("`{name}` is no job of this placer, or its end was told"))
         })?;
         let line = self.job_line(job, now);
-        Ok(Answer::Job(Box::new(job.detail(line, |node| self.node_name(node)))))
+        let (mut detail, subject) = (job.detail(line, |node| self.node_name(node)), job.ask.subject());
+        let number = self.job_named(name);
+        if let Some((subject, number)) = subject.zip(number) {
+            detail.stands.push(self.constrain.explain(&subject).to_string());
+            let broken = self.constrain.broken(number).into_iter();
+            detail.stands.extend(broken.map(|(text, since)| {
+                let for_s = now.saturating_sub(since) as f64 / 1e6;
+                format!("`{text}` does not hold for {for_s:.1} s")
+            }));
+        }
+        Ok(Answer::Job(Box::new(detail)))
+    }
+
+    /// What the site knows of names and types; none before the first node list.
+    fn schema(&self) -> Option<Schema> {
+        let kinds = self.settings.kinds.iter().map(|kind| kind.name.clone()).collect();
+        self.constrain.has_list().then(|| Schema::of(kinds, self.constrain.fleet()))
+    }
+
+    fn explain_text(&mut self, text: &str) -> Result<Answer> {
+        let wrong = |mistake: Mistake| error(ErrorCode::InvalidAttributeValue, mistake.to_string());
+        let constraint = self.settings.constraint(text).map_err(wrong)?;
+        self.schema().map_or(Ok(()), |schema| schema.check(&constraint, text)).map_err(wrong)?;
+        let own = Own::service("", "");
+        let bound = Arc::new(Bound::new(constraint, &own));
+        let subject = Subject { bound, own, topics: Arc::default() };
+        Ok(Answer::Text(self.constrain.explain(&subject).to_string()))
     }
 
     fn node_lines(&self) -> Vec<reedring_drmaa::rpc::NodeLine> {
-        let kinds = kind_names(&self.settings);
         let line = |node: &crate::links::Node| {
             let (mut waiting, mut held, mut cores, mut memory) = (0, 0, 0.0, 0.0);
             for id in &node.attempts {
@@ -541,7 +570,7 @@
                     memory += job.ask.memory;
                 }
             }
-            node.node_line(waiting, held, cores, memory, &kinds)
+            node.node_line(waiting, held, cores, memory, self.nodes.kind(node.entry.kind))
         };
         self.nodes.all.values().map(line).collect()
     }
--- /dev/null
+++ b/crates/core/src/constrain.rs
@@ -0,0 +1,467 @@
+//! Constrained jobs: which machines are open to each that waits, kept current as copies, list and health
+//! change, and whether the constraints of those that stand still hold.
+//!
+//! What speaks of copies can't be told for two waiting tasks at once: the first one placed changes the
+//! machines of the second. So among tasks whose constraint speaks of copies, one at a time is open; the
+//! next is told its machines once that one's offer has left, or after its turn. What does not speak of
+//! copies is told once, and again when the list changes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use reedring::{MachineId, Micros, RequestId};
+use reedring_constraint::{
+    Answer, Breach, Census, Compiled, Constraint, Explanation, Fleet, Line, Own, Topic, Verdict, broken,
+};
+use reedring_nodeproto as wire;
+use reedring_settings::Health;
+
+use crate::jobs::{JobNo, NodeNo};
+use crate::links::Nodes;
+
+/// What a job's constraint is, worked out once for all jobs of a submission.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Bound {
+    pub constraint: Constraint,
+    /// Its text as printed: jobs with the same text share what is worked out.
+    pub text: String,
+    /// Whose copies it speaks of.
+    pub depends: Vec<Topic>,
+}
+
+impl Bound {
+    pub fn new(constraint: Constraint, own: &Own) -> Self {
+        let depends = constraint.whose().iter().map(|who| own.topic(who)).collect();
+        Self { text: constraint.to_string(), depends, constraint }
+    }
+
+    /// Its machines change with every copy placed: they are told one task at a time.
+    fn takes_turns(&self) -> bool {
+        use reedring_constraint::Strength;
+        self.constraint.is_about_copies()
+            || self.constraint.clauses.iter().any(|clause| clause.strength == Strength::Prefer)
+    }
+}
+
+/// A job with a constraint, as far as this module needs it.
+#[derive(Clone, Debug)]
+pub(crate) struct Subject {
+    pub bound: Arc<Bound>,
+    pub own: Own,
+    pub topics: Arc<Vec<Topic>>,
+}
+
+/// A request that waits for a machine.
+#[derive(Debug)]
+struct Waiting {
+    subject: Subject,
+    /// The machines that the module was told last.
+    told: Option<Vec<MachineId>>,
+    /// Wishes given up for it, from the last.
+    dropped: usize,
+    /// When it was first open and found no place.
+    since: Option<Micros>,
+    /// An offer of it is out.
+    out: bool,
+}
+
+/// A job that stands.
+#[derive(Debug)]
+struct Standing {
+    subject: Subject,
+    node: NodeNo,
+    reached: BTreeMap<usize, u32>,
+    broken: BTreeMap<usize, Micros>,
+}
+
+/// A constraint that broke, or was mended.
+#[derive(Debug)]
+pub(crate) struct News {
+    pub job: JobNo,
+    pub breach: Breach,
+    /// When it broke, where it is mended now.
+    pub mended: Option<Micros>,
+}
+
+/// Machines of a request, for the module.
+pub(crate) type Opened = (RequestId, Vec<MachineId>);
+
+/// A copy of which nobody knows whether it stands: what it counts as, and where.
+type Ghost = (NodeNo, Arc<Vec<Topic>>);
+
+#[derive(Debug, Default)]
+pub(crate) struct Constrainer {
+    fleet: Fleet,
+    machines: Vec<MachineId>,
+    census: Census,
+    /// What was worked out for this fleet, by text.
+    compiled: BTreeMap<String, Arc<Compiled>>,
+    waiting: BTreeMap<RequestId, Waiting>,
+    /// Waiting requests by what their constraint speaks of.
+    by_topic: BTreeMap<Topic, BTreeSet<RequestId>>,
+    /// Requests whose machines may have changed.
+    dirty: BTreeSet<RequestId>,
+    /// The one that is open among those that take turns.
+    turn: Option<RequestId>,
+    standing: BTreeMap<JobNo, Standing>,
+    standing_by_topic: BTreeMap<Topic, BTreeSet<JobNo>>,
+    /// Standing jobs to look at again.
+    doubted: BTreeSet<JobNo>,
+    ghosts: BTreeMap<wire::AttemptId, Ghost>,
+    /// Evaluations made, for measurements.
+    pub evaluated: u64,
+}
+
+/// Requests that get their turn in one flush: the rest wait for the next, which comes at once.
+const TURNS: usize = 32;
+
+impl Constrainer {
+    /// The list or a node's health changed.
+    pub fn listed(&mut self, nodes: &Nodes) {
+        let line = |node: &crate::links::Node| {
+            let health = node.health();
+            let mut line = Line::named(&node.name);
+            line.listed = node.listed;
+            line.ready = health == Health::Ready;
+            line.dark = health == Health::Gone;
+            if node.listed {
+                (line.rack, line.hall) = (node.entry.rack.clone(), node.entry.hall.clone());
+                (line.kind, line.attrs) = (nodes.kind(node.entry.kind).to_owned(), node.entry.attrs.clone());
+            }
+            line
+        };
+        // Numbers of nodes are those of lines: nodes are numbered as they come, and never forgotten.
+        let lines: Vec<Line> = nodes.all.values().map(line).collect();
+        let same = |a: &Line, b: &Line| {
+            (&a.name, &a.kind, &a.rack, &a.hall, &a.attrs, a.listed)
+                == (&b.name, &b.kind, &b.rack, &b.hall, &b.attrs, b.listed)
+        };
+        let alike = lines.len() == self.fleet.lines().len()
+            && lines.iter().zip(self.fleet.lines()).all(|(a, b)| same(a, b));
+        if alike {
+            let changed: Vec<usize> = (0..lines.len()).filter(|n| lines[*n] != self.fleet.lines()[*n]).collect();
+            if changed.is_empty() {
+                return;
+            }
+            for n in &changed {
+                self.fleet.set_health(*n, lines[*n].ready, lines[*n].dark);
+            }
+            // Health matters only to those that take turns: to all others the module sees to it itself.
+            let turns = self.waiting.iter().filter(|(_, waiting)| waiting.subject.bound.takes_turns());
+            self.dirty.extend(turns.map(|(request, _)| *request));
+        } else {
+            self.fleet = Fleet::new(lines);
+            self.machines = nodes.all.values().map(|node| node.machine).collect();
+            self.compiled.clear();
+            self.dirty.extend(self.waiting.keys());
+        }
+        self.doubted.extend(self.standing.keys());
+    }
+
+    /// The node list as constraints see it.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Whether any node was ever listed.
+    pub fn has_list(&self) -> bool {
+        !self.fleet.lines().is_empty()
+    }
+
+    fn compiled(&mut self, bound: &Bound) -> Arc<Compiled> {
+        if let Some(compiled) = self.compiled.get(&bound.text) {
+            return Arc::clone(compiled);
+        }
+        let compiled = Arc::new(Compiled::new(&bound.constraint, &self.fleet));
+        self.compiled.insert(bound.text.clone(), Arc::clone(&compiled));
+        compiled
+    }
+
+    fn ids(&self, answer: &Answer) -> Vec<MachineId> {
+        let mut ids: Vec<MachineId> = answer.machines.ones().filter_map(|n| self.machines.get(n).copied()).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Why no machine of the list can ever take the job, if that is so.
+    pub fn never(&mut self, subject: &Subject) -> Option<Explanation> {
+        let compiled = self.compiled(&subject.bound);
+        let known = self.fleet.lines().iter().any(|line| line.listed);
+        (known && compiled.is_never()).then(|| compiled.explain(&self.fleet, &self.census, &subject.own))
+    }
+
+    /// How a job's constraint stands now.
+    pub fn explain(&mut self, subject: &Subject) -> Explanation {
+        self.compiled(&subject.bound).explain(&self.fleet, &self.census, &subject.own)
+    }
+
+    /// A request waits. What the module must be told at once is returned.
+    pub fn asked(&mut self, request: RequestId, subject: Subject) -> Opened {
+        let turns = subject.bound.takes_turns();
+        for topic in &subject.bound.depends {
+            self.by_topic.entry(topic.clone()).or_default().insert(request);
+        }
+        let told = if turns { Vec::new() } else { self.whole(&subject) };
+        if turns {
+            self.dirty.insert(request);
+        }
+        let waiting = Waiting { subject, told: Some(told.clone()), dropped: 0, since: None, out: false };
+        self.waiting.insert(request, waiting);
+        (request, told)
+    }
+
+    /// The machines of a constraint that speaks neither of copies nor of wishes, whatever their health.
+    fn whole(&mut self, subject: &Subject) -> Vec<MachineId> {
+        let compiled = self.compiled(&subject.bound);
+        let mut ids: Vec<MachineId> = compiled.ever().filter_map(|n| self.machines.get(n).copied()).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// An offer left: until its end is known the request gets no machine, and the next one its turn.
+    pub fn offered(&mut self, request: RequestId) -> Option<Opened> {
+        let waiting = self.waiting.get_mut(&request)?;
+        waiting.out = true;
+        if !waiting.subject.bound.takes_turns() {
+            return None;
+        }
+        waiting.told = Some(Vec::new());
+        if self.turn == Some(request) {
+            self.turn = None;
+        }
+        Some((request, Vec::new()))
+    }
+
+    /// The attempt of a request ended, and the request still waits.
+    pub fn free_again(&mut self, request: RequestId) {
+        if let Some(waiting) = self.waiting.get_mut(&request) {
+            waiting.out = false;
+            self.dirty.insert(request);
+        }
+    }
+
+    /// A request is answered, or taken back.
+    pub fn answered(&mut self, request: RequestId) {
+        let Some(waiting) = self.waiting.remove(&request) else { return };
+        for topic in &waiting.subject.bound.depends {
+            if let Some(requests) = self.by_topic.get_mut(topic) {
+                requests.remove(&request);
+                if requests.is_empty() {
+                    self.by_topic.remove(topic);
+                }
+            }
+        }
+        self.dirty.remove(&request);
+        if self.turn == Some(request) {
+            self.turn = None;
+        }
+    }
+
+    /// A copy is placed or being placed.
+    pub fn copy_comes(&mut self, topics: &[Topic], node: NodeNo) {
+        self.census.add(topics, node as usize);
+        self.copies_changed(topics);
+    }
+
+    /// A copy is no more.
+    pub fn copy_goes(&mut self, topics: &[Topic], node: NodeNo) {
+        self.census.remove(topics, node as usize);
+        self.copies_changed(topics);
+    }
+
+    /// A copy may stand still: it counts until its node tells.
+    pub fn copy_unknown(&mut self, attempt: wire::AttemptId, topics: Arc<Vec<Topic>>, node: NodeNo) {
+        self.ghosts.insert(attempt, (node, topics));
+    }
+
+    /// A node told what became of an attempt that nobody waits for any more.
+    pub fn ghost_gone(&mut self, attempt: wire::AttemptId) {
+        if let Some((node, topics)) = self.ghosts.remove(&attempt) {
+            self.copy_goes(&topics, node);
+        }
+    }
+
+    /// A node told all that it holds: what is not among it does not stand.
+    pub fn ghosts_told(&mut self, node: NodeNo, held: &BTreeSet<wire::AttemptId>) {
+        let gone = |(attempt, (at, _)): &(&wire::AttemptId, &Ghost)| *at == node && !held.contains(attempt);
+        let gone: Vec<wire::AttemptId> = self.ghosts.iter().filter(gone).map(|(attempt, _)| *attempt).collect();
+        gone.into_iter().for_each(|attempt| self.ghost_gone(attempt));
+    }
+
+    /// A node told all that it holds, or is gone for good: no copy there is unknown.
+    pub fn ghosts_gone(&mut self, node: NodeNo) {
+        let there: Vec<wire::AttemptId> =
+            self.ghosts.iter().filter(|(_, (at, _))| *at == node).map(|(attempt, _)| *attempt).collect();
+        there.into_iter().for_each(|attempt| self.ghost_gone(attempt));
+    }
+
+    fn copies_changed(&mut self, topics: &[Topic]) {
+        for topic in topics {
+            if let Some(requests) = self.by_topic.get(topic) {
+                self.dirty.extend(requests);
+            }
+            if let Some(jobs) = self.standing_by_topic.get(topic) {
+                self.doubted.extend(jobs);
+            }
+        }
+    }
+
+    /// Some time passed: the one that is open had its chance, and another that was open before gets its turn.
+    pub fn rotate(&mut self, now: Micros) {
+        let Some(last) = self.turn else {
+            // Nobody is open: what had machines and found no room is tried again, the next in order.
+            let waits = |(_, waiting): &(&RequestId, &Waiting)| waiting.since.is_some() && !waiting.out;
+            if let Some((request, _)) = self.waiting.iter().find(waits) {
+                self.dirty.insert(*request);
+            }
+            return;
+        };
+        if let Some(waiting) = self.waiting.get_mut(&last) {
+            // A wish that keeps a task waiting is given up: the last first.
+            let wishes = waiting.subject.bound.constraint.clauses.len();
+            waiting.dropped = (waiting.dropped + 1).min(wishes);
+            waiting.since.get_or_insert(now);
+        }
+        let waits = |(_, waiting): &(&RequestId, &Waiting)| waiting.since.is_some() && !waiting.out;
+        let after = self.waiting.range((std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded)).find(waits);
+        let next = after.or_else(|| self.waiting.iter().find(waits)).map(|(request, _)| *request);
+        self.dirty.extend(next);
+    }
+
+    /// What the module must be told next: at most one request is opened among those that take turns, and
+    /// the one before is closed. Empty where nothing changed.
+    pub fn next(&mut self, now: Micros) -> Vec<Opened> {
+        let mut tell = Vec::new();
+        while let Some(request) = self.dirty.pop_first() {
+            let Some(waiting) = self.waiting.get(&request) else { continue };
+            if waiting.out {
+                continue;
+            }
+            let (subject, dropped) = (waiting.subject.clone(), waiting.dropped);
+            self.evaluated += 1;
+            if !subject.bound.takes_turns() {
+                let machines = self.whole(&subject);
+                self.tell(request, machines, &mut tell);
+                continue;
+            }
+            let answer = self.compiled(&subject.bound).open(&self.fleet, &self.census, &subject.own, dropped);
+            let machines = self.ids(&answer);
+            let opens = !machines.is_empty();
+            if opens
+                && let Some(before) = self.turn.replace(request).filter(|before| *before != request)
+            {
+                if let Some(waiting) = self.waiting.get_mut(&before) {
+                    waiting.since.get_or_insert(now);
+                }
+                self.tell(before, Vec::new(), &mut tell);
+            }
+            if !opens && self.turn == Some(request) {
+                self.turn = None;
+            }
+            self.tell(request, machines, &mut tell);
+            if opens && !tell.is_empty() {
+                break;
+            }
+        }
+        tell
+    }
+
+    fn tell(&mut self, request: RequestId, machines: Vec<MachineId>, tell: &mut Vec<Opened>) {
+        if let Some(waiting) = self.waiting.get_mut(&request).filter(|w| w.told.as_ref() != Some(&machines)) {
+            waiting.told = Some(machines.clone());
+            tell.push((request, machines));
+        }
+    }
+
+    /// Whether something is to be looked at.
+    pub fn is_idle(&self) -> bool {
+        self.dirty.is_empty() && self.doubted.is_empty()
+    }
+
+    /// How many requests may have their turn in one flush.
+    pub const fn turns() -> usize {
+        TURNS
+    }
+
+    // ---- Standing copies ----
+
+    /// A job was placed.
+    pub fn stands(&mut self, job: JobNo, subject: Subject, node: NodeNo) {
+        for topic in &subject.bound.depends {
+            self.standing_by_topic.entry(topic.clone()).or_default().insert(job);
+        }
+        let standing = Standing { subject, node, reached: BTreeMap::new(), broken: BTreeMap::new() };
+        self.standing.insert(job, standing);
+        self.doubted.insert(job);
+    }
+
+    /// A job stands no more.
+    pub fn stands_no_more(&mut self, job: JobNo) {
+        let Some(standing) = self.standing.remove(&job) else { return };
+        for topic in &standing.subject.bound.depends {
+            if let Some(jobs) = self.standing_by_topic.get_mut(topic) {
+                jobs.remove(&job);
+                if jobs.is_empty() {
+                    self.standing_by_topic.remove(topic);
+                }
+            }
+        }
+        self.doubted.remove(&job);
+    }
+
+    /// Clauses that are broken for a job now, with since when.
+    pub fn broken(&self, job: JobNo) -> Vec<(String, Micros)> {
+        let Some(standing) = self.standing.get(&job) else { return Vec::new() };
+        let clauses = &standing.subject.bound.constraint.clauses;
+        standing.broken.iter().map(|(n, since)| (clauses[*n].to_string(), *since)).collect()
+    }
+
+    /// Looks at the jobs that something relevant happened to. Each break and each mending is told once.
+    pub fn judge(&mut self, now: Micros) -> Vec<News> {
+        let mut news = Vec::new();
+        for job in std::mem::take(&mut self.doubted) {
+            let Some(mut standing) = self.standing.remove(&job) else { continue };
+            let subject = &standing.subject;
+            let compiled = self.compiled(&subject.bound);
+            let found = broken(
+                &subject.bound.constraint,
+                &compiled,
+                &self.fleet,
+                &self.census,
+                &subject.own,
+                &subject.topics,
+                standing.node as usize,
+                &mut standing.reached,
+            );
+            let dark = self.fleet.lines().get(standing.node as usize).is_none_or(|line| line.dark);
+            let now_broken: BTreeSet<usize> = found.iter().map(|breach| breach.clause).collect();
+            if !dark {
+                // A copy on a dark node is neither broken nor mended: nobody knows whether it stands.
+                let mended = standing.broken.iter().filter(|(n, _)| !now_broken.contains(n));
+                for (n, since) in mended {
+                    let text = subject.bound.constraint.clauses[*n].to_string();
+                    let breach = Breach { clause: *n, text, mends: String::new() };
+                    news.push(News { job, breach, mended: Some(*since) });
+                }
+                standing.broken.retain(|n, _| now_broken.contains(n));
+            }
+            for breach in found {
+                if standing.broken.insert(breach.clause, now).is_none() {
+                    news.push(News { job, breach, mended: None });
+                }
+            }
+            self.standing.insert(job, standing);
+        }
+        news
+    }
+
+    /// Why a request that waited got no place, as far as its constraint goes.
+    pub fn why_not(&mut self, request: RequestId) -> Option<String> {
+        let subject = self.waiting.get(&request)?.subject.clone();
+        let explained = self.explain(&subject);
+        Some(match explained.verdict {
+            Verdict::Open => format!("its constraint leaves {} nodes, and none took it", explained.open),
+            _ => explained.to_string(),
+        })
+    }
+}
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -11,6 +11,7 @@
 use reedring_nodeproto::{self as wire, Held, HeldState, Message, Topic};
 use reedring_settings::{Health, NodeList, Settings};
 
+use crate::constrain::{Constrainer, News, Opened};
 use crate::decide::{self, Known, LateCopy, Loss, Standing, Verdict};
 use crate::io::{ConnId, Input, Level, Output};
 use crate::jobs::{Attempt, Ending, Job, JobName, JobNo, Ledger, NodeNo, Outcome, Phase};
@@ -41,6 +42,7 @@
     pub(crate) nodes: Nodes,
     pub(crate) sessions: Sessions,
     pub(crate) timers: Timers,
+    pub(crate) constrain: Constrainer,
     pub(crate) stats: Stats,
     /// Nanoseconds spent in the module.
     pub(crate) module_ns: u64,
@@ -69,7 +71,7 @@
 impl Core {
     /// A core that knows its settings and nothing else.
     pub fn new(settings: Settings, start: Start) -> Self {
-        let mut nodes = Nodes::default();
+        let mut nodes = Nodes::new(settings.kinds.iter().map(|kind| kind.name.clone()).collect());
         let hall = settings.hall.as_deref().map(|hall| nodes.halls.number(hall));
         let placer = Placer::new(settings.module(hall), start.seed);
         let mut timers = Timers::default();
@@ -84,6 +86,7 @@
             nodes,
             sessions: Sessions::default(),
             timers,
+            constrain: Constrainer::default(),
             stats: Stats::default(),
             module_ns: 0,
             parked: Vec::new(),
@@ -111,7 +114,8 @@
 
     /// When [`Core::flush`] must be called at the latest, if no input comes before.
     pub fn next_wake(&self) -> Option<Micros> {
-        if self.reads.is_empty() { self.timers.next() } else { Some(self.start.now) }
+        let idle = self.reads.is_empty() && self.constrain.is_idle();
+        if idle { self.timers.next() } else { Some(self.start.now) }
     }
 
     /// The next thing to do.
@@ -147,8 +151,17 @@
         while let Some(timer) = self.timers.pop(now) {
             self.fire(now, timer);
         }
-        let mut actions = Vec::new();
-        while !self.events.is_empty() {
+        let (mut actions, mut turns) = (Vec::new(), 0);
+        loop {
+            if self.events.is_empty() {
+                // Constrained tasks take turns: each is drawn for with the copies of those before it known.
+                let opened = self.constrain.next(now);
+                if opened.is_empty() {
+                    break;
+                }
+                turns += 1;
+                self.events.extend(opened.into_iter().map(opened_event));
+            }
             let events = std::mem::take(&mut self.events);
             let from = self.stopwatch.map(|clock| clock());
             self.placer.step(now, &events, &mut actions);
@@ -159,7 +172,11 @@
             for action in actions.drain(..) {
                 self.act(now, action);
             }
+            if turns >= Constrainer::turns() && self.events.is_empty() {
+                break;
+            }
         }
+        self.judge_standing(now);
         if let Some((conn, id, call)) = self.reads.pop_front() {
             let result = self.plain_call(now, call);
             self.reply(conn, Response::new(id, result));
@@ -197,6 +214,7 @@
 
     fn listed(&mut self, now: Micros, list: NodeList) {
         let (relinks, clashes) = self.nodes.list(list.nodes);
+        self.constrain.listed(&self.nodes);
         for name in clashes {
             let line = format!("node {name}: its name can't be told from another's; rename it");
             self.log(Level::Warn, line);
@@ -215,6 +233,21 @@
         self.tell_lines(now);
     }
 
+    /// Constraints that broke or were mended, told once each.
+    fn judge_standing(&mut self, now: Micros) {
+        for News { job, breach, mended } in self.constrain.judge(now) {
+            let Some(job) = self.ledger.jobs.get(&job) else { continue };
+            let line = match mended {
+                None => format!("job {}: `{}` no longer holds; {}", job.name, breach.text, breach.mends),
+                Some(since) => {
+                    let after = now.saturating_sub(since) as f64 / 1e6;
+                    format!("job {}: `{}` holds again after {after:.1} s", job.name, breach.text)
+                }
+            };
+            self.log(Level::Warn, line);
+        }
+    }
+
     fn tell_lines(&mut self, now: Micros) {
         let news = self.nodes.news(now, self.start.now, &self.settings.site);
         if !news.is_empty() {
@@ -277,6 +310,7 @@
                     self.judge(now, id, verdict);
                 }
             }
+            self.constrain.ghosts_gone(number);
         }
         self.tell_line(now, number);
     }
@@ -326,6 +360,9 @@
             self.ledger.attempts.get(id).is_some_and(|attempt| attempt.known == Known::Accepted)
         };
         let lost: Vec<AttemptId> = node.attempts.iter().copied().filter(accepted).collect();
+        if node.health() == Health::Gone {
+            self.constrain.ghosts_gone(number);
+        }
         for id in lost {
             self.lost(now, id, Loss::Unknown, Fate::Reset, None, word);
         }
@@ -354,6 +391,8 @@
                 self.sync_state(now, id, state);
             }
         }
+        let told: BTreeSet<wire::AttemptId> = held.iter().map(|held| held.attempt).collect();
+        self.constrain.ghosts_told(number, &told);
         for held in held {
             if self.ledger.find(self.start.life, held.attempt).is_none() {
                 self.turned_up(now, number, held);
@@ -480,6 +519,9 @@
         self.events.push(Event::Adopted { task, machine });
         let known = Known::Accepted;
         let copy = Attempt { job, node: number, machine, wire: attempt, sent: now, known, accepted: true };
+        if let Some(entry) = self.ledger.jobs.get(&job) {
+            self.constrain.copy_comes(&entry.ask.topics, number);
+        }
         self.ledger.open(self.start.life, id, copy);
         if let Some(node) = self.nodes.all.get_mut(&number) {
             node.attempts.insert(id);
@@ -498,7 +540,7 @@
     fn job_of_former_life(&mut self, now: Micros, task: &wire::Task) -> std::result::Result<JobNo, String> {
         let name = JobName::parse(&task.job).ok_or("its name is no job's")?;
         let spec = serde_json::from_slice(&task.payload).map_err(|error| format!("its template: {error}"))?;
-        let mut ask = crate::ask::Ask::new(spec, &self.settings).map_err(|error| error.message)?;
+        let mut ask = crate::ask::Ask::new(spec, &self.settings, None).map_err(|error| error.message)?;
         // What it was placed with holds, also where the settings say otherwise by now.
         (ask.cores, ask.memory, ask.service) = (task.cores, task.memory, task.service.clone());
         ask.life_us = (task.life_ms > 0).then(|| task.life_ms.saturating_mul(1_000));
@@ -518,6 +560,7 @@
             placed: None,
             started: None,
             ended: None,
+            broken: None,
         };
         Ok(self.add_job(job))
     }
@@ -539,6 +582,7 @@
                 None => self.send(number, Message::Stop { attempt }),
             },
             Message::Refused { attempt, reason, report, .. } => {
+                self.constrain.ghost_gone(attempt);
                 if let Some(node) = self.nodes.all.get_mut(&number) {
                     *node.refusals.entry(reason).or_default() += 1;
                 }
@@ -553,6 +597,7 @@
             }
             Message::Ended { attempt, end, ran, report } => {
                 self.send(number, Message::Ack { attempt });
+                self.constrain.ghost_gone(attempt);
                 if let Some(id) = find(self, attempt) {
                     self.over(now, id, end, ran, report);
                 }
@@ -573,6 +618,7 @@
         attempt.known = Known::Accepted;
         let (job, machine, took_us) = (attempt.job, attempt.machine, now.saturating_sub(attempt.sent));
         self.ledger.requests.remove(&id.request);
+        self.constrain.answered(id.request);
         self.events.push(Event::Placed { attempt: id, machine, took_us });
         if !report.is_empty() {
             self.events.push(Event::Probed { machine, answered: true, took_us, report });
@@ -583,6 +629,11 @@
     /// A job has an accepted copy.
     fn placed(&mut self, now: Micros, job: JobNo, id: AttemptId) {
         let running = self.settings.site.yes_when_running;
+        let node = self.ledger.attempts.get(&id).map(|attempt| attempt.node);
+        let subject = self.ledger.jobs.get(&job).and_then(|job| job.ask.subject());
+        if let Some((node, subject)) = node.zip(subject) {
+            self.constrain.stands(job, subject, node);
+        }
         let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
         entry.fate(id, "accepted");
         entry.phase = Phase::Placed(id);
@@ -687,8 +738,17 @@
 
     // ---- What becomes of attempts and jobs ----
 
-    fn close(&mut self, id: AttemptId, fate: &'static str) -> Option<Attempt> {
+    /// An attempt's end is known, or it is `unknown` whether its copy stands still.
+    fn close(&mut self, id: AttemptId, fate: &'static str, unknown: bool) -> Option<Attempt> {
         let attempt = self.ledger.close(id, fate)?;
+        if let Some(job) = self.ledger.jobs.get(&attempt.job) {
+            let topics = &job.ask.topics;
+            if unknown {
+                self.constrain.copy_unknown(attempt.wire, std::sync::Arc::clone(topics), attempt.node);
+            } else {
+                self.constrain.copy_goes(topics, attempt.node);
+            }
+        }
         if attempt.wire.life != self.start.life {
             self.retired.insert(attempt.wire);
         }
@@ -711,6 +771,9 @@
         report: Vec<f64>,
     ) {
         let closed = !self.ledger.requests.contains_key(&id.request);
+        if !closed {
+            self.constrain.free_again(id.request);
+        }
         let machine = attempt.machine;
         self.events.push(Event::Ended(Ended { attempt: id, machine, outcome, reason, closed, report }));
     }
@@ -725,9 +788,10 @@
         report: Vec<f64>,
         word: &'static str,
     ) {
-        let Some(attempt) = self.close(id, word) else { return };
+        let unknown = matches!(fate, Fate::Reset | Fate::Stopped | Fate::TimedOut);
+        let Some(attempt) = self.close(id, word, unknown) else { return };
         // Where it may be accepted still, its node should not start it for nothing.
-        if matches!(fate, Fate::Reset | Fate::Stopped | Fate::TimedOut) {
+        if unknown {
             self.send(attempt.node, Message::Stop { attempt: attempt.wire });
         }
         self.tell_end(id, &attempt, fate, reason, report);
@@ -736,7 +800,7 @@
 
     /// An accepted copy ran to its end.
     fn finished(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Vec<f64>) {
-        let Some(attempt) = self.close(id, "ended") else { return };
+        let Some(attempt) = self.close(id, "ended", false) else { return };
         self.tell_end(id, &attempt, Fate::Finished, None, report);
         let phase = self.ledger.jobs.get(&attempt.job).map(|job| &job.phase);
         match phase {
@@ -758,7 +822,8 @@
         reason: Option<Reason>,
         word: &'static str,
     ) {
-        let Some(attempt) = self.close(id, word) else { return };
+        let Some(attempt) = self.close(id, word, loss == Loss::Unknown) else { return };
+        self.constrain.stands_no_more(attempt.job);
         self.tell_end(id, &attempt, fate, reason, Vec::new());
         let Some(job) = self.ledger.jobs.get(&attempt.job) else { return };
         if job.holder() != Some(id) {
@@ -838,12 +903,21 @@
             self.stats.refused += 1;
             return self.end_job(now, job, ending);
         }
+        let subject = entry.ask.subject();
+        if let Some(never) = subject.as_ref().and_then(|subject| self.constrain.never(subject)) {
+            let first = entry.outcome.is_none();
+            entry.outcome = entry.outcome.or(Some(Outcome::Refused));
+            self.stats.refused += u64::from(first);
+            return self.end_job(now, job, Ending::aborted(format!("refused: {never}")));
+        }
         entry.phase = Phase::Asked(request);
         self.ledger.requests.insert(request, (job, 0));
         // The answer must be with the owner before it gives up, so the module gets a little less time.
         let margin = ANSWER_MARGIN_US.min(grace_us / 4);
         self.timers.set(now + grace_us - margin / 2, Timer::GiveUp { job, request: request.0 });
         self.events.push(Event::Arrived { task, grace_us: grace_us - margin });
+        let opened = subject.map(|subject| self.constrain.asked(request, subject));
+        self.events.extend(opened.map(opened_event));
     }
 
     /// The module is told that nobody wants this job placed any more; it stops what is out.
@@ -855,6 +929,7 @@
 
     pub(crate) fn take_back(&mut self, request: RequestId) {
         self.ledger.requests.remove(&request);
+        self.constrain.answered(request);
         self.events.push(Event::Withdrawn(request));
     }
 
@@ -879,6 +954,9 @@
 
     pub(crate) fn end_job(&mut self, now: Micros, job: JobNo, ending: Ending) {
         let Some(entry) = self.ledger.jobs.get_mut(&job).filter(|entry| !entry.is_over()) else { return };
+        let broken: Vec<String> = self.constrain.broken(job).into_iter().map(|(text, _)| text).collect();
+        entry.broken = (!broken.is_empty()).then(|| broken.join("; "));
+        self.constrain.stands_no_more(job);
         entry.phase = Phase::Ended(ending);
         entry.ended = Some(now);
         let (number, at) = (entry.session, (entry.name.call, entry.name.index));
@@ -958,7 +1036,10 @@
         let task = self.wire_task(job);
         if let Some(entry) = self.ledger.jobs.get_mut(&job) {
             entry.tried(id, node, now);
+            self.constrain.copy_comes(&entry.ask.topics, node);
         }
+        let closed = self.constrain.offered(request);
+        self.events.extend(closed.map(opened_event));
         self.ledger.open(self.start.life, id, attempt);
         let Some(entry) = self.nodes.all.get_mut(&node) else { return };
         entry.attempts.insert(id);
@@ -1021,7 +1102,11 @@
     /// The module's final answer to a request.
     fn answer(&mut self, now: Micros, request: RequestId, outcome: Outcome, stay_away_us: Option<Micros>) {
         let Some((job, _)) = self.ledger.requests.remove(&request) else { return };
-        let reason = self.why_not(job, request);
+        let mut reason = self.why_not(job, request);
+        if let Some(constraint) = self.constrain.why_not(request) {
+            reason = format!("{reason}; {constraint}");
+        }
+        self.constrain.answered(request);
         let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
         let first = entry.outcome.is_none();
         entry.outcome = entry.outcome.or(Some(outcome));
@@ -1080,7 +1165,10 @@
 
     fn fire(&mut self, now: Micros, timer: Timer) {
         match timer {
-            Timer::Module(token) => self.events.push(Event::Woken(token)),
+            Timer::Module(token) => {
+                self.constrain.rotate(now);
+                self.events.push(Event::Woken(token));
+            }
             Timer::Attempt(id) => {
                 let out = self.ledger.attempts.get(&id).is_some_and(|attempt| attempt.known == Known::Out);
                 if out {
@@ -1169,6 +1257,7 @@
             return Err(self.no_node(name));
         };
         node.drained = drain;
+        self.constrain.listed(&self.nodes);
         self.tell_line(now, number);
         let word = if drain { "drained" } else { "no longer drained" };
         self.log(Level::Info, format!("node {name}: {word} by an operator"));
@@ -1176,6 +1265,10 @@
     }
 }
 
+fn opened_event((request, machines): Opened) -> Event {
+    Event::Opened { request, machines }
+}
+
 fn session_reap(sessions: &mut Sessions, number: u32, at: (u64, u64), job: JobNo) {
     if let Some(session) = sessions.get_mut(number) {
         session.reap(at, job);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -131,6 +131,8 @@
     pub placed: Option<Micros>,
     pub started: Option<Micros>,
     pub ended: Option<Micros>,
+    /// Clauses of its constraint that did not hold when it ended.
+    pub broken: Option<String>,
 }
 
 impl Job {
@@ -191,6 +193,7 @@
         tell("reedring.attempts", self.history.len().to_string());
         node.into_iter().for_each(|node| tell("reedring.node", node.to_owned()));
         ending.reason.iter().for_each(|reason| tell("reedring.reason", reason.clone()));
+        self.broken.iter().for_each(|broken| tell("reedring.broken", broken.clone()));
         if let Some(us) = ending.stay_away_us {
             tell("reedring.stay_away_ms", (us / 1_000).to_string());
         }
@@ -227,6 +230,8 @@
             memory: self.ask.memory,
             reason,
             attempts: self.history.iter().map(attempt).collect(),
+            constraint: self.ask.bound.as_ref().map(|bound| bound.text.clone()),
+            stands: Vec::new(),
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 
 mod ask;
 mod calls;
+mod constrain;
 mod core;
 pub mod decide;
 mod io;
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -6,7 +6,7 @@
 use reedring::{self as module, AttemptId, MachineId, Micros};
 use reedring_drmaa::rpc::NodeLine;
 use reedring_nodeproto::{Held, Reason};
-use reedring_settings::{Health, NodeEntry, Settings, Site};
+use reedring_settings::{Health, NodeEntry, Site};
 
 use crate::decide;
 use crate::jobs::NodeNo;
@@ -81,14 +81,14 @@
         held: usize,
         cores: f64,
         memory: f64,
-        kinds: &[String],
+        kind: &str,
     ) -> NodeLine {
         let refusal = |(reason, count): (&Reason, &u64)| (reason.word().to_owned(), *count);
         let listed = if self.listed { self.entry.health } else { Health::Gone };
         NodeLine {
             node: self.name.clone(),
             address: self.address.to_string(),
-            kind: kinds.get(usize::from(self.entry.kind)).cloned().unwrap_or_default(),
+            kind: kind.to_owned(),
             rack: self.entry.rack.clone(),
             hall: self.entry.hall.clone(),
             listed: listed.word().to_owned(),
@@ -111,6 +111,8 @@
     machines: BTreeMap<MachineId, NodeNo>,
     pub halls: Places,
     racks: Places,
+    /// Names of the settings' kinds.
+    kinds: Vec<String>,
 }
 
 /// What a new list means for one node's link.
@@ -123,6 +125,14 @@
 }
 
 impl Nodes {
+    pub fn new(kinds: Vec<String>) -> Self {
+        Self { kinds, ..Self::default() }
+    }
+
+    pub fn kind(&self, kind: u16) -> &str {
+        self.kinds.get(usize::from(kind)).map_or("", String::as_str)
+    }
+
     pub fn number(&self, name: &str) -> Option<NodeNo> {
         self.numbers.get(name).copied()
     }
@@ -246,8 +256,3 @@
         self.all.values().filter(|node| node.listed).all(|node| node.told)
     }
 }
-
-/// The names of the settings' kinds.
-pub(crate) fn kind_names(settings: &Settings) -> Vec<String> {
-    settings.kinds.iter().map(|kind| kind.name.clone()).collect()
-}
--- a/crates/drmaa/src/rpc.rs
+++ b/crates/drmaa/src/rpc.rs
@@ -171,6 +171,12 @@
         /// Drain it, or stop draining it.
         drain: bool,
     },
+    /// What a constraint leaves of the placer's nodes, and why; answers a text.
+    #[serde(rename = "reedring_constraint")]
+    Explain {
+        /// Its text.
+        text: String,
+    },
     /// Counts and times of the placer; answers [`Stats`].
     #[serde(rename = "reedring_stats")]
     Stats {},
@@ -381,6 +387,12 @@
     pub reason: Option<String>,
     /// Each attempt, in order.
     pub attempts: Vec<AttemptLine>,
+    /// Its constraint, if it has one.
+    #[serde(default)]
+    pub constraint: Option<String>,
+    /// How the constraint stands: why it leaves the machines that it leaves, and what is broken since when.
+    #[serde(default)]
+    pub stands: Vec<String>,
 }
 
 /// One attempt of a job.
