Constraints audited from the sockets; turns of one step; copies of forgotten jobs let go

Rule 5 now covers constraints: the audit judges each offer by a brute-force evaluator of its own, even spreads with the jitter of the sockets allowed for. It found that a task which was open and held could be drawn in one step with others (each turn is one step now), that copies whose job was reaped before their end stayed counted (an attempt keeps what it counts as), and that a successor judged copies before nodes had told (it waits).

--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -6,12 +6,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use reedring_constraint::{self as constraint, Attr, Constraint, Place, Strength};
 use reedring_drmaa::framing;
 use reedring_drmaa::native::{Native, duration_us};
 use reedring_nodeproto::{AttemptId, End, Group, HeldState, Message, Repeat, decode};
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::constraint::{Copy, Scene, Spot, place};
 use crate::trace::{Event, Frame};
 
 /// Microseconds between a decision and its frame on a busy machine.
@@ -80,6 +82,14 @@
     class: Vec<Class>,
     #[serde(default)]
     category: Vec<Category>,
+    #[serde(default)]
+    constraint: Vec<Named>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Named {
+    name: String,
+    text: String,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -152,6 +162,33 @@
     hall: String,
     #[serde(default)]
     health: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    attrs: BTreeMap<String, toml::Value>,
+}
+
+impl NodeLine {
+    fn spot(&self) -> Spot {
+        let attr = |value: &toml::Value| match value {
+            toml::Value::String(text) => Some(Attr::text(text)),
+            toml::Value::Integer(number) => Some(Attr::Number(*number as f64)),
+            toml::Value::Float(number) => Some(Attr::Number(*number)),
+            toml::Value::Boolean(yes) => Some(Attr::Text(yes.to_string())),
+            toml::Value::Array(all) => {
+                Some(Attr::Set(all.iter().filter_map(|one| one.as_str().map(str::to_owned)).collect()))
+            }
+            _ => None,
+        };
+        Spot {
+            name: self.name.clone(),
+            kind: self.kind.clone(),
+            rack: self.rack.clone(),
+            hall: self.hall.clone(),
+            attrs: self.attrs.iter().filter_map(|(name, value)| Some((name.clone(), attr(value)?))).collect(),
+            ready: self.health.is_empty() || self.health == "ready",
+        }
+    }
 }
 
 fn time(text: Option<&String>) -> Option<u64> {
@@ -173,6 +210,18 @@
         }
     }
 
+    /// What an offered spec says of labels and constraint, itself or by its category.
+    fn native(&self, payload: &[u8]) -> Native {
+        let spec: Value = serde_json::from_slice(payload).unwrap_or_default();
+        let word = |key: &str| spec.get(key).and_then(Value::as_str).unwrap_or_default();
+        let own = Native::parse(word("native")).unwrap_or_default();
+        let category = self.category.iter().find(|category| category.name == word("category"));
+        match category.and_then(|category| Native::parse(&category.native).ok()) {
+            Some(category) => own.or(&category),
+            None => own,
+        }
+    }
+
     /// The class that a submitted spec names, itself or by its category.
     fn class_of(&self, spec: &Value) -> Option<&Class> {
         let word = |key: &str| spec.get(key).and_then(Value::as_str).unwrap_or_default();
@@ -204,6 +253,8 @@
     job: String,
     class: String,
     service: String,
+    /// What its native specification and its category say.
+    native: Native,
     node: String,
     placer: String,
     repeat: Repeat,
@@ -212,11 +263,29 @@
     sent_us: u64,
     late_us: u64,
     accepted: bool,
+    /// Its placer was started anew and was not told of it since.
+    forgotten: bool,
+    /// Its node died, whatever its placer knows.
+    dead: bool,
     /// Its placer stopped it.
     stopped: bool,
     /// Its link was cut before an answer.
     unlinked: bool,
     closed: Option<Closed>,
+    closed_us: u64,
+}
+
+/// An offer under an even spread, judged at the end: the places of what was sent and what ended around it.
+#[derive(Debug)]
+struct Even {
+    frame: usize,
+    time_us: u64,
+    attempt: AttemptId,
+    by: Place,
+    skew: u32,
+    clause: String,
+    spots: BTreeMap<String, Spot>,
+    open: Vec<String>,
 }
 
 impl Attempt {
@@ -231,6 +300,8 @@
     told: Told,
     /// Rack and hall of each listed node.
     places: BTreeMap<String, (String, String)>,
+    /// All that the list says of each.
+    spots: BTreeMap<String, Spot>,
     /// Since when each node takes nothing new: by the list, and by an operator.
     closed_by_list: BTreeMap<String, u64>,
     closed_by_hand: BTreeMap<String, u64>,
@@ -300,6 +371,8 @@
     /// Unsafe jobs that a node took: the attempt, and the frame.
     ran: BTreeMap<String, Vec<(AttemptId, usize)>>,
     last_us: u64,
+    even: Vec<Even>,
+    of_service: BTreeMap<(String, String, String), Vec<AttemptId>>,
 }
 
 /// Judges a trace.
@@ -325,6 +398,8 @@
                 let placer = self.placers.entry(frame.place.clone()).or_default();
                 *placer = Placer { told: toml::from_str(&text).unwrap_or_default(), ..Placer::default() };
                 self.lives.insert(frame.link, frame.place.clone());
+                let mine = self.attempts.values_mut().filter(|attempt| attempt.placer == frame.place);
+                mine.for_each(|attempt| attempt.forgotten = true);
             }
             Event::PlacerEnded => self.placer_ended(&frame.place),
             Event::Listed => self.listed(frame),
@@ -350,14 +425,12 @@
                 self.nodes.insert(frame.place.clone(), life);
             }
             Event::NodeEnded => {
-                // Whatever a placer knows: no copy is left there.
-                let dead: Vec<AttemptId> = self
-                    .by_node
-                    .iter()
-                    .filter(|((_, node), _)| *node == frame.place)
-                    .flat_map(|(_, attempts)| attempts.iter().copied())
-                    .collect();
-                dead.into_iter().for_each(|id| self.close(id, Closed::Ended));
+                let there = self.by_node.iter().filter(|((_, node), _)| *node == frame.place);
+                for id in there.flat_map(|(_, attempts)| attempts) {
+                    if let Some(attempt) = self.attempts.get_mut(id) {
+                        attempt.dead = true;
+                    }
+                }
             }
             Event::NodeRead => self.message(frame, Self::node_read),
             Event::NodeWrote => self.message(frame, Self::node_wrote),
@@ -383,7 +456,9 @@
 
     fn close(&mut self, id: AttemptId, how: Closed) {
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        attempt.closed.get_or_insert(how);
+        if attempt.closed.replace(attempt.closed.unwrap_or(how)).is_none() {
+            attempt.closed_us = self.last_us;
+        }
         let (placer, node) = (attempt.placer.clone(), attempt.node.clone());
         let service = (placer.clone(), attempt.class.clone(), attempt.service.clone());
         if let Some(at) = self.by_node.get_mut(&(placer, node)) {
@@ -414,6 +489,7 @@
         let list: NodeFile = toml::from_str(&text).unwrap_or_default();
         let placer = self.placers.entry(frame.place.clone()).or_default();
         let mut open = BTreeSet::new();
+        placer.spots = list.node.iter().map(|line| (line.name.clone(), line.spot())).collect();
         for line in list.node {
             placer.known.insert(line.name.clone());
             placer.places.insert(line.name.clone(), (line.rack, line.hall));
@@ -593,6 +669,7 @@
                     job: task.job.clone(),
                     class: task.class.clone(),
                     service: task.service.clone(),
+                    native: told.native(&task.payload),
                     node: frame.peer.clone(),
                     placer: frame.place.clone(),
                     repeat: class.map_or(task.repeat, Class::repeat),
@@ -601,16 +678,21 @@
                     sent_us: frame.time_us,
                     late_us,
                     accepted: false,
+                    forgotten: false,
+                    dead: false,
                     stopped: false,
                     unlinked: false,
                     closed: None,
+                    closed_us: u64::MAX,
                 };
                 self.sent(frame, id, &attempt);
                 self.spread(frame, &attempt);
+                self.constraint(frame, id, &attempt);
                 self.drain(frame, &frame.place.clone(), &frame.peer.clone(), Some(attempt.frame));
                 self.by_job.entry(task.job).or_default().push(id);
                 self.by_node.entry((frame.place.clone(), frame.peer.clone())).or_default().insert(id);
                 let service = (frame.place.clone(), task.class, task.service);
+                self.of_service.entry(service.clone()).or_default().push(id);
                 self.by_service.entry(service).or_default().insert(id);
                 self.attempts.insert(id, attempt);
             }
@@ -648,7 +730,8 @@
             let keyed = new.repeat == Repeat::Keyed && grouped && in_window;
             // Another request of the same life: the task was placed and lost in between.
             let lost = old.accepted && (old_id.request, old_id.life) != (id.request, id.life);
-            let wrong = match old.closed {
+            let closed = old.closed.or(old.dead.then_some(Closed::Ended));
+            let wrong = match closed {
                 Some(Closed::NeverRan) => None,
                 Some(Closed::Ended) if lost => (!after_end).then_some("its class forbids a second start"),
                 Some(Closed::Ended) => {
@@ -715,6 +798,54 @@
         }
     }
 
+    /// Rule 5 for one offer with a constraint: the copies of its placer that are known to stand, or may.
+    fn constraint(&mut self, frame: &Frame, id: AttemptId, new: &Attempt) {
+        let Some(text) = &new.native.constraint else { return };
+        let Some(placer) = self.placers.get(&new.placer) else { return };
+        let named =
+            |name: &str| placer.told.constraint.iter().find(|c| c.name == name).map(|c| c.text.as_str());
+        let Ok(constraint) = Constraint::parse_with(text, named) else { return };
+        let mine = self.by_node.iter().filter(|((of, _), _)| *of == new.placer).flat_map(|(_, ids)| ids);
+        // What was given up may stand until its node tells: it counts.
+        let live = mine.map(|id| &self.attempts[id]).filter(|old| !old.forgotten);
+        let copy = |old: &Attempt| Copy {
+            node: old.node.clone(),
+            class: old.class.clone(),
+            service: old.service.clone(),
+            labels: old.native.labels.clone().unwrap_or_default(),
+        };
+        let copies: Vec<Copy> = live.map(copy).collect();
+        let mut spots = placer.spots.clone();
+        for (name, spot) in &mut spots {
+            spot.ready &= !placer.closed_by_hand.contains_key(name);
+        }
+        let scene = Scene { spots: &spots, copies: &copies, class: &new.class, service: &new.service };
+        let open = scene.open(&constraint);
+        for clause in &constraint.clauses {
+            if let (
+                Strength::Require,
+                constraint::Rule::Spread { by, how: constraint::Spread::Within(skew) },
+            ) = (clause.strength, &clause.rule)
+            {
+                self.even.push(Even {
+                    frame: frame.number,
+                    time_us: frame.time_us,
+                    attempt: id,
+                    by: *by,
+                    skew: *skew,
+                    clause: clause.to_string(),
+                    spots: spots.clone(),
+                    open: open.clone(),
+                });
+            }
+        }
+        for clause in scene.breaks(&constraint, &new.node) {
+            let text =
+                format!("job {} was sent to {}, and `{clause}` does not hold there", new.job, new.node);
+            self.breach(Rule::Spread, vec![frame.number], text);
+        }
+    }
+
     /// Rule 3 for one offer, where it left its placer or where it reached its node.
     fn drain(&mut self, frame: &Frame, placer: &str, node: &str, offer: Option<usize>) {
         let Some(told) = self.placers.get(placer) else { return };
@@ -745,6 +876,7 @@
                     self.holds.entry(pair.clone()).or_default().insert(one.attempt);
                     if let Some(attempt) = self.attempts.get_mut(&one.attempt) {
                         attempt.unlinked = false;
+                        attempt.forgotten = false;
                     }
                     match one.state {
                         HeldState::Waiting => {}
@@ -896,6 +1028,41 @@
         for (frames, text) in found {
             self.breach(Rule::OneOutcome, frames, text);
         }
+        for even in std::mem::take(&mut self.even) {
+            self.evenly(&even);
+        }
+    }
+
+    /// Rule 5 for one offer under an even spread. A copy that comes or goes elsewhere changes what is
+    /// allowed, and frames are written a little after they are decided: so copies around that moment count for
+    /// the emptiest place, and only those that stood for sure count for the offer's own.
+    fn evenly(&mut self, even: &Even) {
+        let new = &self.attempts[&even.attempt];
+        let service = (new.placer.clone(), new.class.clone(), new.service.clone());
+        let all: Vec<&Attempt> =
+            self.of_service.get(&service).into_iter().flatten().map(|id| &self.attempts[id]).collect();
+        let at = |node: &str| even.spots.get(node).and_then(|spot| place(spot, even.by));
+        let Some(here) = at(&new.node) else { return };
+        let sure = |old: &&&Attempt| {
+            old.frame < even.frame && old.closed_us > even.time_us && at(&old.node).as_ref() == Some(&here)
+        };
+        let stood = all.iter().filter(sure).count() as u32;
+        let around = |old: &&&Attempt| {
+            old.frame != even.frame
+                && old.sent_us <= even.time_us + SLACK_US
+                && old.closed_us.saturating_add(SLACK_US) >= even.time_us
+        };
+        let near: Vec<_> = all.iter().filter(around).filter_map(|old| at(&old.node)).collect();
+        let places = even.open.iter().filter_map(|node| at(node));
+        let fewest =
+            places.map(|place| near.iter().filter(|other| **other == place).count()).min().unwrap_or(0);
+        if stood >= fewest as u32 + even.skew {
+            let text = format!(
+                "job {} was sent to {}, and `{}` does not hold there",
+                new.job, new.node, even.clause
+            );
+            self.breach(Rule::Spread, vec![even.frame], text);
+        }
     }
 }
 
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -6,6 +6,7 @@
 //! and node lists that the placers were given.
 #![forbid(unsafe_code)]
 
+mod constraint;
 mod judge;
 mod trace;
 
--- a/crates/core/src/ask.rs
+++ b/crates/core/src/ask.rs
@@ -91,7 +91,8 @@
             return Err(denied(ErrorCode::InvalidAttributeValue, text));
         }
         let own = Own::service(&told.name, &service);
-        let wrong = |mistake: Mistake| denied(ErrorCode::InvalidAttributeValue, format!("constraint: {mistake}"));
+        let wrong =
+            |mistake: Mistake| denied(ErrorCode::InvalidAttributeValue, format!("constraint: {mistake}"));
         let bound = match native.constraint.as_deref() {
             Some(text) => {
                 let constraint = settings.constraint(text).map_err(wrong)?;
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -263,9 +263,10 @@
 
     /// Submissions that waited for nodes are looked at again once all have told, or the wait is over.
     pub(crate) fn settle(&mut self, now: Micros) {
-        if self.parked.is_empty() || !(self.nodes.all_told() || now >= self.settle_until) {
+        if !(self.nodes.all_told() || now >= self.settle_until) {
             return;
         }
+        self.constrain.settle();
         for Parked { conn, id, call } in std::mem::take(&mut self.parked) {
             if let Some(result) = self.call(now, conn, id, call) {
                 self.reply(conn, reedring_drmaa::rpc::Response::new(id, result));
--- a/crates/core/src/constrain.rs
+++ b/crates/core/src/constrain.rs
@@ -2,11 +2,12 @@
 //! change, and whether the constraints of those that stand still hold.
 //!
 //! What speaks of copies can't be told for two waiting tasks at once: the first one placed changes the
-//! machines of the second. So among tasks whose constraint speaks of copies, one at a time is open; the
-//! next is told its machines once that one's offer has left, or after its turn. What does not speak of
-//! copies is told once, and again when the list changes.
+//! machines of the second. So tasks whose constraint speaks of copies take turns: each is open for one step
+//! of the module in which nothing else is drawn. What does not speak of copies is told once, and again when
+//! the list changes.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound as Edge;
 use std::sync::Arc;
 
 use reedring::{MachineId, Micros, RequestId};
@@ -59,8 +60,8 @@
     told: Option<Vec<MachineId>>,
     /// Wishes given up for it, from the last.
     dropped: usize,
-    /// When it was first open and found no place.
-    since: Option<Micros>,
+    /// It was open, and found no room.
+    tried: bool,
     /// An offer of it is out.
     out: bool,
 }
@@ -101,15 +102,18 @@
     by_topic: BTreeMap<Topic, BTreeSet<RequestId>>,
     /// Requests whose machines may have changed.
     dirty: BTreeSet<RequestId>,
-    /// The one that is open among those that take turns.
+    /// The one that is open in this step, among those that take turns.
     turn: Option<RequestId>,
+    /// Whose turn it was last.
+    last: Option<RequestId>,
     standing: BTreeMap<JobNo, Standing>,
     standing_by_topic: BTreeMap<Topic, BTreeSet<JobNo>>,
     /// Standing jobs to look at again.
     doubted: BTreeSet<JobNo>,
     ghosts: BTreeMap<wire::AttemptId, Ghost>,
-    /// Evaluations made, for measurements.
-    pub evaluated: u64,
+    /// Nodes told what they hold since this placer started, or had their time to: until then copies of a
+    /// former life may stand that nobody knows of, and what speaks of copies waits.
+    settled: bool,
 }
 
 /// Requests that get their turn in one flush: the rest wait for the next, which comes at once.
@@ -139,7 +143,8 @@
         let alike = lines.len() == self.fleet.lines().len()
             && lines.iter().zip(self.fleet.lines()).all(|(a, b)| same(a, b));
         if alike {
-            let changed: Vec<usize> = (0..lines.len()).filter(|n| lines[*n] != self.fleet.lines()[*n]).collect();
+            let changed: Vec<usize> =
+                (0..lines.len()).filter(|n| lines[*n] != self.fleet.lines()[*n]).collect();
             if changed.is_empty() {
                 return;
             }
@@ -178,7 +183,8 @@
     }
 
     fn ids(&self, answer: &Answer) -> Vec<MachineId> {
-        let mut ids: Vec<MachineId> = answer.machines.ones().filter_map(|n| self.machines.get(n).copied()).collect();
+        let mut ids: Vec<MachineId> =
+            answer.machines.ones().filter_map(|n| self.machines.get(n).copied()).collect();
         ids.sort_unstable();
         ids
     }
@@ -205,7 +211,7 @@
         if turns {
             self.dirty.insert(request);
         }
-        let waiting = Waiting { subject, told: Some(told.clone()), dropped: 0, since: None, out: false };
+        let waiting = Waiting { subject, told: Some(told.clone()), dropped: 0, tried: false, out: false };
         self.waiting.insert(request, waiting);
         (request, told)
     }
@@ -284,11 +290,12 @@
     /// A node told all that it holds: what is not among it does not stand.
     pub fn ghosts_told(&mut self, node: NodeNo, held: &BTreeSet<wire::AttemptId>) {
         let gone = |(attempt, (at, _)): &(&wire::AttemptId, &Ghost)| *at == node && !held.contains(attempt);
-        let gone: Vec<wire::AttemptId> = self.ghosts.iter().filter(gone).map(|(attempt, _)| *attempt).collect();
+        let gone: Vec<wire::AttemptId> =
+            self.ghosts.iter().filter(gone).map(|(attempt, _)| *attempt).collect();
         gone.into_iter().for_each(|attempt| self.ghost_gone(attempt));
     }
 
-    /// A node told all that it holds, or is gone for good: no copy there is unknown.
+    /// A node started anew: no copy of before stands there.
     pub fn ghosts_gone(&mut self, node: NodeNo) {
         let there: Vec<wire::AttemptId> =
             self.ghosts.iter().filter(|(_, (at, _))| *at == node).map(|(attempt, _)| *attempt).collect();
@@ -306,66 +313,54 @@
         }
     }
 
-    /// Some time passed: the one that is open had its chance, and another that was open before gets its turn.
-    pub fn rotate(&mut self, now: Micros) {
-        let Some(last) = self.turn else {
-            // Nobody is open: what had machines and found no room is tried again, the next in order.
-            let waits = |(_, waiting): &(&RequestId, &Waiting)| waiting.since.is_some() && !waiting.out;
-            if let Some((request, _)) = self.waiting.iter().find(waits) {
-                self.dirty.insert(*request);
-            }
-            return;
-        };
-        if let Some(waiting) = self.waiting.get_mut(&last) {
+    /// Some time passed: among those that had machines and found no room on them, the next gets a turn.
+    pub fn rotate(&mut self) {
+        let waits = |(_, waiting): &(&RequestId, &Waiting)| waiting.tried && !waiting.out;
+        let from = self.last.map_or(Edge::Unbounded, Edge::Excluded);
+        let after = self.waiting.range((from, Edge::Unbounded)).find(waits);
+        let next = after.or_else(|| self.waiting.iter().find(waits)).map(|(request, _)| *request);
+        if let Some(waiting) = next.and_then(|request| self.waiting.get_mut(&request)) {
             // A wish that keeps a task waiting is given up: the last first.
-            let wishes = waiting.subject.bound.constraint.clauses.len();
-            waiting.dropped = (waiting.dropped + 1).min(wishes);
-            waiting.since.get_or_insert(now);
+            waiting.dropped = (waiting.dropped + 1).min(waiting.subject.bound.constraint.clauses.len());
         }
-        let waits = |(_, waiting): &(&RequestId, &Waiting)| waiting.since.is_some() && !waiting.out;
-        let after = self.waiting.range((std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded)).find(waits);
-        let next = after.or_else(|| self.waiting.iter().find(waits)).map(|(request, _)| *request);
         self.dirty.extend(next);
     }
 
-    /// What the module must be told next: at most one request is opened among those that take turns, and
-    /// the one before is closed. Empty where nothing changed.
-    pub fn next(&mut self, now: Micros) -> Vec<Opened> {
-        let mut tell = Vec::new();
+    /// What the module must be told next: the request whose turn it was is closed, and the next one that has
+    /// machines is opened. Each is open for one step of the module alone, so that no other draw of that step
+    /// can take from it what it was told. Empty where nothing changed.
+    pub fn next(&mut self) -> Vec<Opened> {
+        let mut tell: Vec<Opened> = self.close().into_iter().collect();
         while let Some(request) = self.dirty.pop_first() {
-            let Some(waiting) = self.waiting.get(&request) else { continue };
-            if waiting.out {
-                continue;
-            }
+            let Some(waiting) = self.waiting.get(&request).filter(|waiting| !waiting.out) else { continue };
             let (subject, dropped) = (waiting.subject.clone(), waiting.dropped);
-            self.evaluated += 1;
             if !subject.bound.takes_turns() {
                 let machines = self.whole(&subject);
                 self.tell(request, machines, &mut tell);
-                continue;
-            }
-            let answer = self.compiled(&subject.bound).open(&self.fleet, &self.census, &subject.own, dropped);
-            let machines = self.ids(&answer);
-            let opens = !machines.is_empty();
-            if opens
-                && let Some(before) = self.turn.replace(request).filter(|before| *before != request)
-            {
-                if let Some(waiting) = self.waiting.get_mut(&before) {
-                    waiting.since.get_or_insert(now);
+            } else if self.settled {
+                let answer =
+                    self.compiled(&subject.bound).open(&self.fleet, &self.census, &subject.own, dropped);
+                let machines = self.ids(&answer);
+                if !machines.is_empty() {
+                    self.turn = Some(request);
+                    self.tell(request, machines, &mut tell);
+                    break;
                 }
-                self.tell(before, Vec::new(), &mut tell);
-            }
-            if !opens && self.turn == Some(request) {
-                self.turn = None;
-            }
-            self.tell(request, machines, &mut tell);
-            if opens && !tell.is_empty() {
-                break;
             }
         }
         tell
     }
 
+    /// The request whose turn it was is open no more.
+    pub fn close(&mut self) -> Option<Opened> {
+        let before = self.turn.take()?;
+        self.last = Some(before);
+        let waiting = self.waiting.get_mut(&before)?;
+        waiting.tried = true;
+        waiting.told = Some(Vec::new());
+        Some((before, Vec::new()))
+    }
+
     fn tell(&mut self, request: RequestId, machines: Vec<MachineId>, tell: &mut Vec<Opened>) {
         if let Some(waiting) = self.waiting.get_mut(&request).filter(|w| w.told.as_ref() != Some(&machines)) {
             waiting.told = Some(machines.clone());
@@ -373,9 +368,16 @@
         }
     }
 
+    /// The copies of a former life are known now, as far as they will be.
+    pub fn settle(&mut self) {
+        if !std::mem::replace(&mut self.settled, true) {
+            self.dirty.extend(self.waiting.keys());
+        }
+    }
+
     /// Whether something is to be looked at.
     pub fn is_idle(&self) -> bool {
-        self.dirty.is_empty() && self.doubted.is_empty()
+        self.dirty.is_empty() && self.doubted.is_empty() && self.turn.is_none()
     }
 
     /// How many requests may have their turn in one flush.
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,6 +1,7 @@
 //! The engine: inputs to the module's events, the module's actions to outputs.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use reedring::{
     Action, AttemptId, Ended, Event, Listing, Micros, Note, Outcome as Fate, Placer, Reason, RequestId, Task,
@@ -75,6 +76,7 @@
         let hall = settings.hall.as_deref().map(|hall| nodes.halls.number(hall));
         let placer = Placer::new(settings.module(hall), start.seed);
         let mut timers = Timers::default();
+        timers.set(start.now + settings.limits.settle_us, Timer::Settle);
         if let Some(window) = settings.site.cold_window_us {
             // Cold nodes that were kept back until now are told of.
             timers.set(start.now + window, Timer::Lines);
@@ -155,7 +157,7 @@
         loop {
             if self.events.is_empty() {
                 // Constrained tasks take turns: each is drawn for with the copies of those before it known.
-                let opened = self.constrain.next(now);
+                let opened = self.constrain.next();
                 if opened.is_empty() {
                     break;
                 }
@@ -173,6 +175,9 @@
                 self.act(now, action);
             }
             if turns >= Constrainer::turns() && self.events.is_empty() {
+                // The one that is open is closed before anything of the next flush is drawn.
+                let closed = self.constrain.close();
+                self.events.extend(closed.map(opened_event));
                 break;
             }
         }
@@ -360,9 +365,6 @@
             self.ledger.attempts.get(id).is_some_and(|attempt| attempt.known == Known::Accepted)
         };
         let lost: Vec<AttemptId> = node.attempts.iter().copied().filter(accepted).collect();
-        if node.health() == Health::Gone {
-            self.constrain.ghosts_gone(number);
-        }
         for id in lost {
             self.lost(now, id, Loss::Unknown, Fate::Reset, None, word);
         }
@@ -518,10 +520,12 @@
         let Some(task) = self.module_task(job, request) else { return false };
         self.events.push(Event::Adopted { task, machine });
         let known = Known::Accepted;
-        let copy = Attempt { job, node: number, machine, wire: attempt, sent: now, known, accepted: true };
-        if let Some(entry) = self.ledger.jobs.get(&job) {
-            self.constrain.copy_comes(&entry.ask.topics, number);
-        }
+        let Some(topics) = self.ledger.jobs.get(&job).map(|job| Arc::clone(&job.ask.topics)) else {
+            return false;
+        };
+        self.constrain.copy_comes(&topics, number);
+        let copy =
+            Attempt { job, node: number, machine, wire: attempt, sent: now, known, accepted: true, topics };
         self.ledger.open(self.start.life, id, copy);
         if let Some(node) = self.nodes.all.get_mut(&number) {
             node.attempts.insert(id);
@@ -550,7 +554,7 @@
             key: reedring::TaskKey(task.key),
             name,
             session,
-            ask: std::sync::Arc::new(ask),
+            ask: Arc::new(ask),
             phase: Phase::Delayed,
             copies: Vec::new(),
             history: Vec::new(),
@@ -741,13 +745,10 @@
     /// An attempt's end is known, or it is `unknown` whether its copy stands still.
     fn close(&mut self, id: AttemptId, fate: &'static str, unknown: bool) -> Option<Attempt> {
         let attempt = self.ledger.close(id, fate)?;
-        if let Some(job) = self.ledger.jobs.get(&attempt.job) {
-            let topics = &job.ask.topics;
-            if unknown {
-                self.constrain.copy_unknown(attempt.wire, std::sync::Arc::clone(topics), attempt.node);
-            } else {
-                self.constrain.copy_goes(topics, attempt.node);
-            }
+        if unknown {
+            self.constrain.copy_unknown(attempt.wire, Arc::clone(&attempt.topics), attempt.node);
+        } else {
+            self.constrain.copy_goes(&attempt.topics, attempt.node);
         }
         if attempt.wire.life != self.start.life {
             self.retired.insert(attempt.wire);
@@ -1032,12 +1033,13 @@
         *number += 1;
         let Some(node) = self.nodes.of_machine(machine) else { return };
         let wire = wire::AttemptId { life: self.start.life, request: request.0, number: id.number };
-        let attempt = Attempt { job, node, machine, wire, sent: now, known: Known::Out, accepted: false };
         let task = self.wire_task(job);
-        if let Some(entry) = self.ledger.jobs.get_mut(&job) {
-            entry.tried(id, node, now);
-            self.constrain.copy_comes(&entry.ask.topics, node);
-        }
+        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
+        entry.tried(id, node, now);
+        let topics = Arc::clone(&entry.ask.topics);
+        self.constrain.copy_comes(&topics, node);
+        let known = Known::Out;
+        let attempt = Attempt { job, node, machine, wire, sent: now, known, accepted: false, topics };
         let closed = self.constrain.offered(request);
         self.events.extend(closed.map(opened_event));
         self.ledger.open(self.start.life, id, attempt);
@@ -1166,7 +1168,7 @@
     fn fire(&mut self, now: Micros, timer: Timer) {
         match timer {
             Timer::Module(token) => {
-                self.constrain.rotate(now);
+                self.constrain.rotate();
                 self.events.push(Event::Woken(token));
             }
             Timer::Attempt(id) => {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use reedring::{AttemptId, MachineId, Micros, RequestId, TaskKey};
+use reedring_constraint::Topic;
 use reedring_drmaa::rpc::{AttemptLine, JobDetail, JobLine};
 use reedring_drmaa::{End, JobInfo, JobState};
 use reedring_nodeproto as wire;
@@ -248,6 +249,8 @@
     pub known: Known,
     /// It was accepted before it was stopped.
     pub accepted: bool,
+    /// What its copy counts as; its job may be forgotten before its end is known.
+    pub topics: Arc<Vec<Topic>>,
 }
 
 /// Every job and attempt of this life.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,7 +32,7 @@
 //!     }
 //! }
 //! // ... and come back with the next input, or when the next timer is due.
-//! assert_eq!(core.next_wake(), None);
+//! assert_eq!(core.next_wake(), Some(3_000_000));
 //! ```
 #![forbid(unsafe_code)]
 
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -75,14 +75,7 @@
         same
     }
 
-    pub fn node_line(
-        &self,
-        waiting: usize,
-        held: usize,
-        cores: f64,
-        memory: f64,
-        kind: &str,
-    ) -> NodeLine {
+    pub fn node_line(&self, waiting: usize, held: usize, cores: f64, memory: f64, kind: &str) -> NodeLine {
         let refusal = |(reason, count): (&Reason, &u64)| (reason.word().to_owned(), *count);
         let listed = if self.listed { self.entry.health } else { Health::Gone };
         NodeLine {
--- a/crates/core/tests/simulation.rs
+++ b/crates/core/tests/simulation.rs
@@ -290,3 +290,36 @@
     judge(&world, false);
     assert_eq!(world.told.len(), 40);
 }
+
+/// Every offer is judged by an evaluation from scratch: the incremental one must equal it, with constrained
+/// and free tasks of one service side by side and nodes that refuse.
+#[test]
+fn offers_keep_their_constraints_as_worked_out_from_scratch() {
+    let constraints = [
+        "",
+        "constraint='require apart from copies by machine'",
+        "constraint='require spread by hall within 1'",
+        "constraint='require spread by hall at most 3; prefer hall = a'",
+        "constraint='require near copies by hall'",
+        "constraint='require spread by hall at least 2; require name != \"node-0\"'",
+    ];
+    for seed in 0..12 {
+        let mut world = World::new(6, seed);
+        world.run_for(50 * MS);
+        for _ in 0..60 {
+            let more = constraints[world.draw.next_u32() as usize % constraints.len()];
+            let (count, life) =
+                (1 + u64::from(world.draw.next_u32() % 5), 20 + u64::from(world.draw.next_u32() % 600));
+            world.submit_with("safe", count, life, more);
+            let after = u64::from(world.draw.next_u32() % 60) * MS;
+            world.run_for(after);
+            world.wait_any();
+        }
+        for _ in 0..800 {
+            world.wait_any();
+            world.run_for(10 * MS);
+        }
+        assert_eq!(world.astray, Vec::<String>::new(), "seed {seed}");
+        judge(&world, false);
+    }
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -6,6 +6,7 @@
 
 use rand_core::Rng;
 use rand_pcg::Pcg32;
+use reedring_constraint::{Census, Compiled, Constraint, Fleet, Line, Own};
 use reedring_core::{Core, Input, Output, Start};
 use reedring_drmaa::rpc::{Answer, Call, CallKey, Range, Response};
 use reedring_drmaa::{JobInfo, JobSpec};
@@ -116,6 +117,10 @@
     /// When each node was told to the placer as closed, and offers that left later than the grace.
     closed: BTreeMap<usize, u64>,
     pub late_offers: Vec<String>,
+    /// Copies as the placer knows them: attempts that it sent and of whose end it has not heard.
+    known: BTreeMap<AttemptId, (String, usize)>,
+    /// Offers that did not keep their constraint, by an evaluation from scratch.
+    pub astray: Vec<String>,
     /// Everything that left the core, folded into a number.
     pub fingerprint: u64,
 }
@@ -165,6 +170,8 @@
             copies: BTreeMap::new(),
             closed: BTreeMap::new(),
             late_offers: Vec::new(),
+            known: BTreeMap::new(),
+            astray: Vec::new(),
             fingerprint: 0,
         };
         (0..nodes).for_each(|n| world.start_node(n));
@@ -303,7 +310,11 @@
     }
 
     pub fn submit(&mut self, class: &str, count: u64, life_ms: u64) -> u64 {
-        let native = format!("class={class} service={class}-svc life={life_ms}ms cores=0.5 memory=1");
+        self.submit_with(class, count, life_ms, "")
+    }
+
+    pub fn submit_with(&mut self, class: &str, count: u64, life_ms: u64, more: &str) -> u64 {
+        let native = format!("class={class} service={class}-svc life={life_ms}ms cores=0.5 memory=1 {more}");
         let job = JobSpec { command: "work".to_owned(), native, ..JobSpec::default() };
         let range = Range { first: 1, last: count, step: 1 };
         self.call(|key| Call::RunBulkJobs { key, job: Box::new(job), range })
@@ -360,6 +371,9 @@
                         self.late_offers.push(format!("{attempt:?} to {node}"));
                     }
                 }
+                if let Message::Offer { attempt, task, .. } = &message {
+                    self.judge_offer(*attempt, task, n);
+                }
                 let id = self.links.iter().find(|(_, link)| link.node == n && link.alive && link.known);
                 if let Some(id) = id.map(|(id, _)| *id) {
                     self.over(id, 0, Due::AtNode(id, message));
@@ -373,6 +387,34 @@
         }
     }
 
+    /// Works the offer's constraint out anew, with the copies that the placer knows.
+    fn judge_offer(&mut self, attempt: AttemptId, task: &reedring_nodeproto::Task, n: usize) {
+        let native = |payload: &[u8]| {
+            let spec: JobSpec = serde_json::from_slice(payload).unwrap();
+            reedring_drmaa::native::Native::parse(&spec.native).unwrap()
+        };
+        let line = |entry: &NodeEntry| {
+            let mut line = Line::named(&entry.name).hall(&entry.hall).rack(&entry.rack);
+            line.ready = entry.health == Health::Ready;
+            line
+        };
+        let own = Own::service(&task.class, &task.service);
+        if let Some(text) = native(&task.payload).constraint {
+            let fleet = Fleet::new(self.list.iter().map(line).collect());
+            let mut census = Census::default();
+            for (service, at) in self.known.values() {
+                census.add(&Own::service(&task.class, service).topics(&[]), *at);
+            }
+            let constraint = Constraint::parse(&text).unwrap();
+            let open = Compiled::new(&constraint, &fleet).open(&fleet, &census, &own, usize::MAX);
+            if !open.machines.contains(n) {
+                self.astray
+                    .push(format!("{} at {}: {} to {n}, {:?}", task.job, self.now, task.service, self.known));
+            }
+        }
+        self.known.insert(attempt, (task.service.clone(), n));
+    }
+
     fn effects(&mut self, n: usize) {
         let Some(node) = self.places[n].node.as_mut() else { return };
         for effect in node.effects() {
@@ -433,7 +475,12 @@
                     Message::Welcome { node: called, life, up_ms, can_suspend } if first => {
                         self.input(Input::LinkUp { node, called, life, up_ms, can_suspend });
                     }
-                    message => self.input(Input::Message { node, message }),
+                    message => {
+                        if let Message::Refused { attempt, .. } | Message::Ended { attempt, .. } = &message {
+                            self.known.remove(attempt);
+                        }
+                        self.input(Input::Message { node, message });
+                    }
                 }
             }
             Due::Connect(n) => {
--- a/crates/site/src/owners.rs
+++ b/crates/site/src/owners.rs
@@ -41,6 +41,12 @@
     /// Services among which they are drawn.
     #[serde(default = "four")]
     services: u32,
+    /// Where they may stand, in the words of docs/constraints.md.
+    #[serde(default)]
+    constraint: String,
+    /// Their labels.
+    #[serde(default)]
+    labels: String,
 }
 
 fn four() -> u32 {
@@ -240,8 +246,13 @@
             0 => String::new(),
             count => format!(" tenant={}", self.tenants[drawn as usize % count]),
         };
+        let quoted = |word: &str, text: &str| match text {
+            "" => String::new(),
+            text => format!(" {word}='{text}'"),
+        };
+        let more = quoted("constraint", &self.constraint) + &quoted("labels", &self.labels);
         let native = format!(
-            "class={}{tenant} service={service} cores={} memory={} life={}",
+            "class={}{tenant} service={service} cores={} memory={} life={}{more}",
             self.class, self.cores, self.memory, self.life
         );
         let set = [("drmaa_remote_command", "work"), ("drmaa_native_specification", native.as_str())];
--- a/crates/site/src/site.rs
+++ b/crates/site/src/site.rs
@@ -325,7 +325,8 @@
             let NodePlace { config, kind, health, .. } = node;
             let (name, address, rack, hall) = (&config.name, config.listen, &config.rack, &config.hall);
             let _ = writeln!(text, "[[node]]\nname = {name:?}\naddress = \"{address}\"\nkind = {kind:?}");
-            let _ = writeln!(text, "rack = {rack:?}\nhall = {hall:?}\nhealth = {health:?}\n");
+            let _ = writeln!(text, "rack = {rack:?}\nhall = {hall:?}\nhealth = {health:?}");
+            let _ = writeln!(text, "attrs = {}\n", toml::Value::Table(config.attrs.clone()));
         }
         // Renamed into place, so that no placer reads half a list.
         let draft = self.dir.path().join("nodes.toml.new");
--- a/crates/standin/src/config.rs
+++ b/crates/standin/src/config.rs
@@ -20,6 +20,9 @@
     /// Its hall, for keyed classes grouped by hall.
     #[serde(default)]
     pub hall: String,
+    /// What the node list says of it beside, as TOML values; the node itself does not look at it.
+    #[serde(default)]
+    pub attrs: toml::Table,
     /// Cores.
     #[serde(default = "thirty_two")]
     pub cores: f64,
