--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod constraint;
 mod log;
 mod operator;
 mod run;
@@ -48,6 +49,8 @@
     Drain(operator::Drain),
     /// Let new work come to a node again.
     Undrain(operator::Undrain),
+    /// Check and explain constraints.
+    Constraint(constraint::ConstraintArgs),
     /// Play a script of troubles against placers and nodes, and audit it.
     BadDay(trial::BadDay),
     /// Judge the five rules from a trace.
@@ -76,6 +79,7 @@
         Command::Nodes(nodes) => nodes.run(),
         Command::Drain(drain) => drain.run(),
         Command::Undrain(undrain) => undrain.run(),
+        Command::Constraint(constraint) => constraint.run(),
         Command::BadDay(day) => day.run(),
         Command::Audit(audit) => audit.run(),
         Command::Bench(bench) => bench.run(),
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -95,6 +95,8 @@
         println!("outcome  {}", line.outcome.as_deref().unwrap_or("none yet"));
         println!("class    {}, tenant {}, service {}", line.class, line.tenant, line.service);
         println!("asks     {} cores, {} memory", job.cores, job.memory);
+        job.constraint.iter().for_each(|text| println!("bound    {text}"));
+        job.stands.iter().for_each(|line| println!("         {line}"));
         job.reason.iter().for_each(|reason| println!("reason   {reason}"));
         for (n, attempt) in job.attempts.iter().enumerate() {
             println!("attempt {n}: {} after {} ms: {}", attempt.node, attempt.sent_ms, attempt.fate);
--- a/crates/client/src/operator.rs
+++ b/crates/client/src/operator.rs
@@ -73,6 +73,14 @@
         answers!(self, Call::Drain { node: node.to_owned(), drain }, Answer::Done => ())
     }
 
+    /// What a constraint leaves of the placer's nodes, and why.
+    ///
+    /// # Errors
+    /// `InvalidAttributeValue` with the mistake.
+    pub fn explain(&mut self, text: &str) -> Result<String> {
+        answers!(self, Call::Explain { text: text.to_owned() }, Answer::Text(text) => text)
+    }
+
     /// Counts and times of the placer.
     ///
     /// # Errors
--- a/crates/constraint/tests/brute.rs
+++ b/crates/constraint/tests/brute.rs
@@ -260,8 +260,12 @@
 }
 
 fn lines() -> impl Strategy<Value = Vec<Line>> {
+    prop_oneof![9 => some_lines(1..30), 1 => some_lines(150..201)]
+}
+
+fn some_lines(count: std::ops::Range<usize>) -> impl Strategy<Value = Vec<Line>> {
     let line = (0..4_usize, 0..4_usize, 0..3_usize, 0..6_i32, 0..4_usize, any::<bool>());
-    prop::collection::vec(line, 1..30).prop_map(|all| {
+    prop::collection::vec(line, count).prop_map(|all| {
         let texts = ["", "a", "b", "c"];
         let line =
             |(n, (hall, rack, kind, cores, tag, ready)): (usize, (usize, usize, usize, i32, usize, bool))| {
--- a/crates/core/tests/simulation.rs
+++ b/crates/core/tests/simulation.rs
@@ -323,3 +323,108 @@
         judge(&world, false);
     }
 }
+
+/// Anti-affinity cycles: two services submitted at once, each apart from the other.
+#[test]
+fn two_services_that_keep_apart_from_each_other_both_get_places() {
+    let mut world = World::new(4, 21);
+    world.run_for(50 * MS);
+    for (own, other) in [("a", "b"), ("b", "a")] {
+        let more = format!("constraint='require apart from service {other} by hall'");
+        world.submit_as("safe", own, 4, 300, &more);
+    }
+    for _ in 0..600 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    assert_eq!(world.astray, Vec::<String>::new());
+    judge(&world, false);
+    let placed = world.told.values().filter(|infos| infos[0].usage("reedring.outcome") == Some("placed"));
+    assert_eq!(placed.count(), 8);
+}
+
+/// Copies whose outcome is unknown count: the hung node's copy may stand, so its hall stays closed.
+#[test]
+fn a_copy_of_unknown_outcome_counts() {
+    let mut world = World::new(4, 22);
+    world.run_for(50 * MS);
+    (0..4).for_each(|n| world.hang(n, true));
+    let alone = "constraint='require apart from copies by machine'";
+    world.submit_as("safe", "s", 1, 2_000, alone);
+    world.run_for(1_500 * MS);
+    let tried = world.offered("s.1.1");
+    assert!(tried.len() > 1, "{tried:?}");
+    world.submit_as("safe", "s", 4, 2_000, alone);
+    world.run_for(300 * MS);
+    // Each node that was tried may hold the first job's copy still.
+    assert!(world.offers_to_others("s.1.1").iter().all(|n| !tried.contains(n)), "{tried:?}");
+}
+
+/// A keyed task whose group and spread leave nothing is answered as it must be, not sent elsewhere.
+#[test]
+fn a_keyed_resend_that_its_spread_forbids_is_failed() {
+    let mut world = World::new(2, 23);
+    world.run_for(50 * MS);
+    (0..2).for_each(|n| world.hang(n, true));
+    // One node a hall: the group's only node may hold the first copy.
+    world.submit_as("keyed", "s", 1, 300, "constraint='require apart from copies by hall'");
+    for _ in 0..500 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    let infos = world.told.values().next().unwrap();
+    assert_eq!(infos[0].usage("reedring.outcome"), Some("failed"), "{infos:?}");
+    assert_eq!(infos[0].usage("reedring.attempts"), Some("1"));
+}
+
+/// A node's rack and hall change while it holds a copy: the broken constraint is told once, and its mending.
+#[test]
+fn a_node_that_moves_while_it_holds_copies() {
+    let mut world = World::new(2, 24);
+    world.run_for(50 * MS);
+    world.submit_as("safe", "s", 2, 60_000, "constraint='require spread by hall at most 1'");
+    world.run_for(300 * MS);
+    assert_eq!(world.standing().len(), 2);
+    let hall = world.list[1].hall.clone();
+    world.list[1].hall = world.list[0].hall.clone();
+    world.list(1, Health::Ready);
+    assert_eq!(world.logged("no longer holds"), 2);
+    world.list(1, Health::Ready);
+    assert_eq!(world.logged("no longer holds"), 2);
+    world.list[1].hall = hall;
+    world.list(1, Health::Ready);
+    assert_eq!((world.logged("no longer holds"), world.logged("holds again")), (2, 2));
+}
+
+/// A hall goes dark and comes back: told within one list update, once, and mended likewise.
+#[test]
+fn a_dark_hall_breaks_a_spread_once_and_mends_it_once() {
+    let mut world = World::new(2, 25);
+    world.run_for(50 * MS);
+    world.submit_as("safe", "s", 2, 60_000, "constraint='require spread by hall at least 2'");
+    world.run_for(300 * MS);
+    world.list(1, Health::Gone);
+    assert_eq!(world.logged("no longer holds"), 1);
+    world.run_for(100 * MS);
+    world.list(1, Health::Ready);
+    assert_eq!((world.logged("no longer holds"), world.logged("holds again")), (1, 1));
+}
+
+/// A wish is given up where it keeps a task from every place, and the requirement never.
+#[test]
+fn a_wish_is_dropped_where_its_node_has_no_room() {
+    let mut world = World::new(2, 26);
+    world.run_for(50 * MS);
+    // 16 cores a node, half a core a task.
+    world.submit_as("safe", "s", 40, 500, "constraint='prefer name = \"node-0\"'");
+    world.run_for(1_000 * MS);
+    for _ in 0..500 {
+        world.wait_any();
+        world.run_for(10 * MS);
+    }
+    judge(&world, false);
+    let at = |node: &str| {
+        world.told.values().filter(|infos| infos[0].usage("reedring.node") == Some(node)).count()
+    };
+    assert!(at("node-0") >= 30 && at("node-0") + at("node-1") == 40, "{} {}", at("node-0"), at("node-1"));
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -119,6 +119,10 @@
     pub late_offers: Vec<String>,
     /// Copies as the placer knows them: attempts that it sent and of whose end it has not heard.
     known: BTreeMap<AttemptId, (String, usize)>,
+    /// What the placer told the staff.
+    lines: Vec<String>,
+    /// Every offer: its job, and the node.
+    sent: Vec<(String, usize)>,
     /// Offers that did not keep their constraint, by an evaluation from scratch.
     pub astray: Vec<String>,
     /// Everything that left the core, folded into a number.
@@ -170,6 +174,8 @@
             copies: BTreeMap::new(),
             closed: BTreeMap::new(),
             late_offers: Vec::new(),
+            lines: Vec::new(),
+            sent: Vec::new(),
             known: BTreeMap::new(),
             astray: Vec::new(),
             fingerprint: 0,
@@ -314,7 +320,11 @@
     }
 
     pub fn submit_with(&mut self, class: &str, count: u64, life_ms: u64, more: &str) -> u64 {
-        let native = format!("class={class} service={class}-svc life={life_ms}ms cores=0.5 memory=1 {more}");
+        self.submit_as(class, &format!("{class}-svc"), count, life_ms, more)
+    }
+
+    pub fn submit_as(&mut self, class: &str, service: &str, count: u64, life_ms: u64, more: &str) -> u64 {
+        let native = format!("class={class} service={service} life={life_ms}ms cores=0.5 memory=1 {more}");
         let job = JobSpec { command: "work".to_owned(), native, ..JobSpec::default() };
         let range = Range { first: 1, last: count, step: 1 };
         self.call(|key| Call::RunBulkJobs { key, job: Box::new(job), range })
@@ -383,10 +393,25 @@
                 let after = self.latency();
                 self.later(after, Due::Answer(self.life, Box::new(response)));
             }
-            Output::Log { .. } => {}
+            Output::Log { line, .. } => self.lines.push(line),
         }
     }
 
+    /// Lines for the staff that say so.
+    pub fn logged(&self, words: &str) -> usize {
+        self.lines.iter().filter(|line| line.contains(words)).count()
+    }
+
+    /// Nodes to which a job was offered.
+    pub fn offered(&self, job: &str) -> Vec<usize> {
+        self.sent.iter().filter(|(of, _)| of == job).map(|(_, n)| *n).collect()
+    }
+
+    /// Nodes to which any other job was offered.
+    pub fn offers_to_others(&self, job: &str) -> Vec<usize> {
+        self.sent.iter().filter(|(of, _)| of != job).map(|(_, n)| *n).collect()
+    }
+
     /// Works the offer's constraint out anew, with the copies that the placer knows.
     fn judge_offer(&mut self, attempt: AttemptId, task: &reedring_nodeproto::Task, n: usize) {
         let native = |payload: &[u8]| {
@@ -413,6 +438,7 @@
             }
         }
         self.known.insert(attempt, (task.service.clone(), n));
+        self.sent.push((task.job.clone(), n));
     }
 
     fn effects(&mut self, n: usize) {
