--- a/crates/cli/src/constraint.rs
+++ b/crates/cli/src/constraint.rs
@@ -1,6 +1,6 @@
 //! `reedring constraint`: what a text says, what it leaves, and why a job has the machines that it has.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Subcommand};
@@ -62,7 +62,7 @@
 }
 
 /// Settings and the node list that they name.
-fn site(config: &PathBuf) -> Result<(Settings, Fleet), Failure> {
+fn site(config: &Path) -> Result<(Settings, Fleet), Failure> {
     let settings = Settings::parse(&read(config)?, &config.display().to_string())?;
     let nodes = beside(config, &settings.nodes);
     let list = NodeList::parse(&read(&nodes)?, &nodes.display().to_string(), &settings)?;
@@ -94,7 +94,7 @@
     pub fn run(self) -> Result<ExitCode, Failure> {
         match self.command {
             Command::Check(Check { text, config }) => {
-                let site = config.as_ref().map(site).transpose()?;
+                let site = config.as_deref().map(site).transpose()?;
                 let Some(constraint) = checked(&text, site.as_ref()) else { return Ok(ExitCode::FAILURE) };
                 constraint.clauses.iter().for_each(|clause| println!("{clause}"));
                 Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/crates/cli/tests/cli.rs
@@ -0,0 +1,125 @@
+//! The program as a user runs it.
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Output, Stdio};
+
+fn reedring(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_reedring"));
+    command.args(args).env_remove("REEDRING_CONTACT").output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+struct Running(Child, String);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a program and waits for its line `contact: …`.
+fn running(args: &[&str]) -> Running {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_reedring"));
+    let mut child = command.args(args).stdout(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let contact = lines.by_ref().find_map(|line| line.unwrap().strip_prefix("contact: ").map(str::to_owned));
+    // What comes later is read and thrown away, so that the program never waits for its reader.
+    std::thread::spawn(move || lines.for_each(drop));
+    Running(child, contact.expect("a contact"))
+}
+
+fn deploy(file: &str) -> String {
+    format!("{}/../../deploy/{file}", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[test]
+fn a_job_goes_from_the_command_line_to_its_exit_status() {
+    let local = running(&["local", "--nodes", "3"]);
+    let at = |args: &[&str]| {
+        let (command, rest) = args.split_first().unwrap();
+        reedring(&[&[*command, "--contact", &local.1], rest].concat())
+    };
+    let submitted = at(&["submit", "exit", "3"]);
+    assert_eq!(submitted.status.code(), Some(3), "{}", text(&submitted.stderr));
+    assert!(text(&submitted.stdout).contains("exited with status 3"));
+    let nodes = text(&at(&["nodes"]).stdout);
+    assert_eq!(nodes.lines().filter(|line| line.contains("ready")).count(), 3, "{nodes}");
+    assert!(at(&["drain", "node-1"]).status.success());
+    assert!(text(&at(&["nodes"]).stdout).contains("ready, by hand"));
+    assert!(at(&["undrain", "node-1"]).status.success());
+    let wrong = at(&["drain", "node-9"]);
+    assert!(text(&wrong.stderr).contains("the list has no node `node-9`"), "{}", text(&wrong.stderr));
+    let detached = text(&at(&["submit", "--detach", "sleep", "30"]).stdout);
+    let job = detached.lines().next().unwrap();
+    assert!(text(&at(&["job", job]).stdout).contains("session"));
+    assert!(text(&at(&["jobs", "--live"]).stdout).contains(job));
+    let never = at(&["submit", "--native", "constraint='require hall = nowhere'", "work"]);
+    assert_eq!(never.status.code(), Some(125));
+    assert!(text(&never.stdout).contains("removes 3 of 3"), "{}", text(&never.stdout));
+    let explained = reedring(&["constraint", "explain", "require hall = hall-a", "--contact", &local.1]);
+    assert!(text(&explained.stdout).contains("of 3 nodes are open"), "{}", text(&explained.stdout));
+}
+
+#[test]
+fn settings_are_checked_and_constraints_explained_offline() {
+    let example = deploy("reedring.toml");
+    let checked = reedring(&["check", &example]);
+    assert!(checked.status.success(), "{}", text(&checked.stderr));
+    assert!(text(&checked.stdout).contains("2 nodes"));
+    let dir = tempfile::tempdir().unwrap();
+    let wrong = dir.path().join("wrong.toml");
+    std::fs::write(
+        &wrong,
+        std::fs::read_to_string(&example).unwrap().replace("max_attempts = 4", "max_attempts = 0"),
+    )
+    .unwrap();
+    let told = reedring(&["check", wrong.to_str().unwrap()]);
+    assert_eq!(told.status.code(), Some(1));
+    assert!(text(&told.stderr).contains("site.max_attempts: 0 is too few"), "{}", text(&told.stderr));
+    let explain = |text: &str| reedring(&["constraint", "explain", text, "--config", &example]);
+    assert!(text(&explain("require attr.gpus >= 2 and attr.kernel > v6").stdout).contains("open: node-2"));
+    assert!(text(&explain("use apart-by-hall").stdout).contains("open: node-1, node-2"));
+    assert!(text(&explain("require kind = node-65").stderr).contains("did you mean `node-64`?"));
+    let check = reedring(&["constraint", "check", "hall=a;prefer near copies by rack"]);
+    assert_eq!(text(&check.stdout), "require hall = \"a\"\nprefer near copies by rack\n");
+}
+
+#[test]
+fn a_placer_and_its_nodes_run_as_programs_of_their_own_over_a_unix_socket() {
+    let dir = tempfile::tempdir().unwrap();
+    let at = |name: &str| dir.path().join(name).to_str().unwrap().to_owned();
+    std::fs::write(at("fleet.toml"), "[[node]]\nname = \"one\"\n").unwrap();
+    let mut nodes = Command::new(env!("CARGO_BIN_EXE_reedring"));
+    let mut nodes =
+        nodes.args(["standin", "--config", &at("fleet.toml")]).stdout(Stdio::piped()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(nodes.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("one: ").unwrap().to_owned();
+    let nodes = Running(nodes, address.clone());
+    std::fs::write(at("nodes.toml"), format!("[[node]]\nname = \"one\"\naddress = \"{address}\"\n")).unwrap();
+    let settings = format!(
+        "[placer]\nname = \"p\"\nlisten = \"unix:{}\"\nnodes = \"nodes.toml\"\ntrace = \"p.trace\"\n\
+         [[class]]\nname = \"c\"\nrepeat = \"unsafe\"\naim = \"1s\"\ngive_up = \"8s\"\n",
+        at("p.sock")
+    );
+    std::fs::write(at("p.toml"), settings).unwrap();
+    let placer = running(&["serve", "--config", &at("p.toml")]);
+    let submitted = reedring(&["submit", "--contact", &placer.1, "exit", "4"]);
+    assert_eq!(submitted.status.code(), Some(4), "{}", text(&submitted.stderr));
+    drop(nodes);
+    // Asked to end, it leaves a whole trace.
+    let asked = Command::new("kill").arg(placer.0.id().to_string()).status().unwrap();
+    assert!(asked.success());
+    let mut placer = placer;
+    assert!(placer.0.wait().unwrap().success());
+    let audited = reedring(&["audit", &at("p.trace")]);
+    assert!(
+        text(&audited.stdout).contains("1 taken, 1 placed") && audited.status.success(),
+        "{}",
+        text(&audited.stdout)
+    );
+}
--- a/crates/constraint/src/error.rs
+++ b/crates/constraint/src/error.rs
@@ -8,9 +8,21 @@
 use codespan_reporting::term::termcolor::NoColor;
 use codespan_reporting::term::{self, Config};
 
+/// The first mistake in a text. Shown, it is what a compiler would print.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Mistake(Box<Details>);
+
+impl std::ops::Deref for Mistake {
+    type Target = Details;
+
+    fn deref(&self) -> &Details {
+        &self.0
+    }
+}
+
 /// What is wrong with a text, where, and what to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Mistake {
+pub struct Details {
     /// What is wrong.
     pub message: String,
     /// Where, in bytes of the text.
@@ -32,16 +44,16 @@
         here: impl Into<String>,
     ) -> Self {
         let (message, here, text) = (message.into(), here.into(), text.to_owned());
-        Self { message, span, here, also: None, help: None, text }
+        Self(Box::new(Details { message, span, here, also: None, help: None, text }))
     }
 
     pub(crate) fn help(mut self, help: impl Into<String>) -> Self {
-        self.help = Some(help.into());
+        self.0.help = Some(help.into());
         self
     }
 
     pub(crate) fn also(mut self, span: Range<usize>, here: impl Into<String>) -> Self {
-        self.also = Some((span, here.into()));
+        self.0.also = Some((span, here.into()));
         self
     }
 }
--- a/crates/constraint/src/eval.rs
+++ b/crates/constraint/src/eval.rs
@@ -78,23 +78,27 @@
 
 /// Whether a comparison holds. A field that is not told satisfies none.
 pub(crate) fn compares(compare: &Compare, line: &Line) -> bool {
-    let text = |text: &str| (!text.is_empty()).then(|| Attr::Text(text.to_owned()));
-    let attr = match &compare.field {
+    let text = |text: &str| {
+        let holds = match (compare.op, &compare.value) {
+            (Op::In, Value::Set(all)) => all.iter().any(|one| one == text),
+            (Op::Eq, Value::Text(other)) => text == other,
+            (Op::Ne, Value::Text(other)) => text != other,
+            _ => false,
+        };
+        holds && !text.is_empty()
+    };
+    match &compare.field {
         Field::Kind => text(&line.kind),
         Field::Rack => text(&line.rack),
         Field::Hall => text(&line.hall),
         Field::Name => text(&line.name),
-        Field::Attr(name) => line.attrs.get(name).cloned(),
-    };
-    let Some(attr) = attr else { return false };
-    match (&attr, compare.op, &compare.value) {
-        (Attr::Text(text), Op::In, Value::Set(all)) => all.contains(text),
-        (Attr::Set(all), Op::Has, Value::Text(text)) => all.contains(text),
-        (Attr::Text(a), Op::Eq, Value::Text(b)) => a == b,
-        (Attr::Text(a), Op::Ne, Value::Text(b)) => a != b,
-        (Attr::Number(a), op, Value::Number(b)) => ordered(op, a.partial_cmp(b)),
-        (Attr::Version(a), op, Value::Version(b)) => ordered(op, Some(versions(a, b))),
-        _ => false,
+        Field::Attr(name) => match (line.attrs.get(name), compare.op, &compare.value) {
+            (Some(Attr::Text(told)), ..) => text(told),
+            (Some(Attr::Set(all)), Op::Has, Value::Text(text)) => all.contains(text),
+            (Some(Attr::Number(a)), op, Value::Number(b)) => ordered(op, a.partial_cmp(b)),
+            (Some(Attr::Version(a)), op, Value::Version(b)) => ordered(op, Some(versions(a, b))),
+            _ => false,
+        },
     }
 }
 
--- a/crates/constraint/src/lib.rs
+++ b/crates/constraint/src/lib.rs
@@ -26,7 +26,7 @@
 mod tree;
 
 pub use check::Schema;
-pub use error::Mistake;
+pub use error::{Details, Mistake};
 pub use eval::{Answer, Compiled, Own, Verdict};
 pub use explain::{ClauseLine, Explanation};
 pub use fleet::{Attr, Census, Fleet, Line, Topic};
