--- a/crates/core/src/constrain.rs
+++ b/crates/core/src/constrain.rs
@@ -87,6 +87,38 @@
 /// Machines of a request, for the module.
 pub(crate) type Opened = (RequestId, Vec<MachineId>);
 
+/// From what copies count as to whose constraint speaks of it.
+#[derive(Debug)]
+struct ByTopic<T>(BTreeMap<Topic, BTreeSet<T>>);
+
+impl<T> Default for ByTopic<T> {
+    fn default() -> Self {
+        Self(BTreeMap::new())
+    }
+}
+
+impl<T: Copy + Ord> ByTopic<T> {
+    fn add(&mut self, topics: &[Topic], who: T) {
+        for topic in topics {
+            self.0.entry(topic.clone()).or_default().insert(who);
+        }
+    }
+
+    fn remove(&mut self, topics: &[Topic], who: T) {
+        for topic in topics {
+            let Some(all) = self.0.get_mut(topic) else { continue };
+            all.remove(&who);
+            if all.is_empty() {
+                self.0.remove(topic);
+            }
+        }
+    }
+
+    fn of<'a>(&'a self, topics: &'a [Topic]) -> impl Iterator<Item = T> + 'a {
+        topics.iter().filter_map(|topic| self.0.get(topic)).flatten().copied()
+    }
+}
+
 /// A copy of which nobody knows whether it stands: what it counts as, and where.
 type Ghost = (NodeNo, Arc<Vec<Topic>>);
 
@@ -99,7 +131,7 @@
     compiled: BTreeMap<String, Arc<Compiled>>,
     waiting: BTreeMap<RequestId, Waiting>,
     /// Waiting requests by what their constraint speaks of.
-    by_topic: BTreeMap<Topic, BTreeSet<RequestId>>,
+    by_topic: ByTopic<RequestId>,
     /// Requests whose machines may have changed.
     dirty: BTreeSet<RequestId>,
     /// The one that is open in this step, among those that take turns.
@@ -107,7 +139,7 @@
     /// Whose turn it was last.
     last: Option<RequestId>,
     standing: BTreeMap<JobNo, Standing>,
-    standing_by_topic: BTreeMap<Topic, BTreeSet<JobNo>>,
+    standing_by_topic: ByTopic<JobNo>,
     /// Standing jobs to look at again.
     doubted: BTreeSet<JobNo>,
     ghosts: BTreeMap<wire::AttemptId, Ghost>,
@@ -204,9 +236,7 @@
     /// A request waits. What the module must be told at once is returned.
     pub fn asked(&mut self, request: RequestId, subject: Subject) -> Opened {
         let turns = subject.bound.takes_turns();
-        for topic in &subject.bound.depends {
-            self.by_topic.entry(topic.clone()).or_default().insert(request);
-        }
+        self.by_topic.add(&subject.bound.depends, request);
         let told = if turns { Vec::new() } else { self.whole(&subject) };
         if turns {
             self.dirty.insert(request);
@@ -249,14 +279,7 @@
     /// A request is answered, or taken back.
     pub fn answered(&mut self, request: RequestId) {
         let Some(waiting) = self.waiting.remove(&request) else { return };
-        for topic in &waiting.subject.bound.depends {
-            if let Some(requests) = self.by_topic.get_mut(topic) {
-                requests.remove(&request);
-                if requests.is_empty() {
-                    self.by_topic.remove(topic);
-                }
-            }
-        }
+        self.by_topic.remove(&waiting.subject.bound.depends, request);
         self.dirty.remove(&request);
         if self.turn == Some(request) {
             self.turn = None;
@@ -303,14 +326,8 @@
     }
 
     fn copies_changed(&mut self, topics: &[Topic]) {
-        for topic in topics {
-            if let Some(requests) = self.by_topic.get(topic) {
-                self.dirty.extend(requests);
-            }
-            if let Some(jobs) = self.standing_by_topic.get(topic) {
-                self.doubted.extend(jobs);
-            }
-        }
+        self.dirty.extend(self.by_topic.of(topics));
+        self.doubted.extend(self.standing_by_topic.of(topics));
     }
 
     /// Some time passed: among those that had machines and found no room on them, the next gets a turn.
@@ -389,9 +406,7 @@
 
     /// A job was placed.
     pub fn stands(&mut self, job: JobNo, subject: Subject, node: NodeNo) {
-        for topic in &subject.bound.depends {
-            self.standing_by_topic.entry(topic.clone()).or_default().insert(job);
-        }
+        self.standing_by_topic.add(&subject.bound.depends, job);
         let standing = Standing { subject, node, reached: BTreeMap::new(), broken: BTreeMap::new() };
         self.standing.insert(job, standing);
         self.doubted.insert(job);
@@ -400,14 +415,7 @@
     /// A job stands no more.
     pub fn stands_no_more(&mut self, job: JobNo) {
         let Some(standing) = self.standing.remove(&job) else { return };
-        for topic in &standing.subject.bound.depends {
-            if let Some(jobs) = self.standing_by_topic.get_mut(topic) {
-                jobs.remove(&job);
-                if jobs.is_empty() {
-                    self.standing_by_topic.remove(topic);
-                }
-            }
-        }
+        self.standing_by_topic.remove(&standing.subject.bound.depends, job);
         self.doubted.remove(&job);
     }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -337,6 +337,14 @@
         }
     }
 
+    /// Runs for so many hundredths of a second, waiting for any job all the while.
+    pub fn wait_for(&mut self, hundredths: u64) {
+        for _ in 0..hundredths {
+            self.wait_any();
+            self.run_for(10 * MS);
+        }
+    }
+
     // ---- How it runs ----
 
     pub fn input(&mut self, input: Input) {
--- a/crates/site/src/badday.rs
+++ b/crates/site/src/badday.rs
@@ -87,6 +87,9 @@
     share: Option<f64>,
     class: Option<String>,
     tenant: Option<String>,
+    /// The list alone says so; the node itself does not know that it drains.
+    #[serde(default)]
+    quiet: bool,
 }
 
 /// What can happen.
@@ -141,7 +144,7 @@
 enum Step {
     Kill(String),
     Start(String),
-    List(String, Option<&'static str>),
+    List { node: String, health: Option<&'static str>, quiet: bool },
     Hand(String, bool),
     Fault(String, Verb, Option<Trouble>),
     Pause(String, bool),
@@ -238,6 +241,8 @@
                 event.r#for.as_deref().map_or(Ok(Duration::from_secs(1)), |text| span(text, "for"))?;
             let end = at + lasts;
             let factor = event.factor.unwrap_or(2.0);
+            let listed =
+                |node: &str, health| Step::List { node: node.to_owned(), health, quiet: event.quiet };
             let nodes = self.picked(event, draw)?;
             let placer = match &event.placer {
                 Some(name) => name.clone(),
@@ -254,16 +259,16 @@
                     let each = lasts / nodes.len().max(1) as u32;
                     for (n, node) in nodes.into_iter().enumerate() {
                         let from = at + each * n as u32;
-                        steps.push((from, Step::List(node.clone(), Some("draining"))));
+                        steps.push((from, listed(&node, Some("draining"))));
                         steps.push((from + each / 2, Step::Kill(node.clone())));
                         steps.push((from + each * 3 / 4, Step::Start(node.clone())));
-                        steps.push((from + each, Step::List(node, Some("ready"))));
+                        steps.push((from + each, listed(&node, Some("ready"))));
                     }
                 }
                 Verb::Drain | Verb::Gone => nodes.into_iter().for_each(|node| {
                     let word = (event.r#do == Verb::Drain).then_some("draining");
-                    steps.push((at, Step::List(node.clone(), word)));
-                    steps.push((end, Step::List(node, Some("ready"))));
+                    steps.push((at, listed(&node, word)));
+                    steps.push((end, listed(&node, Some("ready"))));
                 }),
                 Verb::DrainByHand => nodes.into_iter().for_each(|node| {
                     steps.push((at, Step::Hand(node.clone(), true)));
@@ -399,9 +404,9 @@
                 self.troubles.remove(&node);
                 site.start_node(&node)?;
             }
-            Step::List(node, health) => {
+            Step::List { node, health, quiet } => {
                 note(site, format!("{node} is listed {}", health.unwrap_or("no more")));
-                if let Some(handle) = site.node(&node) {
+                if let Some(handle) = site.node(&node).filter(|_| !quiet) {
                     handle.drain(health != Some("ready"));
                 }
                 site.list_node(&node, health)?;
--- a/crates/site/tests/constraints.rs
+++ b/crates/site/tests/constraints.rs
@@ -167,3 +167,17 @@
     assert_eq!(day.tally.unfinished, 0, "{:?}", day.tally);
     assert_eq!(day.tally.denied.keys().filter(|code| *code != "TryLater").count(), 0, "{:?}", day.tally);
 }
+
+#[test]
+fn what_only_one_cold_node_can_take_waits_for_its_budget() {
+    let recorder = Arc::new(Recorder::in_memory());
+    let mut plan = Plan::local(3);
+    plan.recorder = Some(Arc::clone(&recorder));
+    let cold = "drain_grace = \"500ms\"\nwarm_after = \"1m\"\ncold_window = \"300ms\"\ncold_offers = 2.0";
+    plan.settings = plan.settings.replace("drain_grace = \"500ms\"", cold);
+    let site = Site::start(plan).unwrap();
+    let session = Session::open(site.contact("placer-1").unwrap()).unwrap();
+    let infos = bulk(&session, "life=10ms constraint='require name = node-2'", 6);
+    assert_eq!(nodes(&infos), ["node-2"; 6]);
+    clean(site, &recorder);
+}
