Bound the constraint texts that are kept worked out

Cause: a client that makes up a new text for each job would have grown the cache without end. It is cleared at 4,096 texts; they are worked out anew when next needed.

--- a/crates/core/src/constrain.rs
+++ b/crates/core/src/constrain.rs
@@ -148,6 +148,8 @@
     settled: bool,
 }
 
+/// Texts that are kept worked out: far more than a site's own, and a bound for clients that make up new ones.
+const MAX_TEXTS: usize = 4_096;
 /// Requests that get their turn in one flush: the rest wait for the next, which comes at once.
 const TURNS: usize = 32;
 
@@ -209,6 +211,9 @@
         if let Some(compiled) = self.compiled.get(&bound.text) {
             return Arc::clone(compiled);
         }
+        if self.compiled.len() >= MAX_TEXTS {
+            self.compiled.clear();
+        }
         let compiled = Arc::new(Compiled::new(&bound.constraint, &self.fleet));
         self.compiled.insert(bound.text.clone(), Arc::clone(&compiled));
         compiled
