--- a/crates/cli/src/log.rs
+++ b/crates/cli/src/log.rs
@@ -1,5 +1,7 @@
 //! Structured logging on standard error.
 
+use std::io::IsTerminal;
+
 use clap::ValueEnum;
 use tracing_subscriber::EnvFilter;
 
@@ -14,7 +16,10 @@
 
 pub fn start(filter: &str, format: Format) -> Result<(), tracing_subscriber::filter::ParseError> {
     let filter: EnvFilter = filter.parse()?;
-    let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    // Colours are for terminals; a file or a collector gets none.
+    let colours = std::io::stderr().is_terminal();
+    let lines =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(colours);
     match format {
         Format::Text => lines.init(),
         Format::Json => lines.json().init(),
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -91,8 +91,9 @@
             137
         }
         End::Aborted => {
-            let outcome = info.usage("reedring.outcome").unwrap_or("failed");
-            println!("{}: aborted, {outcome}{reason}", info.job);
+            // The reason of a refusal or failure begins with that word.
+            let outcome = info.usage("reedring.reason").or(info.usage("reedring.outcome"));
+            println!("{}: aborted, {}", info.job, outcome.unwrap_or("failed"));
             125
         }
     }
