A node that comes back to the list keeps its link; nothing queued crosses to a new one

Cause, found by reading: a node that left the list with live tasks and came back was linked anew without a word to the core, so an offer queued just then could reach it after it had told what it holds, and count as never run while it ran. The core asks for no second link, and a link drops what was queued before it was told of. A simulation test counts the links; it fails without the first change.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -261,7 +261,9 @@
     }
 
     fn connect(&mut self, number: NodeNo) {
-        if let Some(node) = self.nodes.all.get(&number) {
+        // A node that left the list with tasks kept its link; another would void what is sent on it now.
+        let down = |node: &&crate::links::Node| matches!(node.link, Link::Fresh | Link::Down);
+        if let Some(node) = self.nodes.all.get(&number).filter(down) {
             let (node, address) = (node.name.clone(), node.address);
             self.outputs.push_back(Output::Connect { node, address });
         }
--- a/crates/core/tests/simulation.rs
+++ b/crates/core/tests/simulation.rs
@@ -395,3 +395,24 @@
     };
     assert!(at("node-0") >= 30 && at("node-0") + at("node-1") == 40, "{} {}", at("node-0"), at("node-1"));
 }
+
+/// A node leaves the list with a live task and comes back: its link stands all the while, and a new one
+/// would void what was just sent on it.
+#[test]
+fn a_node_that_comes_back_to_the_list_keeps_its_link() {
+    let mut world = World::new(2, 27);
+    world.run_for(50 * MS);
+    world.submit("unsafe", 4, 1_000);
+    world.run_for(100 * MS);
+    let connects = world.connects;
+    for n in 0..2 {
+        world.unlist(n, true);
+        world.run_for(50 * MS);
+        world.unlist(n, false);
+    }
+    assert_eq!(world.connects, connects);
+    world.submit("unsafe", 4, 100);
+    world.wait_for(300);
+    judge(&world, false);
+    assert_eq!(world.told.len(), 8);
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -119,6 +119,9 @@
     pub late_offers: Vec<String>,
     /// Copies as the placer knows them: attempts that it sent and of whose end it has not heard.
     known: BTreeMap<AttemptId, (String, usize)>,
+    unlisted: BTreeSet<usize>,
+    /// Links that the core asked for.
+    pub connects: usize,
     /// What the placer told the staff.
     lines: Vec<String>,
     /// Every offer: its job, and the node.
@@ -174,6 +177,8 @@
             copies: BTreeMap::new(),
             closed: BTreeMap::new(),
             late_offers: Vec::new(),
+            unlisted: BTreeSet::new(),
+            connects: 0,
             lines: Vec::new(),
             sent: Vec::new(),
             known: BTreeMap::new(),
@@ -273,10 +278,21 @@
                 self.closed.entry(n).or_insert(self.now);
             }
         }
-        let list = NodeList { nodes: self.list.clone() };
+        let listed = self.list.iter().enumerate().filter(|(n, _)| !self.unlisted.contains(n));
+        let list = NodeList { nodes: listed.map(|(_, entry)| entry.clone()).collect() };
         self.input(Input::Listed(list));
     }
 
+    /// Takes a node's line from the list, or puts it back.
+    pub fn unlist(&mut self, n: usize, away: bool) {
+        if away {
+            self.unlisted.insert(n);
+        } else {
+            self.unlisted.remove(&n);
+        }
+        self.tell_list();
+    }
+
     /// Kills the placer and starts its successor; the client makes its open calls again.
     pub fn restart_placer(&mut self) {
         self.life += 1;
@@ -373,6 +389,7 @@
         self.fold(&format!("{output:?}"));
         match output {
             Output::Connect { node, .. } => {
+                self.connects += 1;
                 let n = self.number(&node);
                 self.wanted.insert(n);
                 self.later(MS, Due::Connect(n));
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -136,7 +136,11 @@
         self.write(&mut write, &[hello]).await.map_err(|error| format!("no greeting: {error}"))?;
         let mut reader = Reader::default();
         let greeting = tokio::time::timeout(limit, self.greeted(&mut read, &mut reader)).await;
-        greeting.map_err(|_| "no greeting in time".to_owned())??;
+        let up = greeting.map_err(|_| "no greeting in time".to_owned())??;
+        // The core sends nothing on this link before it is told of it: what is queued was for an older one,
+        // and an offer among it would reach the node after it has told what it holds.
+        while messages.try_recv().is_ok() {}
+        self.came.send(Came::Input(up)).await.map_err(|_| "the placer ends".to_owned())?;
         let why = tokio::select! {
             why = self.reads(&mut read, &mut reader) => why,
             why = self.writes(&mut write, messages) => why,
@@ -144,8 +148,8 @@
         Ok(why)
     }
 
-    /// Reads the welcome and tells the core that the link stands.
-    async fn greeted(&self, read: &mut OwnedReadHalf, reader: &mut Reader) -> Result<(), String> {
+    /// Reads the welcome: what the core is to be told.
+    async fn greeted(&self, read: &mut OwnedReadHalf, reader: &mut Reader) -> Result<Input, String> {
         loop {
             match reader.next_message() {
                 Ok(Some((message, bytes))) => {
@@ -154,8 +158,7 @@
                         return Err("it did not greet".to_owned());
                     };
                     let node = self.node.clone();
-                    let up = Input::LinkUp { node, called, life, up_ms, can_suspend };
-                    return self.came.send(Came::Input(up)).await.map_err(|_| "the placer ends".to_owned());
+                    return Ok(Input::LinkUp { node, called, life, up_ms, can_suspend });
                 }
                 Ok(None) => {}
                 Err(error) => return Err(error.to_string()),
