--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -362,8 +362,6 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     by_job: BTreeMap<String, Vec<AttemptId>>,
     by_node: BTreeMap<(String, String), BTreeSet<AttemptId>>,
-    /// Live attempts of a placer's service, for the spread.
-    by_service: BTreeMap<(String, String, String), BTreeSet<AttemptId>>,
     node_life: BTreeMap<(String, String), u64>,
     holds: BTreeMap<(String, String), BTreeSet<AttemptId>>,
     /// Since when a placer has no link to a node.
@@ -375,6 +373,7 @@
     ran: BTreeMap<String, Vec<(AttemptId, usize)>>,
     last_us: u64,
     even: Vec<Even>,
+    /// Every attempt of a placer's service, for spreads.
     of_service: BTreeMap<(String, String, String), Vec<AttemptId>>,
 }
 
@@ -463,13 +462,9 @@
             attempt.closed_us = self.last_us;
         }
         let (placer, node) = (attempt.placer.clone(), attempt.node.clone());
-        let service = (placer.clone(), attempt.class.clone(), attempt.service.clone());
         if let Some(at) = self.by_node.get_mut(&(placer, node)) {
             at.remove(&id);
         }
-        if let Some(of) = self.by_service.get_mut(&service) {
-            of.remove(&id);
-        }
     }
 
     // ---- Placers ----
@@ -697,8 +692,7 @@
                 self.by_job.entry(task.job).or_default().push(id);
                 self.by_node.entry((frame.place.clone(), frame.peer.clone())).or_default().insert(id);
                 let service = (frame.place.clone(), task.class, task.service);
-                self.of_service.entry(service.clone()).or_default().push(id);
-                self.by_service.entry(service).or_default().insert(id);
+                self.of_service.entry(service).or_default().push(id);
                 self.attempts.insert(id, attempt);
             }
             Message::Stop { attempt } => {
@@ -785,8 +779,8 @@
             }
         };
         let service = (new.placer.clone(), new.class.clone(), new.service.clone());
-        let live = self.by_service.get(&service).into_iter().flatten().map(|id| &self.attempts[id]);
-        let here = live.filter(|old| !old.given_up() || old.accepted);
+        let all = self.of_service.get(&service).into_iter().flatten().map(|id| &self.attempts[id]);
+        let here = all.filter(|old| old.closed.is_none()).filter(|old| !old.given_up() || old.accepted);
         let frames: Vec<usize> =
             here.filter(|old| place(&old.node) == place(&new.node)).map(|old| old.frame).collect();
         if frames.len() + 1 > spread.most {
--- a/crates/constraint/src/eval.rs
+++ b/crates/constraint/src/eval.rs
@@ -304,11 +304,6 @@
         self.may.ones()
     }
 
-    /// Whether it speaks of copies.
-    pub fn is_about_copies(&self) -> bool {
-        self.about_copies
-    }
-
     /// The clauses.
     pub fn clauses(&self) -> impl Iterator<Item = &Clause> {
         self.clauses.iter().map(|worked| &worked.clause)
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -217,13 +217,12 @@
                 Resubmission::Start => self.begin(now, job),
                 _ => {
                     if let Some(entry) = self.ledger.jobs.get_mut(&job) {
-                        entry.outcome = Some(Outcome::Failed);
                         entry.phase = Phase::Ending(Ending::aborted(
                             "failed: the placer was started anew since it was submitted, no node holds it, and \
                              it may have run to its end",
                         ));
                     }
-                    self.stats.failed += 1;
+                    self.told(job, Outcome::Failed);
                     self.end_if_idle(now, job);
                 }
             }
--- a/crates/core/src/constrain.rs
+++ b/crates/core/src/constrain.rs
@@ -151,7 +151,7 @@
 /// Texts that are kept worked out: far more than a site's own, and a bound for clients that make up new ones.
 const MAX_TEXTS: usize = 4_096;
 /// Requests that get their turn in one flush: the rest wait for the next, which comes at once.
-const TURNS: usize = 32;
+pub(crate) const TURNS: usize = 32;
 
 impl Constrainer {
     /// The list or a node's health changed.
@@ -402,11 +402,6 @@
         self.dirty.is_empty() && self.doubted.is_empty() && self.turn.is_none()
     }
 
-    /// How many requests may have their turn in one flush.
-    pub const fn turns() -> usize {
-        TURNS
-    }
-
     // ---- Standing copies ----
 
     /// A job was placed.
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -12,7 +12,7 @@
 use reedring_nodeproto::{self as wire, Held, HeldState, Message, Topic};
 use reedring_settings::{Health, NodeList, Settings};
 
-use crate::constrain::{Constrainer, News, Opened};
+use crate::constrain::{Constrainer, News, Opened, TURNS};
 use crate::decide::{self, Known, LateCopy, Loss, Standing, Verdict};
 use crate::io::{ConnId, Input, Level, Output};
 use crate::jobs::{Attempt, Ending, Job, JobName, JobNo, Ledger, NodeNo, Outcome, Phase};
@@ -174,7 +174,7 @@
             for action in actions.drain(..) {
                 self.act(now, action);
             }
-            if turns >= Constrainer::turns() && self.events.is_empty() {
+            if turns >= TURNS && self.events.is_empty() {
                 // The one that is open is closed before anything of the next flush is drawn.
                 let closed = self.constrain.close();
                 self.events.extend(closed.map(opened_event));
@@ -644,10 +644,9 @@
         entry.fate(id, "accepted");
         entry.phase = Phase::Placed(id);
         if entry.outcome.is_none() {
-            entry.outcome = Some(Outcome::Placed);
             entry.placed = Some(now);
-            self.stats.placed += 1;
         }
+        self.told(job, Outcome::Placed);
         if running {
             self.runs(now, job, id);
         }
@@ -901,16 +900,12 @@
         let left = entry.ask.spec.deadline.map(|at| at.saturating_mul(1_000_000).saturating_sub(unix).max(0));
         let grace_us = left.map_or(give_up, |left| give_up.min(left as u64));
         if grace_us == 0 {
-            let ending = Ending::aborted("its drmaa_deadline_time is over");
-            entry.outcome = entry.outcome.or(Some(Outcome::Refused));
-            self.stats.refused += 1;
-            return self.end_job(now, job, ending);
+            self.told(job, Outcome::Refused);
+            return self.end_job(now, job, Ending::aborted("its drmaa_deadline_time is over"));
         }
         let subject = entry.ask.subject();
         if let Some(never) = subject.as_ref().and_then(|subject| self.constrain.never(subject)) {
-            let first = entry.outcome.is_none();
-            entry.outcome = entry.outcome.or(Some(Outcome::Refused));
-            self.stats.refused += u64::from(first);
+            self.told(job, Outcome::Refused);
             return self.end_job(now, job, Ending::aborted(format!("refused: {never}")));
         }
         entry.phase = Phase::Asked(request);
@@ -936,6 +931,20 @@
         self.events.push(Event::Withdrawn(request));
     }
 
+    /// A job's owner has its answer: the first one stands, and is counted.
+    pub(crate) fn told(&mut self, job: JobNo, outcome: Outcome) {
+        let Some(entry) = self.ledger.jobs.get_mut(&job).filter(|entry| entry.outcome.is_none()) else {
+            return;
+        };
+        entry.outcome = Some(outcome);
+        *match outcome {
+            Outcome::Placed => &mut self.stats.placed,
+            Outcome::Refused => &mut self.stats.refused,
+            Outcome::Failed => &mut self.stats.failed,
+            Outcome::Terminated => &mut self.stats.terminated,
+        } += 1;
+    }
+
     /// Ends a job at its user's word or by its limit: its copies are stopped first.
     pub(crate) fn terminate(&mut self, now: Micros, job: JobNo, ending: Ending) {
         self.withdraw(job);
@@ -944,11 +953,8 @@
             return;
         }
         let copies = entry.copies.clone();
-        if entry.outcome.is_none() {
-            entry.outcome = Some(Outcome::Terminated);
-            self.stats.terminated += 1;
-        }
         entry.phase = Phase::Ending(ending);
+        self.told(job, Outcome::Terminated);
         for id in copies {
             self.stop(now, id);
         }
@@ -1111,14 +1117,7 @@
             reason = format!("{reason}; {constraint}");
         }
         self.constrain.answered(request);
-        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
-        let first = entry.outcome.is_none();
-        entry.outcome = entry.outcome.or(Some(outcome));
-        match outcome {
-            Outcome::Refused if first => self.stats.refused += 1,
-            Outcome::Failed if first => self.stats.failed += 1,
-            _ => {}
-        }
+        self.told(job, outcome);
         let reason = match outcome {
             Outcome::Refused => format!("refused: {reason}"),
             _ => format!("failed: {reason}; it may have run"),
--- a/crates/site/src/badday.rs
+++ b/crates/site/src/badday.rs
@@ -16,7 +16,7 @@
 use reedring_audit::{Event as Record, Recorder, Report};
 use reedring_client::{Operator, Session};
 use reedring_drmaa::native::duration_us;
-use reedring_standin::{Config, Fault, Fleet};
+use reedring_standin::{Config, Fault};
 use serde::Deserialize;
 
 use crate::owners::{Demand, Owners, Tally};
@@ -525,11 +525,6 @@
     placer_ports(site).into_iter().chain(nodes).collect()
 }
 
-/// A fleet's file as the nodes of a plan, for `reedring local --config`.
-pub fn fleet(text: &str, file: &str) -> Result<Fleet, BadDayError> {
-    Fleet::parse(text, file).map_err(|error| BadDayError::Script(error.to_string()))
-}
-
 /// A session at each placer.
 pub(crate) fn session(site: &Site, placer: &str) -> Result<Session, SiteError> {
     Ok(Session::open(site.contact(placer)?)?)
