Split the core by concern: engine, what nodes say, what becomes of jobs

Moved as they were to words.rs (558 lines) and fates.rs (290); core.rs keeps the loop, the module's wishes and the timers (484). No behaviour changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,12 +41,14 @@
 mod constrain;
 mod core;
 pub mod decide;
+mod fates;
 mod io;
 mod jobs;
 mod links;
 mod names;
 mod sessions;
 mod timers;
+mod words;
 
 pub use crate::core::{Core, Start};
 pub use crate::io::{ConnId, Input, Level, Output};
