State package: ledger in an embedded store, file of what was learned, simulated disk

The module tells its beliefs and takes them back by one event; nothing recalled frees a bar or a cold budget.

--- /dev/null
+++ b/crates/state/src/keeper.rs
@@ -0,0 +1,242 @@
+//! Keeps the rows durable, and says so where it can't.
+
+use std::io;
+use std::sync::Arc;
+
+use crate::folder::Folder;
+use crate::learned::{Learned, LearnedError};
+use crate::rows::{Batch, Image};
+use crate::store::{Pending, Store, StoreError};
+
+const LEDGER: &str = "ledger";
+const LEDGER_NEW: &str = "ledger.new";
+const LEARNED: &str = "learned";
+const LEARNED_NEW: &str = "learned.new";
+const LEARNED_OLD: &str = "learned.old";
+/// Says whether the ledger has all that was promised. It is as long either way, so that a full disk has room
+/// for the change.
+const MARK: &str = "mark";
+const WHOLE: &[u8; 16] = b"reedring: whole\n";
+const HOLES: &[u8; 16] = b"reedring: holes\n";
+
+/// The ledger can't be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// Why, for the staff.
+    pub why: String,
+    /// The folder says so too: a later life will know that promises are missing.
+    pub marked: bool,
+}
+
+/// What a folder held when it was opened.
+#[derive(Debug)]
+pub struct Opened<F: Folder> {
+    /// Keeps it from now on.
+    pub keeper: Keeper<F>,
+    /// What was promised.
+    pub image: Image,
+    /// What was learned, if a file has it.
+    pub learned: Option<Learned>,
+    /// What was wrong with files that were passed by.
+    pub passed_by: Vec<LearnedError>,
+}
+
+/// The files of one placer's state.
+#[derive(Debug)]
+pub struct Keeper<F: Folder> {
+    folder: Arc<F>,
+    placer: String,
+    store: Option<Store>,
+    /// A new ledger that still lacks its rows.
+    fresh: Option<Store>,
+    pending: Pending,
+    at: u64,
+    asked: u64,
+    durable: u64,
+    marked: bool,
+    why: String,
+    /// The file of what was learned is a newer program's, and stays.
+    learned_stays: bool,
+}
+
+impl<F: Folder> Keeper<F> {
+    /// Opens a folder's files, or makes them. Nothing is written over that can't be read.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub fn open(folder: F, placer: &str) -> Result<Opened<F>, StoreError> {
+        let folder = Arc::new(folder);
+        let io = |error: io::Error| StoreError::Io { file: folder.shown(), what: error.to_string() };
+        // A ledger has its name, and its mark, only once it is whole.
+        if folder.len(LEDGER).map_err(io)?.is_none() {
+            folder.write(MARK, WHOLE).map_err(io)?;
+            folder.sync(MARK).map_err(io)?;
+            create(&*folder, placer)?.close()?;
+            folder.rename(LEDGER_NEW, LEDGER).map_err(io)?;
+            folder.sync_names().map_err(io)?;
+        }
+        let marked = folder.read(MARK).map_err(io)?.as_deref() != Some(WHOLE.as_slice());
+        let data = folder.database(LEDGER).map_err(io)?;
+        let (store, mut image) = Store::open(data, &shown(&*folder, LEDGER), placer)?;
+        image.holes = marked;
+        let (learned, passed_by) = read_learned(&*folder, placer);
+        let (store, fresh, pending, why) = (Some(store), None, Pending::default(), String::new());
+        let (at, asked, durable) = (0, 0, 0);
+        let learned_stays = passed_by.iter().any(LearnedError::is_newer);
+        let placer = placer.to_owned();
+        let keeper =
+            Self { folder, placer, store, fresh, pending, at, asked, durable, marked, why, learned_stays };
+        Ok(Opened { keeper, image, learned, passed_by })
+    }
+
+    /// Makes batches durable, in one transaction; answers the last of them.
+    ///
+    /// # Errors
+    /// [`Lost`]: from here on nothing is durable until [`Keeper::begin_anew`].
+    pub fn write(&mut self, batches: impl IntoIterator<Item = Batch>) -> Result<u64, Lost> {
+        for batch in batches {
+            (self.at, self.asked) = (self.at.max(batch.at), batch.seq);
+            if self.store.is_some() {
+                self.pending.add(batch);
+            }
+        }
+        let Some(store) = &mut self.store else { return Err(self.lost()) };
+        match store.commit(self.at, &self.pending) {
+            Ok(()) => {
+                self.pending = Pending::default();
+                self.durable = self.asked;
+                if self.marked && self.mark(WHOLE).is_ok() {
+                    self.marked = false;
+                }
+                Ok(self.durable)
+            }
+            Err(error) => {
+                // What was written since the last sync can't be trusted, and the store refuses to go on.
+                (self.store, self.why, self.pending) = (None, error.to_string(), Pending::default());
+                self.marked = self.mark(HOLES).is_ok();
+                Err(self.lost())
+            }
+        }
+    }
+
+    /// After a loss: tries whether a new ledger can be written. If so the next batch must have every row.
+    ///
+    /// # Errors
+    /// [`Lost`], still.
+    pub fn begin_anew(&mut self) -> Result<(), Lost> {
+        if !self.marked {
+            self.marked = self.mark(HOLES).is_ok();
+        }
+        match create(&*self.folder, &self.placer) {
+            Ok(store) => {
+                self.fresh = Some(store);
+                Ok(())
+            }
+            Err(error) => {
+                self.why = error.to_string();
+                Err(self.lost())
+            }
+        }
+    }
+
+    /// Writes a whole ledger in place of the one that was lost.
+    ///
+    /// # Errors
+    /// [`Lost`], still.
+    pub fn write_whole(&mut self, batch: Batch) -> Result<u64, Lost> {
+        let Some(mut store) = self.fresh.take() else { return Err(self.lost()) };
+        let (seq, at) = (batch.seq, batch.at);
+        let mut pending = Pending::default();
+        pending.add(batch);
+        let replace = || -> Result<Store, StoreError> {
+            store.commit(at, &pending)?;
+            store.close()?;
+            let io = |error: io::Error| StoreError::Io { file: self.folder.shown(), what: error.to_string() };
+            self.folder.rename(LEDGER_NEW, LEDGER).map_err(io)?;
+            self.folder.sync_names().map_err(io)?;
+            let data = self.folder.database(LEDGER).map_err(io)?;
+            Ok(Store::open(data, &shown(&*self.folder, LEDGER), &self.placer)?.0)
+        };
+        match replace() {
+            Ok(store) => {
+                (self.store, self.asked, self.durable, self.at) = (Some(store), seq, seq, at);
+                if self.mark(WHOLE).is_ok() {
+                    self.marked = false;
+                }
+                Ok(seq)
+            }
+            Err(error) => {
+                self.why = error.to_string();
+                Err(self.lost())
+            }
+        }
+    }
+
+    /// The last batch that is durable.
+    pub fn durable(&self) -> u64 {
+        self.durable
+    }
+
+    fn lost(&self) -> Lost {
+        Lost { why: self.why.clone(), marked: self.marked }
+    }
+
+    fn mark(&self, mark: &[u8]) -> io::Result<()> {
+        self.folder.write(MARK, mark)?;
+        self.folder.sync(MARK)
+    }
+
+    /// Replaces the file of what was learned; the one before is kept. A newer program's file stays.
+    ///
+    /// # Errors
+    /// What the file system says; the files are whole all the same.
+    pub fn learn(&self, learned: &Learned) -> io::Result<()> {
+        if self.learned_stays {
+            return Ok(());
+        }
+        self.folder.write(LEARNED_NEW, &learned.encode(&self.placer))?;
+        self.folder.sync(LEARNED_NEW)?;
+        if self.folder.len(LEARNED)?.is_some() {
+            self.folder.rename(LEARNED, LEARNED_OLD)?;
+        }
+        self.folder.rename(LEARNED_NEW, LEARNED)?;
+        self.folder.sync_names()
+    }
+
+    /// Closes the files.
+    pub fn close(mut self) {
+        // What can't be closed is repaired by the next one to open it.
+        self.store.take().map(Store::close);
+    }
+}
+
+fn shown<F: Folder>(folder: &F, name: &str) -> String {
+    format!("{}/{name}", folder.shown())
+}
+
+fn create<F: Folder>(folder: &F, placer: &str) -> Result<Store, StoreError> {
+    let io = |error: io::Error| StoreError::Io { file: shown(folder, LEDGER_NEW), what: error.to_string() };
+    folder.remove(LEDGER_NEW).map_err(io)?;
+    let data = folder.database(LEDGER_NEW).map_err(io)?;
+    Ok(Store::open(data, &shown(folder, LEDGER_NEW), placer)?.0)
+}
+
+/// The newest of the files that is whole.
+fn read_learned<F: Folder>(folder: &F, placer: &str) -> (Option<Learned>, Vec<LearnedError>) {
+    let mut passed_by = Vec::new();
+    for name in [LEARNED, LEARNED_OLD] {
+        let bytes = match folder.read(name) {
+            Ok(Some(bytes)) => bytes,
+            Ok(None) => continue,
+            Err(error) => {
+                passed_by.push(LearnedError::new(&shown(folder, name), 0, error.to_string()));
+                continue;
+            }
+        };
+        match Learned::decode(&bytes, &shown(folder, name), placer) {
+            Ok(learned) => return (Some(learned), passed_by),
+            Err(error) => passed_by.push(error),
+        }
+    }
+    (None, passed_by)
+}
--- /dev/null
+++ b/crates/state/src/store.rs
@@ -0,0 +1,324 @@
+//! The ledger's tables in an embedded store (redb): a copy-on-write tree with checksums, one sync a commit.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+
+use redb::{
+    Builder, Database, ReadTransaction, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition,
+    TableHandle, WriteTransaction,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::rows::{Answer, Ask, Batch, Change, Image, Job, Link, Session};
+
+/// The version of the tables that this program writes.
+pub const FORMAT: u32 = 1;
+/// Microseconds for which offers to cold nodes are kept: longer than any node is cold.
+const COLD_US: u64 = 3_600_000_000;
+/// Lives that are remembered: a client that comes back after more restarts is told that nothing is known.
+const LIVES: usize = 1_024;
+/// Bytes of the tables kept in memory by the store: the core holds every row itself.
+const CACHE: usize = 16 << 20;
+
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const LIFE: TableDefinition<u64, u64> = TableDefinition::new("lives");
+const SESSION: TableDefinition<u32, &[u8]> = TableDefinition::new("sessions");
+const CALL: TableDefinition<(u32, u64), &[u8]> = TableDefinition::new("calls");
+const ASK: TableDefinition<(u32, u64), &[u8]> = TableDefinition::new("asks");
+const JOB: TableDefinition<u64, &[u8]> = TableDefinition::new("jobs");
+const DRAINED: TableDefinition<&str, ()> = TableDefinition::new("drained");
+const COLD: TableDefinition<(&str, u64), ()> = TableDefinition::new("cold");
+
+/// Why the ledger can't be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// A newer program wrote it.
+    #[error(
+        "{file} has format {found}, this program knows up to {FORMAT}; start the newer program again, or \
+         export the ledger with it"
+    )]
+    Newer {
+        /// The file.
+        file: String,
+        /// Its format.
+        found: u32,
+    },
+    /// It is another placer's.
+    #[error("{file} is the ledger of placer `{found}`, not of `{wanted}`; name the right folder or placer")]
+    Foreign {
+        /// The file.
+        file: String,
+        /// Whose it is.
+        found: String,
+        /// Who opened it.
+        wanted: String,
+    },
+    /// Its bytes are damaged.
+    #[error("{file} is damaged: {what}; restore a backup, or move the folder away to start without it")]
+    Damaged {
+        /// The file.
+        file: String,
+        /// Where and how.
+        what: String,
+    },
+    /// The disk does not do what it is asked.
+    #[error("{file}: {what}")]
+    Io {
+        /// The file.
+        file: String,
+        /// Why.
+        what: String,
+    },
+}
+
+/// An open ledger.
+#[derive(Debug)]
+pub(crate) struct Store {
+    database: Database,
+    file: String,
+    life: u64,
+}
+
+fn encode<T: Serialize>(row: &T) -> Vec<u8> {
+    // A row is plain data, and memory is the only thing that can run out.
+    postcard::to_stdvec(row).unwrap_or_default()
+}
+
+impl Store {
+    /// Opens a ledger, or makes an empty one in an empty file. All pages are checked against their sums.
+    pub fn open<B: StorageBackend>(data: B, file: &str, placer: &str) -> Result<(Self, Image), StoreError> {
+        let io = |what: String| StoreError::Io { file: file.to_owned(), what };
+        let damaged = |what: String| StoreError::Damaged { file: file.to_owned(), what };
+        let mut builder = Builder::new();
+        builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+        let database = builder.create_with_backend(data).map_err(|error| match error {
+            redb::DatabaseError::Storage(redb::StorageError::Io(error)) => match error.kind() {
+                // A file that ends too early, or is none of the store's.
+                std::io::ErrorKind::UnexpectedEof | std::io::ErrorKind::InvalidData => {
+                    damaged(error.to_string())
+                }
+                _ => io(error.to_string()),
+            },
+            error => damaged(error.to_string()),
+        })?;
+        let mut store = Self { database, file: file.to_owned(), life: 0 };
+        store.identify(placer)?;
+        let image = store.load().map_err(|error| damaged(error.to_string()))?;
+        store.life = image.last_life();
+        Ok((store, image))
+    }
+
+    /// Checks whose ledger it is and of which format; an empty one becomes this placer's.
+    fn identify(&self, placer: &str) -> Result<(), StoreError> {
+        let (format, owner) = self.told().map_err(|error| self.damaged(error))?;
+        match format {
+            None => {
+                let init = || -> Result<(), redb::Error> {
+                    let write = self.database.begin_write()?;
+                    {
+                        let mut meta = write.open_table(META)?;
+                        meta.insert("format", FORMAT.to_le_bytes().as_slice())?;
+                        meta.insert("placer", placer.as_bytes())?;
+                    }
+                    open_all(&write)?;
+                    write.commit()?;
+                    Ok(())
+                };
+                init().map_err(|error| self.io(error))
+            }
+            Some(found) if found > FORMAT => Err(StoreError::Newer { file: self.file.clone(), found }),
+            Some(_) if owner != placer => {
+                let (found, wanted) = (owner, placer.to_owned());
+                Err(StoreError::Foreign { file: self.file.clone(), found, wanted })
+            }
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn told(&self) -> Result<(Option<u32>, String), redb::Error> {
+        let read = self.database.begin_read()?;
+        let meta = match read.open_table(META) {
+            Ok(meta) => meta,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok((None, String::new())),
+            Err(error) => return Err(error.into()),
+        };
+        let format = meta.get("format")?.and_then(|value| value.value().try_into().ok());
+        let owner = meta.get("placer")?.map(|value| String::from_utf8_lossy(value.value()).into_owned());
+        Ok((format.map(u32::from_le_bytes), owner.unwrap_or_default()))
+    }
+
+    fn io(&self, error: impl std::fmt::Display) -> StoreError {
+        StoreError::Io { file: self.file.clone(), what: error.to_string() }
+    }
+
+    fn damaged(&self, error: impl std::fmt::Display) -> StoreError {
+        StoreError::Damaged { file: self.file.clone(), what: error.to_string() }
+    }
+
+    /// Reads every row of a table.
+    fn each<K: redb::Key + 'static, T: DeserializeOwned>(
+        read: &ReadTransaction,
+        table: TableDefinition<K, &[u8]>,
+        mut put: impl FnMut(K::SelfType<'_>, T),
+    ) -> Result<(), Box<dyn Error>> {
+        for row in read.open_table(table)?.iter()? {
+            let (key, value) = row?;
+            let key = key.value();
+            let row = postcard::from_bytes(value.value());
+            let row = row.map_err(|error| format!("table {}, row {key:?}: {error}", table.name()))?;
+            put(key, row);
+        }
+        Ok(())
+    }
+
+    fn load(&self) -> Result<Image, Box<dyn Error>> {
+        let read = self.database.begin_read()?;
+        let mut image = Image::default();
+        for row in read.open_table(LIFE)?.iter()? {
+            let (life, until) = row?;
+            image.lives.push(Link { life: life.value(), until: until.value() });
+        }
+        Self::each(&read, SESSION, |number, row: Session| drop(image.sessions.insert(number, row)))?;
+        Self::each(&read, CALL, |(session, call), row: Answer| {
+            image.calls.entry(session).or_default().insert(call, row);
+        })?;
+        Self::each(&read, ASK, |(session, call), row: Ask| {
+            image.asks.entry(session).or_default().insert(call, row);
+        })?;
+        Self::each(&read, JOB, |number, row: Job| drop(image.jobs.insert(number, row)))?;
+        for row in read.open_table(DRAINED)?.iter()? {
+            image.drained.insert(row?.0.value().to_owned());
+        }
+        for row in read.open_table(COLD)?.iter()? {
+            let (key, _) = row?;
+            let (node, at) = key.value();
+            image.cold.entry(node.to_owned()).or_default().push(at);
+        }
+        Ok(image)
+    }
+
+    /// Makes batches durable, all or none. `changes` holds the last change of each row.
+    pub fn commit(&mut self, at: u64, changes: &Pending) -> Result<(), StoreError> {
+        let life = changes.life.unwrap_or(self.life);
+        let commit = || -> Result<(), redb::Error> {
+            let write = self.database.begin_write()?;
+            write_all(&write, at, life, changes)?;
+            write.commit()?;
+            Ok(())
+        };
+        commit().map_err(|error| self.io(error))?;
+        self.life = life;
+        Ok(())
+    }
+
+    /// Closes the file; what a crash would have to repair is not left.
+    pub fn close(self) -> Result<(), StoreError> {
+        let file = self.file;
+        self.database.close().map_err(|error| StoreError::Io { file, what: error.to_string() })
+    }
+}
+
+fn open_all(write: &WriteTransaction) -> Result<(), redb::Error> {
+    write.open_table(LIFE)?;
+    write.open_table(SESSION)?;
+    write.open_table(CALL)?;
+    write.open_table(ASK)?;
+    write.open_table(JOB)?;
+    write.open_table(DRAINED)?;
+    write.open_table(COLD)?;
+    Ok(())
+}
+
+fn write_all(write: &WriteTransaction, at: u64, life: u64, changes: &Pending) -> Result<(), redb::Error> {
+    let mut lives = write.open_table(LIFE)?;
+    lives.insert(life, at)?;
+    if changes.life.is_some() {
+        let oldest: Vec<u64> = lives.iter()?.rev().skip(LIVES).flatten().map(|row| row.0.value()).collect();
+        oldest.into_iter().try_for_each(|life| lives.remove(life).map(drop))?;
+    }
+    let mut sessions = write.open_table(SESSION)?;
+    for (number, row) in &changes.sessions {
+        match row {
+            Some(row) => drop(sessions.insert(number, encode(row).as_slice())?),
+            None => drop(sessions.remove(number)?),
+        }
+    }
+    let mut calls = write.open_table(CALL)?;
+    for (key, row) in &changes.calls {
+        calls.insert(key, encode(row).as_slice())?;
+    }
+    for (session, below) in &changes.settled {
+        calls.retain_in((*session, 0)..(*session, *below), |_, _| false)?;
+    }
+    let mut asks = write.open_table(ASK)?;
+    for (key, row) in &changes.asks {
+        match row {
+            Some(row) => drop(asks.insert(key, encode(row).as_slice())?),
+            None => drop(asks.remove(key)?),
+        }
+    }
+    let mut jobs = write.open_table(JOB)?;
+    for (number, row) in &changes.jobs {
+        match row {
+            Some(row) => drop(jobs.insert(number, encode(row.as_ref()).as_slice())?),
+            None => drop(jobs.remove(number)?),
+        }
+    }
+    let mut drained = write.open_table(DRAINED)?;
+    for (node, drains) in &changes.drained {
+        match drains {
+            true => drop(drained.insert(node.as_str(), ())?),
+            false => drop(drained.remove(node.as_str())?),
+        }
+    }
+    let mut cold = write.open_table(COLD)?;
+    for (node, times) in &changes.cold {
+        cold.retain_in((node.as_str(), 0)..(node.as_str(), at.saturating_sub(COLD_US)), |_, _| false)?;
+        for at in times {
+            cold.insert((node.as_str(), *at), ())?;
+        }
+    }
+    Ok(())
+}
+
+/// The last change of each row that waits to be written.
+#[derive(Debug, Default)]
+pub(crate) struct Pending {
+    life: Option<u64>,
+    sessions: BTreeMap<u32, Option<Session>>,
+    calls: BTreeMap<(u32, u64), Answer>,
+    settled: BTreeMap<u32, u64>,
+    asks: BTreeMap<(u32, u64), Option<Ask>>,
+    jobs: BTreeMap<u64, Option<Box<Job>>>,
+    drained: BTreeMap<String, bool>,
+    cold: BTreeMap<String, Vec<u64>>,
+}
+
+impl Pending {
+    pub fn add(&mut self, batch: Batch) {
+        for change in batch.changes {
+            match change {
+                Change::Life(life) => self.life = Some(life),
+                Change::Session(number, row) => {
+                    if row.is_none() {
+                        // Nothing of a session outlives it.
+                        self.settled.insert(number, u64::MAX);
+                        self.calls.retain(|(of, _), _| *of != number);
+                    }
+                    self.sessions.insert(number, row);
+                }
+                Change::Call(session, call, row) => drop(self.calls.insert((session, call), row)),
+                Change::Settled(session, below) => {
+                    self.calls.retain(|(of, call), _| *of != session || *call >= below);
+                    let most = self.settled.entry(session).or_default();
+                    *most = below.max(*most);
+                }
+                Change::Ask(session, call, row) => drop(self.asks.insert((session, call), row)),
+                Change::Job(number, row) => drop(self.jobs.insert(number, row)),
+                Change::Drained(node, drains) => drop(self.drained.insert(node, drains)),
+                Change::Cold(node) => self.cold.entry(node).or_default().push(batch.at),
+            }
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -7,7 +7,9 @@
 pub type Micros = u64;
 
 /// A machine; the same at every scheduler.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub struct MachineId(pub u64);
 
 /// One ask to place a task. A task that is asked for again has a fresh one.
@@ -323,9 +325,47 @@
     pub report: Vec<f64>,
 }
 
+/// What a scheduler learned of one machine. Times are lengths before the moment of telling, or after it
+/// where they end something.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Belief {
+    /// Which machine.
+    pub machine: MachineId,
+    /// When it was told what all asked for there, and the cores and memory of that.
+    pub asked: Option<(Micros, f64, f64)>,
+    /// When a report told what all used there, and the cores and memory of that.
+    pub used: Option<(Micros, f64, f64)>,
+    /// When it last refused, and the least cores and memory that this speaks against.
+    pub refused: Option<(Micros, f64, f64)>,
+    /// Tenants and classes that it turns away, and for how long they still avoid it.
+    pub shut: Vec<(u16, u16, Micros)>,
+    /// Failures without an answer, less those forgiven.
+    pub strikes: u32,
+    /// For how long it is still avoided for them.
+    pub barred_us: Micros,
+    /// When own offers went there while it was cold.
+    pub cold_offers: Vec<Micros>,
+}
+
+/// What a scheduler learned, for the one that takes its place after a restart.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Beliefs {
+    /// Of each machine; one of which nothing is known is left out.
+    pub machines: Vec<Belief>,
+    /// Answer times remembered, the oldest first.
+    pub answers: Vec<Micros>,
+    /// When own tasks arrived, and their sizes, the oldest first.
+    pub arrivals: Vec<(Micros, f64)>,
+    /// Learnt ratio of use to ask, of cores and memory.
+    pub ratio: Option<(f64, f64)>,
+}
+
 /// Something that happened, told in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// What a former life of this scheduler learned, as long ago as its times say. Of machines that no list
+    /// has named yet nothing is taken in.
+    Recalled(Beliefs),
     /// News of the machine list.
     Listed(Listing),
     /// A task needs a place and its owner one final answer.
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -126,7 +126,9 @@
                 self.push(24, &[from.to_be_bytes().to_vec(), span]);
             }
             Event::Listed(_) => unreachable!("lists travel as updates"),
-            Event::Opened { .. } => unreachable!("the simulator knows no constraints"),
+            Event::Opened { .. } | Event::Recalled(_) => {
+                unreachable!("the simulator neither opens nor recalls")
+            }
         }
     }
 }
