--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -87,6 +87,8 @@
     category: Vec<Category>,
     #[serde(default)]
     constraint: Vec<Named>,
+    /// It keeps what it promised over restarts.
+    state: Option<toml::Value>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -470,11 +472,12 @@
     // ---- Placers ----
 
     fn placer_ended(&mut self, name: &str) {
+        let keeps = self.placers.get(name).is_some_and(|placer| placer.told.state.is_some());
         for job in
             self.jobs.values_mut().filter(|job| job.placer == name && !job.placed && job.told.is_none())
         {
-            // What a placer held when it was killed is for its owner to ask again.
-            job.excused = true;
+            // What a placer held when it was killed is for its owner to ask again, unless it keeps its promises.
+            job.excused = !keeps;
         }
         self.calls.retain(|key, _| key.0 != name);
         for attempt in self.attempts.values_mut().filter(|attempt| attempt.placer == name) {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -8,7 +8,7 @@
 use clap::Args;
 use reedring_audit::Recorder;
 use reedring_placer::{FileSource, Options, Placer};
-use reedring_settings::Settings;
+use reedring_settings::{Settings, State};
 use reedring_site::{Plan, Site};
 use reedring_standin::{Fleet, Groups, serve};
 
@@ -23,6 +23,9 @@
     /// Threads of its runtime.
     #[arg(long, default_value_t = 2)]
     threads: usize,
+    /// Where it keeps its state over restarts, in place of `state.folder` in the settings.
+    #[arg(long, value_name = "DIR")]
+    state_dir: Option<PathBuf>,
 }
 
 /// Run stand-in nodes.
@@ -54,6 +57,9 @@
     /// Where to write a trace for `reedring audit`.
     #[arg(long, value_name = "FILE")]
     trace: Option<PathBuf>,
+    /// Where the placer keeps its state over restarts; nothing is kept unless told.
+    #[arg(long, value_name = "DIR")]
+    state_dir: Option<PathBuf>,
 }
 
 pub fn read(path: &Path) -> Result<String, Failure> {
@@ -81,7 +87,12 @@
 impl Serve {
     pub fn run(self) -> Result<ExitCode, Failure> {
         let text = read(&self.config)?;
-        let settings = Settings::parse(&text, &self.config.display().to_string())?;
+        let mut settings = Settings::parse(&text, &self.config.display().to_string())?;
+        match (&mut settings.state, self.state_dir) {
+            (Some(state), Some(folder)) => state.folder = folder,
+            (Some(state), None) => state.folder = beside(&self.config, &state.folder),
+            (none, told) => *none = told.map(State::in_folder),
+        }
         let source = FileSource::new(beside(&self.config, &settings.nodes), settings.clone());
         let trace = settings.trace.as_ref().map(|path| Recorder::create(&beside(&self.config, path)));
         let recorder = trace.transpose()?.map(Arc::new);
@@ -94,7 +105,7 @@
         let placer = Placer::start(settings, options)?;
         println!("contact: {}", placer.contact());
         interrupted()?;
-        drop(placer);
+        placer.stop();
         recorder.map_or(Ok(()), |recorder| recorder.finish().map(drop))?;
         Ok(ExitCode::SUCCESS)
     }
@@ -133,10 +144,15 @@
         }
         let recorder = self.trace.as_deref().map(Recorder::create).transpose()?.map(Arc::new);
         plan.recorder = recorder.clone();
-        let site = Site::start(plan)?;
+        if let Some(folder) = self.state_dir {
+            plan.settings += "\n[state]\nfolder = \"state\"\n";
+            plan.state_dir = Some(folder);
+        }
+        let mut site = Site::start(plan)?;
         println!("contact: {}", site.contact("placer-1")?);
         println!("{} stand-in nodes; interrupt to end", site.nodes().count());
         interrupted()?;
+        site.stop_placer("placer-1");
         drop(site);
         recorder.map_or(Ok(()), |recorder| recorder.finish().map(drop))?;
         Ok(ExitCode::SUCCESS)
--- a/crates/core/src/ask.rs
+++ b/crates/core/src/ask.rs
@@ -9,6 +9,7 @@
 use reedring_drmaa::{Error, ErrorCode, JobSpec, Result};
 use reedring_nodeproto::{MAX_NAME, MAX_PAYLOAD};
 use reedring_settings::Settings;
+use reedring_state as state;
 
 use crate::constrain::{Bound, Subject};
 
@@ -53,6 +54,51 @@
         Some(Subject { bound, own: self.own.clone(), topics: Arc::clone(&self.topics) })
     }
 
+    /// What a job of a former life asks for, as it was then. An error has what is left of it, and what the
+    /// settings no longer know.
+    pub fn restore(
+        kept: Option<&state::Ask>,
+        settings: &Settings,
+    ) -> std::result::Result<Arc<Self>, (Arc<Self>, String)> {
+        let spec = kept.and_then(|kept| serde_json::from_str::<JobSpec>(&kept.spec).ok());
+        let made = match (&kept, spec.clone()) {
+            (Some(_), Some(spec)) => Self::new(spec, settings, None).map_err(|error| error.message),
+            _ => Err("its template is missing".to_owned()),
+        };
+        match (made, kept) {
+            (Ok(mut ask), Some(kept)) => {
+                let class = settings.classes.iter().position(|class| class.name == kept.class);
+                let tenant = settings.tenants.iter().position(|tenant| *tenant == kept.tenant);
+                let Some((class, tenant)) = class.zip(tenant) else {
+                    let why = format!("class `{}` or tenant `{}`", kept.class, kept.tenant);
+                    return Err((Arc::new(ask), why));
+                };
+                (ask.class, ask.tenant) = (class as u16, tenant as u16);
+                (ask.cores, ask.memory, ask.life_us) = (kept.cores, kept.memory, kept.life_us);
+                ask.service = kept.service.clone();
+                Ok(Arc::new(ask))
+            }
+            (made, _) => {
+                let own = Own::service("", "");
+                let topics = Arc::new(own.topics(&[]));
+                let rest = Self {
+                    spec: spec.unwrap_or_default(),
+                    class: 0,
+                    tenant: 0,
+                    service: kept.map(|kept| kept.service.clone()).unwrap_or_default(),
+                    key: None,
+                    cores: 0.0,
+                    memory: 0.0,
+                    life_us: None,
+                    bound: None,
+                    own,
+                    topics,
+                };
+                Err((Arc::new(rest), made.err().unwrap_or_default()))
+            }
+        }
+    }
+
     /// Makes one of a template.
     ///
     /// # Errors
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -158,19 +158,26 @@
             Err(error) => return Some(Err(error)),
         };
         // A submission that was first sent to a placer of an earlier life may have been carried out there.
-        let earlier = key.sent_to != self.start.life;
+        let (earlier, covered) = (key.sent_to != self.start.life, self.covered.contains(&key.sent_to));
         let effect = self.settings.classes[usize::from(ask.class)].effect;
+        if let Some(why) = self.keep.lost().filter(|_| !self.may_leave(effect)) {
+            let class = &self.settings.classes[usize::from(ask.class)].name;
+            let text = format!(
+                "class `{class}` must not start twice, and what is promised can't be kept now: {why}"
+            );
+            return Some(Err(error(ErrorCode::TryLater, text)));
+        }
         let mut plan = Vec::new();
         for index in indices {
             let there = self.sessions.get(session).and_then(|s| s.jobs.get(&(key.call, index)).copied());
             let repeat = match there {
                 Some(_) => Repeat::Held,
-                None if self.nodes.all_told() => Repeat::NotHeld,
+                None if self.all_told(now) => Repeat::NotHeld,
                 None => Repeat::Untold,
             };
             let step = match (earlier, there) {
                 (false, None) => Resubmission::Start,
-                _ => decide::resubmission(effect, repeat, now < self.settle_until),
+                _ => decide::resubmission(effect, repeat, now < self.settle_until, covered),
             };
             if step == Resubmission::Wait {
                 let call = if bulk {
@@ -197,26 +204,13 @@
                 continue;
             }
             let name = JobName { session: Arc::clone(&name), call: key.call, index };
-            let job = self.add_job(Job {
-                key: job_key(&class, ask.key.as_deref(), &name, bulk),
-                name,
-                session,
-                ask: Arc::clone(&ask),
-                phase: Phase::Delayed,
-                copies: Vec::new(),
-                history: Vec::new(),
-                outcome: None,
-                again: earlier,
-                submitted: now,
-                placed: None,
-                started: None,
-                ended: None,
-                broken: None,
-            });
+            let key = job_key(&class, ask.key.as_deref(), &name, bulk);
+            let new = Job::new(name, session, Arc::clone(&ask), key, now);
+            let job = self.add_job(Job { again: earlier, ..new });
             match step {
                 Resubmission::Start => self.begin(now, job),
                 _ => {
-                    if let Some(entry) = self.ledger.jobs.get_mut(&job) {
+                    if let Some(entry) = self.ledger.job_mut(job) {
                         entry.phase = Phase::Ending(Ending::aborted(
                             "failed: the placer was started anew since it was submitted, no node holds it, and \
                              it may have run to its end",
@@ -235,7 +229,7 @@
 
     /// A new job waits for its user, for its time, or for the module.
     fn begin(&mut self, now: Micros, job: JobNo) {
-        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.ledger.job_mut(job) else { return };
         let spec = &entry.ask.spec;
         if spec.hold {
             entry.phase = Phase::Held;
@@ -245,7 +239,7 @@
         let start = start.map(|at| self.start.now + at.saturating_sub(self.start.unix_us));
         match start.filter(|at| *at > now) {
             Some(at) => {
-                entry.phase = Phase::Delayed;
+                (entry.phase, entry.until) = (Phase::Delayed, at);
                 self.timers.set(at, Timer::Ask(job));
             }
             None => self.ask(now, job),
@@ -262,10 +256,11 @@
 
     /// Submissions that waited for nodes are looked at again once all have told, or the wait is over.
     pub(crate) fn settle(&mut self, now: Micros) {
-        if !(self.nodes.all_told() || now >= self.settle_until) {
+        if !self.all_told(now) {
             return;
         }
         self.constrain.settle();
+        self.recover_all(now);
         for Parked { conn, id, call } in std::mem::take(&mut self.parked) {
             if let Some(result) = self.call(now, conn, id, call) {
                 self.reply(conn, reedring_drmaa::rpc::Response::new(id, result));
@@ -340,7 +335,7 @@
                     self.set_phase(number, Phase::Held);
                     Ok(())
                 }
-                Phase::Delayed if !job.again => {
+                Phase::Delayed if !job.again && !job.recovering => {
                     self.set_phase(number, Phase::Held);
                     Ok(())
                 }
@@ -356,6 +351,9 @@
                         Some(at) => {
                             let at = now + ((at - self.unix(now)) * 1e6) as Micros;
                             self.set_phase(number, Phase::Delayed);
+                            if let Some(job) = self.ledger.job_mut(number) {
+                                job.until = at;
+                            }
                             self.timers.set(at, Timer::Ask(number));
                         }
                         None => self.ask(now, number),
@@ -365,24 +363,24 @@
                 _ => Err(error(ErrorCode::ReleaseInconsistentState, format!("job {name} is not on hold"))),
             },
             Control::Suspend => match job.phase {
-                Phase::Running(id) => self.tell_holder(id, true),
+                Phase::Running(id) => self.tell_holder(now, id, true),
                 _ => Err(error(ErrorCode::SuspendInconsistentState, format!("job {name} does not run"))),
             },
             Control::Resume => match job.phase {
-                Phase::Suspended(id) => self.tell_holder(id, false),
+                Phase::Suspended(id) => self.tell_holder(now, id, false),
                 _ => Err(error(ErrorCode::ResumeInconsistentState, format!("job {name} is not suspended"))),
             },
         }
     }
 
     fn set_phase(&mut self, job: JobNo, phase: Phase) {
-        if let Some(job) = self.ledger.jobs.get_mut(&job) {
+        if let Some(job) = self.ledger.job_mut(job) {
             job.phase = phase;
         }
     }
 
     /// Asks a job's node to suspend it or let it go on; the job's state changes when the node says so.
-    fn tell_holder(&mut self, id: reedring::AttemptId, suspend: bool) -> Result<()> {
+    fn tell_holder(&mut self, now: Micros, id: reedring::AttemptId, suspend: bool) -> Result<()> {
         let Some(attempt) = self.ledger.attempts.get(&id) else {
             return Err(error(ErrorCode::InternalError, "the job's copy is not known"));
         };
@@ -397,11 +395,11 @@
                 Err(error(ErrorCode::TryLater, text))
             }
             _ if suspend => {
-                self.send(number, Message::Suspend { attempt });
+                self.stage_send(now, number, Message::Suspend { attempt });
                 Ok(())
             }
             _ => {
-                self.send(number, Message::Resume { attempt });
+                self.stage_send(now, number, Message::Resume { attempt });
                 Ok(())
             }
         }
@@ -572,7 +570,8 @@
             }
             node.node_line(waiting, held, cores, memory, self.nodes.kind(node.entry.kind))
         };
-        self.nodes.all.values().map(line).collect()
+        let known = |node: &&crate::links::Node| !node.remembered || !node.attempts.is_empty();
+        self.nodes.all.values().filter(known).map(line).collect()
     }
 }
 
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -8,12 +8,14 @@
 use reedring_drmaa::{End, Result};
 use reedring_nodeproto::{self as wire, Message};
 use reedring_settings::Settings;
+use reedring_state::Change;
 
 use crate::constrain::{Constrainer, Opened, TURNS};
 use crate::decide::{Known, Loss};
 use crate::io::{ConnId, Input, Level, Output};
 use crate::jobs::{Attempt, Ending, JobName, JobNo, Ledger, NodeNo, Outcome, Phase};
-use crate::links::Nodes;
+use crate::keep::Keep;
+use crate::links::{Born, Nodes};
 use crate::names::task_key;
 use crate::sessions::{Answered, Parked, Sessions};
 use crate::timers::{Timer, Timers};
@@ -56,6 +58,17 @@
     pub(crate) reads: VecDeque<(ConnId, u64, Call)>,
     pub(crate) events: Vec<Event>,
     pub(crate) outputs: VecDeque<Output>,
+    pub(crate) keep: Keep,
+    /// Lives of this placer whose promises are all known.
+    pub(crate) covered: BTreeSet<u64>,
+    /// Every offer of the former life to a cold node is known.
+    pub(crate) budgets_known: bool,
+    /// What a former life learned of nodes that are not met yet.
+    pub(crate) recall: BTreeMap<String, reedring_state::Known>,
+    /// Copies of a former life whose constraints are judged once nodes have told.
+    pub(crate) restored_copies: Vec<(JobNo, AttemptId)>,
+    /// A sweep is due.
+    pub(crate) sweeping: bool,
     /// Times the module for the stats; decides nothing.
     stopwatch: Option<fn() -> u64>,
 }
@@ -93,6 +106,12 @@
             reads: VecDeque::new(),
             events: Vec::new(),
             outputs: VecDeque::new(),
+            keep: Keep::default(),
+            covered: BTreeSet::new(),
+            budgets_known: false,
+            recall: BTreeMap::new(),
+            restored_copies: Vec::new(),
+            sweeping: false,
             stopwatch: None,
             settings,
         }
@@ -129,6 +148,7 @@
             }
             Input::ClientGone(conn) => {
                 self.sessions.client_gone(conn);
+                self.keep.client_gone(conn);
                 self.parked.retain(|parked| parked.conn != conn);
                 self.reads.retain(|(of, ..)| *of != conn);
             }
@@ -138,6 +158,9 @@
             }
             Input::Message { node, message } => self.message(now, &node, message),
             Input::LinkDown { node, why } => self.link_down(now, &node, &why),
+            Input::Durable(seq) => self.durable(now, seq),
+            Input::StateLost { why, marked } => self.state_lost(now, why, marked),
+            Input::StateBack => self.state_back(),
             Input::Tick => {}
         }
     }
@@ -180,6 +203,7 @@
             let result = self.plain_call(now, call);
             self.reply(conn, Response::new(id, result));
         }
+        self.cut(now);
     }
 
     pub(crate) fn log(&mut self, level: Level, line: impl Into<String>) {
@@ -187,17 +211,24 @@
     }
 
     pub(crate) fn reply(&mut self, conn: ConnId, response: Response) {
-        self.outputs.push_back(Output::Reply { conn, response });
+        self.stage_reply(conn, Output::Reply { conn, response });
     }
 
     pub(crate) fn send_answer(&mut self, answered: Option<Answered>) {
         answered.into_iter().for_each(|answered| self.reply(answered.conn, answered.response));
     }
 
-    pub(crate) fn send(&mut self, node: NodeNo, message: Message) {
-        if let Some(node) = self.nodes.all.get(&node).filter(|node| node.is_up()) {
-            self.outputs.push_back(Output::Send { node: node.name.clone(), message });
-        }
+    pub(crate) fn unix_us(&self, at: Micros) -> u64 {
+        self.start.unix_us.saturating_add(at).saturating_sub(self.start.now)
+    }
+
+    /// The core's time of a moment, also of one long before its start where its clock began late enough.
+    pub(crate) fn at_unix(&self, unix_us: u64) -> Micros {
+        self.start.now.saturating_add(unix_us).saturating_sub(self.start.unix_us)
+    }
+
+    pub(crate) fn born(&self) -> Born {
+        Born { at: self.start.now, budgets_known: self.budgets_known }
     }
 
     pub(crate) fn unix(&self, at: Micros) -> f64 {
@@ -244,18 +275,25 @@
         let Some(node) = self.nodes.of_machine(machine) else { return };
         let wire = wire::AttemptId { life: self.start.life, request: request.0, number: id.number };
         let task = self.wire_task(job);
-        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.ledger.job_mut(job) else { return };
         entry.tried(id, node, now);
         let topics = Arc::clone(&entry.ask.topics);
         self.constrain.copy_comes(&topics, node);
         let known = Known::Out;
-        let attempt = Attempt { job, node, machine, wire, sent: now, known, accepted: false, topics };
+        let node_life = self.nodes.all.get(&node).and_then(|node| node.life);
+        let (accepted, told) = (false, true);
+        let attempt =
+            Attempt { job, node, machine, wire, sent: now, known, accepted, told, node_life, topics };
         let closed = self.constrain.offered(request);
         self.events.extend(closed.map(opened_event));
         self.ledger.open(self.start.life, id, attempt);
         let Some(entry) = self.nodes.all.get_mut(&node) else { return };
         entry.attempts.insert(id);
         let up = entry.is_up();
+        let effect = self.ledger.jobs.get(&job).map_or(reedring::Effect::Unsafe, |job| self.effect(job));
+        if !self.may_leave(effect) {
+            return self.cannot_leave(now, id);
+        }
         match task {
             Some(task) if up => {
                 let within = within_us.unwrap_or(0);
@@ -266,7 +304,7 @@
                 let within_ms = u32::try_from(within / 1_000).unwrap_or(u32::MAX);
                 let within_ms = if within > 0 { within_ms.max(1) } else { 0 };
                 self.stats.offers += 1;
-                self.send(node, Message::Offer { attempt: wire, task: Box::new(task), within_ms });
+                self.stage_send(now, node, Message::Offer { attempt: wire, task: Box::new(task), within_ms });
             }
             _ => self.unplaced(now, id, Fate::Unconnected, None, Vec::new(), "no link"),
         }
@@ -302,12 +340,15 @@
 
     /// Gives an attempt up: its node is asked to stop it, and its word awaited for a while.
     pub(crate) fn stop(&mut self, now: Micros, id: AttemptId) {
-        let Some(attempt) = self.ledger.attempts.get_mut(&id) else { return };
+        let Some(attempt) = self.ledger.attempt_mut(id) else { return };
         let (node, wire, was) = (attempt.node, attempt.wire, attempt.known);
         attempt.known = Known::Stopping;
+        if was == Known::Out && self.unsend(id) {
+            return self.unplaced(now, id, Fate::Unsent, None, Vec::new(), "never sent");
+        }
         if was != Known::Stopping {
             self.timers.set(now + self.settings.links.stop_wait_us, Timer::StopWait(id));
-            self.send(node, Message::Stop { attempt: wire });
+            self.stage_send(now, node, Message::Stop { attempt: wire });
         }
     }
 
@@ -353,7 +394,7 @@
         self.probes.insert(nonce, (number, now));
         if self.nodes.all.get(&number).is_some_and(|node| node.is_up()) {
             self.timers.set(now + self.settings.links.probe_us, Timer::Probe(nonce));
-            self.send(number, Message::Probe { nonce });
+            self.stage_send(now, number, Message::Probe { nonce });
         } else {
             self.probed(now, nonce, None);
         }
@@ -422,6 +463,8 @@
             Timer::Wait { session, call } => self.waited(session, call),
             Timer::Settle => self.settle(now),
             Timer::Sweep => self.sweep(now),
+            Timer::Learn => self.learn(now),
+            Timer::Recover { job, last } => self.recover(now, job, last),
         }
     }
 
@@ -462,6 +505,8 @@
             return Err(self.no_node(name));
         };
         node.drained = drain;
+        self.keep.change(Change::Drained(name.to_owned(), drain));
+        self.recheck_waiting(now);
         self.constrain.listed(&self.nodes);
         self.tell_line(now, number);
         let word = if drain { "drained" } else { "no longer drained" };
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -15,7 +15,7 @@
 
 /// Microseconds before an owner gives up at which the module's time is over: enough to answer on a busy
 /// machine, little beside any class's patience.
-const ANSWER_MARGIN_US: Micros = 100_000;
+pub(crate) const ANSWER_MARGIN_US: Micros = 100_000;
 
 impl Core {
     /// An attempt's end is known, or it is `unknown` whether its copy stands still.
@@ -47,6 +47,9 @@
         reason: Option<Reason>,
         report: Vec<f64>,
     ) {
+        if !attempt.told {
+            return;
+        }
         let closed = !self.ledger.requests.contains_key(&id.request);
         if !closed {
             self.constrain.free_again(id.request);
@@ -65,14 +68,23 @@
         report: Vec<f64>,
         word: &'static str,
     ) {
-        let unknown = matches!(fate, Fate::Reset | Fate::Stopped | Fate::TimedOut);
+        let unanswered = matches!(fate, Fate::Reset | Fate::Stopped | Fate::TimedOut);
+        let (fate, word) =
+            if unanswered && self.unsend(id) { (Fate::Unsent, "never sent") } else { (fate, word) };
+        let unknown = unanswered && fate != Fate::Unsent;
         let Some(attempt) = self.close(id, word, unknown) else { return };
+        if (unknown || fate == Fate::Error)
+            && let Some(job) = self.ledger.job_mut(attempt.job)
+        {
+            job.may_have_run = true;
+        }
         // Where it may be accepted still, its node should not start it for nothing.
         if unknown {
-            self.send(attempt.node, Message::Stop { attempt: attempt.wire });
+            self.stage_send(now, attempt.node, Message::Stop { attempt: attempt.wire });
         }
         self.tell_end(id, &attempt, fate, reason, report);
         self.ends_if_ending(now, attempt.job);
+        self.recover(now, attempt.job, false);
     }
 
     /// An accepted copy ran to its end.
@@ -111,8 +123,8 @@
         let node = self.node_name(attempt.node);
         if again {
             self.log(Level::Info, format!("job {}: {word} at {node}; it is placed again", job.name));
-            if let Some(job) = self.ledger.jobs.get_mut(&attempt.job) {
-                (job.phase, job.again) = (Phase::Delayed, true);
+            if let Some(job) = self.ledger.job_mut(attempt.job) {
+                (job.phase, job.again, job.until) = (Phase::Delayed, true, now + wait);
             }
             self.timers.set(now + wait, Timer::Ask(attempt.job));
         } else {
@@ -149,6 +161,15 @@
         session.jobs.get(&(name.call, name.index)).copied()
     }
 
+    /// A call of a former life made this job, and its owner was told how it ended.
+    pub(crate) fn was_told(&self, name: &str) -> bool {
+        let told = JobName::parse(name).and_then(|name| {
+            let session = self.sessions.get(self.sessions.find(&name.session).ok()?)?;
+            Some(session.knows(name.call) && !session.jobs.contains_key(&(name.call, name.index)))
+        });
+        told.unwrap_or(false)
+    }
+
     pub(crate) fn module_task(&self, job: JobNo, request: RequestId) -> Option<Task> {
         let job = self.ledger.jobs.get(&job)?;
         let class = &self.settings.classes[usize::from(job.ask.class)].name;
@@ -167,10 +188,16 @@
 
     /// Hands a job to the module: from here on its owner is owed one answer in time.
     pub(crate) fn ask(&mut self, now: Micros, job: JobNo) {
+        self.ask_until(now, job, None);
+    }
+
+    /// The same, where the owner gives up earlier than its class says.
+    pub(crate) fn ask_until(&mut self, now: Micros, job: JobNo, until: Option<Micros>) {
         let request = self.ledger.new_request();
         let Some(task) = self.module_task(job, request) else { return };
-        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.ledger.job_mut(job) else { return };
         let give_up = self.settings.classes[usize::from(entry.ask.class)].give_up_us;
+        let give_up = until.map_or(give_up, |until| give_up.min(until.saturating_sub(now)));
         let unix = (self.start.unix_us + now.saturating_sub(self.start.now)) as i64;
         let left = entry.ask.spec.deadline.map(|at| at.saturating_mul(1_000_000).saturating_sub(unix).max(0));
         let grace_us = left.map_or(give_up, |left| give_up.min(left as u64));
@@ -183,7 +210,7 @@
             self.told(job, Outcome::Refused);
             return self.end_job(now, job, Ending::aborted(format!("refused: {never}")));
         }
-        entry.phase = Phase::Asked(request);
+        (entry.phase, entry.until, entry.may_have_run) = (Phase::Asked(request), now + grace_us, false);
         self.ledger.requests.insert(request, (job, 0));
         // The answer must be with the owner before it gives up, so the module gets a little less time.
         let margin = ANSWER_MARGIN_US.min(grace_us / 4);
@@ -208,7 +235,7 @@
 
     /// A job's owner has its answer: the first one stands, and is counted.
     pub(crate) fn told(&mut self, job: JobNo, outcome: Outcome) {
-        let Some(entry) = self.ledger.jobs.get_mut(&job).filter(|entry| entry.outcome.is_none()) else {
+        let Some(entry) = self.ledger.job_mut(job).filter(|entry| entry.outcome.is_none()) else {
             return;
         };
         entry.outcome = Some(outcome);
@@ -223,7 +250,7 @@
     /// Ends a job at its user's word or by its limit: its copies are stopped first.
     pub(crate) fn terminate(&mut self, now: Micros, job: JobNo, ending: Ending) {
         self.withdraw(job);
-        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.ledger.job_mut(job) else { return };
         if matches!(entry.phase, Phase::Ending(_) | Phase::Ended(_)) {
             return;
         }
@@ -237,7 +264,7 @@
     }
 
     pub(crate) fn end_job(&mut self, now: Micros, job: JobNo, ending: Ending) {
-        let Some(entry) = self.ledger.jobs.get_mut(&job).filter(|entry| !entry.is_over()) else { return };
+        let Some(entry) = self.ledger.job_mut(job).filter(|entry| !entry.is_over()) else { return };
         let broken: Vec<String> = self.constrain.broken(job).into_iter().map(|(text, _)| text).collect();
         entry.broken = (!broken.is_empty()).then(|| broken.join("; "));
         self.constrain.stands_no_more(job);
@@ -256,7 +283,7 @@
         if let Some(call) = woken.takes {
             let result = ended(self.job_info(job));
             session_reap(&mut self.sessions, number, at, job);
-            self.ledger.jobs.remove(&job);
+            self.ledger.forget(job);
             let answered = self.sessions.answer(number, call, result);
             self.send_answer(answered);
             for call in woken.too_late {
@@ -277,7 +304,7 @@
 
     /// Forgets a job whose end its owner was told.
     pub(crate) fn reap(&mut self, job: JobNo) {
-        if let Some(entry) = self.ledger.jobs.remove(&job) {
+        if let Some(entry) = self.ledger.forget(job) {
             session_reap(&mut self.sessions, entry.session, (entry.name.call, entry.name.index), job);
         }
     }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -5,6 +5,7 @@
 use reedring_drmaa::rpc::{Call, Response};
 use reedring_nodeproto::Message;
 use reedring_settings::NodeList;
+use reedring_state::{Batch, Learned};
 
 /// A client's connection, as the shell numbers it.
 pub type ConnId = u64;
@@ -52,6 +53,17 @@
         /// Why, for the staff.
         why: String,
     },
+    /// The ledger is durable up to this batch.
+    Durable(u64),
+    /// The ledger can't be written.
+    StateLost {
+        /// Why, for the staff.
+        why: String,
+        /// The folder says so itself.
+        marked: bool,
+    },
+    /// A ledger can be written again, and waits for every row.
+    StateBack,
     /// Nothing but time passed.
     Tick,
 }
@@ -94,6 +106,15 @@
         /// The message.
         message: Message,
     },
+    /// Make these changes durable, in order, and say so with [`Input::Durable`].
+    Keep {
+        /// The changes.
+        batch: Batch,
+        /// They are every row, for a ledger that is written anew.
+        whole: bool,
+    },
+    /// Replace the file of what was learned. Nothing waits for it.
+    Learn(Box<Learned>),
     /// A line for the staff.
     Log {
         /// How much it matters.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,6 +1,6 @@
 //! The ledger: jobs, what they wait for, and how they ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use reedring::{AttemptId, MachineId, Micros, RequestId, TaskKey};
@@ -9,13 +9,14 @@
 use reedring_drmaa::{End, JobInfo, JobState};
 use reedring_nodeproto as wire;
 use reedring_settings::Settings;
+pub(crate) use reedring_state::{Ending, Outcome};
 
 use crate::ask::Ask;
 use crate::decide::Known;
 
-/// A job's number in this life of the placer, in the order of submission.
+/// A job's number, in the order of submission.
 pub(crate) type JobNo = u64;
-/// A session's number in this life of the placer.
+/// A session's number.
 pub(crate) type SessionNo = u32;
 /// A node's number in this life of the placer.
 pub(crate) type NodeNo = u32;
@@ -48,45 +49,6 @@
     }
 }
 
-/// The one final answer that a job's owner gets about its placing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Outcome {
-    Placed,
-    Refused,
-    Failed,
-    /// Ended by its user before it was placed.
-    Terminated,
-}
-
-impl Outcome {
-    pub const fn word(self) -> &'static str {
-        match self {
-            Self::Placed => "placed",
-            Self::Refused => "refused",
-            Self::Failed => "failed",
-            Self::Terminated => "terminated",
-        }
-    }
-}
-
-/// How a job ended.
-#[derive(Clone, Debug)]
-pub(crate) struct Ending {
-    pub end: End,
-    pub reason: Option<String>,
-    pub stay_away_us: Option<Micros>,
-}
-
-impl Ending {
-    pub fn aborted(reason: impl Into<String>) -> Self {
-        Self { end: End::Aborted, reason: Some(reason.into()), stay_away_us: None }
-    }
-
-    pub fn ran(end: End) -> Self {
-        Self { end, reason: None, stay_away_us: None }
-    }
-}
-
 /// What a job waits for, or how it ended.
 #[derive(Clone, Debug)]
 pub(crate) enum Phase {
@@ -124,10 +86,20 @@
     /// Attempts that are out, or hold a copy.
     pub copies: Vec<AttemptId>,
     pub history: Vec<Trial>,
+    /// Attempts made for it, also those that the history has lost.
+    pub tries: u32,
     /// The answer about its placing, once it has one.
     pub outcome: Option<Outcome>,
     /// It was placed and lost before.
     pub again: bool,
+    /// An attempt that is closed may have run, and no placing came of it.
+    pub may_have_run: bool,
+    /// It was being placed when a former life ended, and what became of that is not known yet.
+    pub recovering: bool,
+    /// The first batch that has its row; 0 where a former life kept it.
+    pub kept: Option<u64>,
+    /// When its owner gives up, while it is asked for; when it is asked for, while it is delayed.
+    pub until: Micros,
     pub submitted: Micros,
     pub placed: Option<Micros>,
     pub started: Option<Micros>,
@@ -137,6 +109,31 @@
 }
 
 impl Job {
+    /// A job that nothing has happened to.
+    pub fn new(name: JobName, session: SessionNo, ask: Arc<Ask>, key: TaskKey, now: Micros) -> Self {
+        Self {
+            name,
+            session,
+            ask,
+            key,
+            phase: Phase::Delayed,
+            copies: Vec::new(),
+            history: Vec::new(),
+            tries: 0,
+            outcome: None,
+            again: false,
+            may_have_run: false,
+            recovering: false,
+            kept: None,
+            until: now,
+            submitted: now,
+            placed: None,
+            started: None,
+            ended: None,
+            broken: None,
+        }
+    }
+
     pub fn state(&self) -> JobState {
         match &self.phase {
             Phase::Held => JobState::UserOnHold,
@@ -166,6 +163,7 @@
         if self.history.len() >= HISTORY {
             self.history.remove(0);
         }
+        self.tries += 1;
         self.history.push(Trial { attempt, node, sent, fate: "out" });
     }
 
@@ -191,7 +189,7 @@
             tell("wallclock", format!("{:.6}", to.saturating_sub(from) as f64 / 1e6));
         }
         tell("reedring.outcome", self.outcome.unwrap_or(Outcome::Failed).word().to_owned());
-        tell("reedring.attempts", self.history.len().to_string());
+        tell("reedring.attempts", self.tries.to_string());
         node.into_iter().for_each(|node| tell("reedring.node", node.to_owned()));
         ending.reason.iter().for_each(|reason| tell("reedring.reason", reason.clone()));
         self.broken.iter().for_each(|broken| tell("reedring.broken", broken.clone()));
@@ -249,6 +247,10 @@
     pub known: Known,
     /// It was accepted before it was stopped.
     pub accepted: bool,
+    /// The module was told of it. It is not of what a former life offered and no node has accepted yet.
+    pub told: bool,
+    /// Its node's life when it was sent.
+    pub node_life: Option<u64>,
     /// What its copy counts as; its job may be forgotten before its end is known.
     pub topics: Arc<Vec<Topic>>,
 }
@@ -265,6 +267,10 @@
     last_job: JobNo,
     last_request: u64,
     pub live: usize,
+    /// Jobs whose rows are not as they were kept last.
+    pub changed: BTreeSet<JobNo>,
+    /// Calls that lost a job since they were kept last.
+    pub forgotten: BTreeSet<(SessionNo, u64)>,
 }
 
 impl Ledger {
@@ -272,9 +278,38 @@
         self.last_job += 1;
         self.live += usize::from(!job.is_over());
         self.jobs.insert(self.last_job, job);
+        self.changed.insert(self.last_job);
         self.last_job
     }
 
+    /// A job of a former life, under its number there.
+    pub fn restore(&mut self, number: JobNo, job: Job) {
+        self.last_job = self.last_job.max(number);
+        self.live += usize::from(!job.is_over());
+        self.jobs.insert(number, job);
+    }
+
+    /// A job that is about to change.
+    pub fn job_mut(&mut self, number: JobNo) -> Option<&mut Job> {
+        let job = self.jobs.get_mut(&number)?;
+        self.changed.insert(number);
+        Some(job)
+    }
+
+    /// An attempt that is about to change.
+    pub fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        let attempt = self.attempts.get_mut(&id)?;
+        self.changed.insert(attempt.job);
+        Some(attempt)
+    }
+
+    pub fn forget(&mut self, number: JobNo) -> Option<Job> {
+        let job = self.jobs.remove(&number)?;
+        self.changed.insert(number);
+        self.forgotten.insert((job.session, job.name.call));
+        Some(job)
+    }
+
     pub fn new_request(&mut self) -> RequestId {
         self.last_request += 1;
         RequestId(self.last_request)
@@ -292,7 +327,7 @@
         if attempt.wire != own {
             self.adopted.insert(attempt.wire, id);
         }
-        if let Some(job) = self.jobs.get_mut(&attempt.job) {
+        if let Some(job) = self.job_mut(attempt.job) {
             job.copies.push(id);
         }
         self.attempts.insert(id, attempt);
@@ -302,7 +337,7 @@
     pub fn close(&mut self, id: AttemptId, fate: &'static str) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
         self.adopted.remove(&attempt.wire);
-        if let Some(job) = self.jobs.get_mut(&attempt.job) {
+        if let Some(job) = self.job_mut(attempt.job) {
             job.copies.retain(|copy| *copy != id);
             job.fate(id, fate);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,12 +44,15 @@
 mod fates;
 mod io;
 mod jobs;
+mod keep;
 mod links;
 mod names;
+mod recover;
 mod sessions;
 mod timers;
 mod words;
 
 pub use crate::core::{Core, Start};
 pub use crate::io::{ConnId, Input, Level, Output};
+pub use crate::keep::Restored;
 pub use crate::names::{machine_id, service_id};
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -47,11 +47,39 @@
     pub attempts: BTreeSet<AttemptId>,
     /// Its refusals, by reason.
     pub refusals: BTreeMap<Reason, u64>,
+    /// Only a former life's ledger names it so far: where it is the list will say.
+    pub remembered: bool,
     /// What the module was told last.
     line: Option<module::Machine>,
 }
 
 impl Node {
+    fn new(entry: NodeEntry) -> Self {
+        Self {
+            name: entry.name.clone(),
+            machine: machine_id(&entry.name),
+            address: entry.address,
+            entry,
+            listed: true,
+            drained: false,
+            link: Link::Fresh,
+            links: 0,
+            life: None,
+            started: None,
+            can_suspend: false,
+            told: false,
+            attempts: BTreeSet::new(),
+            refusals: BTreeMap::new(),
+            remembered: false,
+            line: None,
+        }
+    }
+
+    /// The module knows it.
+    pub fn is_told(&self) -> bool {
+        self.line.is_some()
+    }
+
     pub fn is_up(&self) -> bool {
         matches!(self.link, Link::Up)
     }
@@ -68,7 +96,8 @@
     /// It was met at this life of its own: a new life has a start of its own.
     pub fn met(&mut self, now: Micros, life: u64, up_ms: u64) -> bool {
         let same = self.life == Some(life);
-        if !same {
+        // A life that only the ledger tells of has no start yet.
+        if !same || self.started.is_none() {
             self.life = Some(life);
             self.started = Some(now.saturating_sub(up_ms.saturating_mul(1_000)));
         }
@@ -108,6 +137,14 @@
     kinds: Vec<String>,
 }
 
+/// What a placer's own start means for cold nodes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Born {
+    pub at: Micros,
+    /// Every offer of its former life to a cold node is known.
+    pub budgets_known: bool,
+}
+
 /// What a new list means for one node's link.
 pub(crate) enum Relink {
     Connect(NodeNo),
@@ -139,6 +176,40 @@
         self.all.get_mut(&number).map(|node| (number, node))
     }
 
+    /// The number of a node that a former life knew. It counts as listed until a list says otherwise.
+    pub fn remember(&mut self, name: &str) -> NodeNo {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        let number = self.all.len() as NodeNo;
+        let entry = NodeEntry {
+            name: name.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            kind: 0,
+            rack: String::new(),
+            hall: String::new(),
+            attrs: BTreeMap::new(),
+            health: Health::Ready,
+            free_cores: None,
+            free_memory: None,
+        };
+        let node = Node { remembered: true, ..Node::new(entry) };
+        self.numbers.insert(name.to_owned(), number);
+        self.machines.insert(node.machine, number);
+        self.all.insert(number, node);
+        number
+    }
+
+    pub fn health_of(&self, name: &str) -> Option<Health> {
+        self.all.get(&self.number(name)?).map(Node::health)
+    }
+
+    /// It has started lately, and bears little.
+    pub fn is_cold(&self, number: NodeNo, now: Micros, site: &Site) -> bool {
+        let started = self.all.get(&number).and_then(|node| node.started);
+        started.zip(site.warm_after_us).is_some_and(|(at, warm)| now < at.saturating_add(warm))
+    }
+
     /// Takes a whole list in; answers what it means for links, and names that can't be told apart.
     pub fn list(&mut self, entries: Vec<NodeEntry>) -> (Vec<Relink>, Vec<String>) {
         let (mut relinks, mut clashes) = (Vec::new(), Vec::new());
@@ -157,31 +228,17 @@
                     let number = self.all.len() as NodeNo;
                     self.numbers.insert(entry.name.clone(), number);
                     self.machines.insert(machine, number);
-                    let node = Node {
-                        name: entry.name.clone(),
-                        machine,
-                        address: entry.address,
-                        entry,
-                        listed: true,
-                        drained: false,
-                        link: Link::Fresh,
-                        links: 0,
-                        life: None,
-                        started: None,
-                        can_suspend: false,
-                        told: false,
-                        attempts: BTreeSet::new(),
-                        refusals: BTreeMap::new(),
-                        line: None,
-                    };
-                    self.all.insert(number, node);
+                    self.all.insert(number, Node::new(entry));
                     relinks.push(Relink::Connect(number));
                 }
                 Some(number) => {
                     if let Some(node) = self.all.get_mut(&number) {
+                        let first = std::mem::take(&mut node.remembered);
                         let (back, moved) = (!node.listed, node.address != entry.address);
                         (node.listed, node.address, node.entry) = (true, entry.address, entry);
-                        if moved {
+                        if first {
+                            relinks.push(Relink::Connect(number));
+                        } else if moved {
                             relinks.push(Relink::Move(number));
                         } else if back {
                             relinks.push(Relink::Connect(number));
@@ -195,7 +252,7 @@
 
     /// The lines that the module does not know yet. A node is told of once its link was made or has failed
     /// once: before, the module could only spend attempts on it.
-    pub fn news(&mut self, now: Micros, born: Micros, site: &Site) -> Vec<module::Machine> {
+    pub fn news(&mut self, now: Micros, born: Born, site: &Site) -> Vec<module::Machine> {
         let mut news = Vec::new();
         let numbers: Vec<NodeNo> = self.all.keys().copied().collect();
         for number in numbers {
@@ -206,20 +263,16 @@
         news
     }
 
-    /// The line of one node, where the module does not know it yet. `born` is the placer's own start.
-    pub fn line(
-        &mut self,
-        now: Micros,
-        born: Micros,
-        number: NodeNo,
-        site: &Site,
-    ) -> Option<module::Machine> {
+    /// The line of one node, where the module does not know it yet.
+    pub fn line(&mut self, now: Micros, born: Born, number: NodeNo, site: &Site) -> Option<module::Machine> {
         let node = self.all.get_mut(&number)?;
         if matches!(node.link, Link::Fresh | Link::Greeted(_)) && node.line.is_none() {
             return None;
         }
         let cold_until = node.started.zip(site.warm_after_us).map(|(at, warm)| at.saturating_add(warm));
-        if !decide::may_tell(now, born, site.cold_window_us, cold_until) && node.line.is_none() {
+        if !decide::may_tell(now, born.at, site.cold_window_us, cold_until, born.budgets_known)
+            && node.line.is_none()
+        {
             return None;
         }
         let health = match node.health() {
--- a/crates/core/src/sessions.rs
+++ b/crates/core/src/sessions.rs
@@ -6,6 +6,7 @@
 use reedring::Micros;
 use reedring_drmaa::rpc::{Answer, Call, MAX_SESSION, Range, Response};
 use reedring_drmaa::{Error, ErrorCode, JobInfo, Result};
+use reedring_state::{self as state, Change};
 
 use crate::io::ConnId;
 use crate::jobs::{JobNo, SessionNo};
@@ -21,6 +22,38 @@
     Submission(Range),
 }
 
+impl Record {
+    /// As it is kept. Answers are kept as they are sent.
+    fn kept(&self) -> state::Answer {
+        match self {
+            Self::Answer(result) => {
+                let response = Response::new(0, result.clone());
+                state::Answer::Told(serde_json::to_string(&response).unwrap_or_default())
+            }
+            Self::Submission(Range { first, last, step }) => {
+                state::Answer::Submission { first: *first, last: *last, step: *step }
+            }
+        }
+    }
+
+    fn restore(kept: &state::Answer) -> Option<Self> {
+        match kept {
+            state::Answer::Submission { first, last, step } => {
+                Some(Self::Submission(Range { first: *first, last: *last, step: *step }))
+            }
+            state::Answer::Told(text) => {
+                let response: Response = serde_json::from_str(text).ok()?;
+                let result = match (response.result, response.error) {
+                    (Some(answer), _) => Ok(answer),
+                    (None, Some(fault)) => Err(fault.into()),
+                    (None, None) => return None,
+                };
+                Some(Self::Answer(result))
+            }
+        }
+    }
+}
+
 /// What a waiting call waits for.
 #[derive(Debug)]
 pub(crate) enum Waits {
@@ -48,6 +81,9 @@
     /// Waiting calls by number.
     pub waiters: BTreeMap<u64, Waiter>,
     pub touched: Micros,
+    number: SessionNo,
+    /// What is not kept yet.
+    changes: Vec<Change>,
 }
 
 /// An answer to a call that waited.
@@ -57,8 +93,10 @@
 }
 
 impl Session {
-    fn new(name: &str, now: Micros) -> Self {
+    fn new(name: &str, number: SessionNo, now: Micros) -> Self {
         Self {
+            number,
+            changes: Vec::new(),
             name: name.into(),
             jobs: BTreeMap::new(),
             over: BTreeSet::new(),
@@ -69,10 +107,16 @@
         }
     }
 
+    fn row(&self) -> Change {
+        let row = state::Session { name: self.name.to_string(), settled: self.settled };
+        Change::Session(self.number, Some(row))
+    }
+
     /// Forgets the records that the client says it needs no more.
     pub fn settle(&mut self, settled: u64) {
         if settled > self.settled {
             self.settled = settled;
+            self.changes.push(Change::Settled(self.number, settled));
             self.records = self.records.split_off(&settled);
         }
     }
@@ -89,7 +133,13 @@
         Ok(self.records.get(&call))
     }
 
+    /// A call was made once and is closed: its jobs were all told of, or are here.
+    pub fn knows(&self, call: u64) -> bool {
+        call < self.settled || self.records.contains_key(&call)
+    }
+
     pub fn record(&mut self, call: u64, record: Record) {
+        self.changes.push(Change::Call(self.number, call, record.kept()));
         if self.records.len() >= MAX_RECORDS {
             self.records.pop_first();
         }
@@ -157,6 +207,9 @@
     last: SessionNo,
     /// Waiting calls by connection, to find those of one that ended.
     by_conn: BTreeSet<(ConnId, SessionNo, u64)>,
+    /// Sessions that may have changes that are not kept, and those that are forgotten.
+    touched: BTreeSet<SessionNo>,
+    forgotten: Vec<SessionNo>,
 }
 
 impl Sessions {
@@ -185,17 +238,65 @@
             return Err(Error::new(ErrorCode::TryLater, text));
         }
         self.last += 1;
-        let session = Session::new(name, now);
-        self.numbers.insert(Arc::clone(&session.name), self.last);
-        self.all.insert(self.last, session);
+        let mut session = Session::new(name, self.last, now);
+        session.changes.push(session.row());
+        self.add(session);
+        self.touched.insert(self.last);
         Ok(self.last)
     }
 
+    fn add(&mut self, session: Session) {
+        self.last = self.last.max(session.number);
+        self.numbers.insert(Arc::clone(&session.name), session.number);
+        self.all.insert(session.number, session);
+    }
+
+    /// A session of a former life, under its number there.
+    pub fn restore(
+        &mut self,
+        number: SessionNo,
+        kept: &state::Session,
+        calls: Option<&BTreeMap<u64, state::Answer>>,
+        now: Micros,
+    ) {
+        let mut session = Session::new(&kept.name, number, now);
+        session.settled = kept.settled;
+        let records = calls.into_iter().flatten();
+        session.records = records.filter_map(|(call, kept)| Some((*call, Record::restore(kept)?))).collect();
+        self.add(session);
+    }
+
+    /// Rows that changed since this was last asked.
+    pub fn changes(&mut self) -> Vec<Change> {
+        let mut changes: Vec<Change> = std::mem::take(&mut self.forgotten)
+            .into_iter()
+            .map(|number| Change::Session(number, None))
+            .collect();
+        for number in std::mem::take(&mut self.touched) {
+            if let Some(session) = self.all.get_mut(&number) {
+                changes.append(&mut session.changes);
+            }
+        }
+        changes
+    }
+
+    /// Every row.
+    pub fn rows(&mut self) -> Vec<Change> {
+        self.changes();
+        let rows = self.all.values().flat_map(|session| {
+            let calls = session.records.iter();
+            let call = |(call, record): (&u64, &Record)| Change::Call(session.number, *call, record.kept());
+            std::iter::once(session.row()).chain(calls.map(call))
+        });
+        rows.collect()
+    }
+
     pub fn get(&self, number: SessionNo) -> Option<&Session> {
         self.all.get(&number)
     }
 
     pub fn get_mut(&mut self, number: SessionNo) -> Option<&mut Session> {
+        self.touched.insert(number);
         self.all.get_mut(&number)
     }
 
@@ -213,7 +314,7 @@
     }
 
     pub fn answer(&mut self, number: SessionNo, call: u64, result: Result<Answer>) -> Option<Answered> {
-        let answered = self.all.get_mut(&number)?.answer(call, result)?;
+        let answered = self.get_mut(number)?.answer(call, result)?;
         self.by_conn.remove(&(answered.conn, number, call));
         Some(answered)
     }
@@ -235,10 +336,11 @@
         let idle = |session: &Session| {
             session.jobs.is_empty() && session.waiters.is_empty() && session.touched < before
         };
-        let numbers = &mut self.numbers;
-        self.all.retain(|_, session| {
+        let (numbers, forgotten) = (&mut self.numbers, &mut self.forgotten);
+        self.all.retain(|number, session| {
             let keep = !idle(session);
             if !keep {
+                forgotten.push(*number);
                 numbers.remove(&session.name);
             }
             keep
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -33,6 +33,10 @@
     Settle,
     /// Jobs that are over are forgotten.
     Sweep,
+    /// What was learned is to be kept.
+    Learn,
+    /// A job of a former life is looked at, for the last time or not.
+    Recover { job: u64, last: bool },
 }
 
 #[derive(Debug, Default)]
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -23,6 +23,7 @@
     pub(crate) fn listed(&mut self, now: Micros, list: NodeList) {
         let (relinks, clashes) = self.nodes.list(list.nodes);
         self.constrain.listed(&self.nodes);
+        self.recheck_waiting(now);
         for name in clashes {
             let line = format!("node {name}: its name can't be told from another's; rename it");
             self.log(Level::Warn, line);
@@ -57,9 +58,11 @@
     }
 
     pub(crate) fn tell_lines(&mut self, now: Micros) {
-        let news = self.nodes.news(now, self.start.now, &self.settings.site);
+        let news = self.nodes.news(now, self.born(), &self.settings.site);
         if !news.is_empty() {
+            let told: Vec<_> = news.iter().filter_map(|line| self.nodes.of_machine(line.id)).collect();
             self.events.push(Event::Listed(Listing::Changes(news)));
+            told.into_iter().for_each(|number| self.recall(number));
         }
     }
 
@@ -92,9 +95,10 @@
     }
 
     pub(crate) fn tell_line(&mut self, now: Micros, number: NodeNo) {
-        if let Some(line) = self.nodes.line(now, self.start.now, number, &self.settings.site) {
+        if let Some(line) = self.nodes.line(now, self.born(), number, &self.settings.site) {
             self.events.push(Event::Listed(Listing::Changes(vec![line])));
         }
+        self.recall(number);
     }
 
     pub(crate) fn link_up(
@@ -114,6 +118,7 @@
             self.disconnect(number);
             return self.tell_line(now, number);
         }
+        self.keep.link_changed(number);
         node.links += 1;
         node.link = Link::Greeted(Vec::new());
         node.can_suspend = can_suspend;
@@ -137,6 +142,7 @@
         let (wait, lost) = (self.settings.links.reattach_us, self.settings.links.lost_after_us);
         let Some((number, node)) = self.nodes.named(name) else { return };
         let was_up = !matches!(node.link, Link::Fresh | Link::Down);
+        self.keep.link_changed(number);
         let quiet = node.health() != Health::Ready || matches!(node.link, Link::Down);
         node.link = Link::Down;
         if was_up {
@@ -230,7 +236,7 @@
             Verdict::StopAgain => {
                 if let Some(attempt) = self.ledger.attempts.get(&id) {
                     let (node, attempt) = (attempt.node, attempt.wire);
-                    self.send(node, Message::Stop { attempt });
+                    self.stage_send(now, node, Message::Stop { attempt });
                 }
             }
         }
@@ -259,6 +265,7 @@
                 Phase::Held | Phase::Ending(_) | Phase::Ended(_) => Standing::Over,
             },
             None if attempt.life == self.start.life || self.retired.contains(&attempt) => Standing::Forgotten,
+            None if self.was_told(&task.job) => Standing::Forgotten,
             None => Standing::Unknown,
         };
         let adopted = match decide::late_copy(standing) {
@@ -272,7 +279,7 @@
             if attempt.life != self.start.life {
                 self.retired.insert(attempt);
             }
-            self.send(number, Message::Stop { attempt });
+            self.stage_send(now, number, Message::Stop { attempt });
         }
     }
 
@@ -287,12 +294,15 @@
         end: wire::End,
         ran: bool,
     ) {
-        self.send(number, Message::Ack { attempt });
+        self.stage_send(now, number, Message::Ack { attempt });
         let foreign = attempt.life != self.start.life && !self.retired.contains(&attempt);
-        let fresh = foreign && self.job_named(&task.job).is_none();
+        // A job of the ledger whose offer left unwritten ran all the same.
+        let job = self.job_named(&task.job);
+        let recovering = job.filter(|job| self.ledger.jobs.get(job).is_some_and(|job| job.recovering));
+        let fresh = foreign && (recovering.is_some() || job.is_none() && !self.was_told(&task.job));
         if fresh
             && ran
-            && self.adopt(now, number, attempt, task, None, &HeldState::Running)
+            && self.adopt(now, number, attempt, task, recovering, &HeldState::Running)
             && let Some(id) = self.ledger.find(self.start.life, attempt)
         {
             self.over(now, id, end, ran, Vec::new());
@@ -311,8 +321,11 @@
     ) -> bool {
         let job = match job {
             Some(job) => {
-                // What the module still tries for it would only make a second copy.
+                // What is still tried for it would only make a second copy.
                 self.withdraw(job);
+                self.recovered(job);
+                let copies = self.ledger.jobs.get(&job).map(|job| job.copies.clone()).unwrap_or_default();
+                copies.into_iter().for_each(|id| self.stop(now, id));
                 job
             }
             None => match self.job_of_former_life(now, task) {
@@ -337,13 +350,15 @@
             return false;
         };
         self.constrain.copy_comes(&topics, number);
+        let node_life = self.nodes.all.get(&number).and_then(|node| node.life);
+        let (accepted, told, wire, sent) = (true, true, attempt, now);
         let copy =
-            Attempt { job, node: number, machine, wire: attempt, sent: now, known, accepted: true, topics };
+            Attempt { job, node: number, machine, wire, sent, known, accepted, told, node_life, topics };
         self.ledger.open(self.start.life, id, copy);
         if let Some(node) = self.nodes.all.get_mut(&number) {
             node.attempts.insert(id);
         }
-        if let Some(entry) = self.ledger.jobs.get_mut(&job) {
+        if let Some(entry) = self.ledger.job_mut(job) {
             entry.tried(id, number, now);
             entry.fate(id, "adopted");
         }
@@ -367,22 +382,8 @@
         ask.life_us = (task.life_ms > 0).then(|| task.life_ms.saturating_mul(1_000));
         let limit = self.settings.limits.sessions;
         let session = self.sessions.open(&name.session, now, limit).map_err(|error| error.message)?;
-        let job = Job {
-            key: reedring::TaskKey(task.key),
-            name,
-            session,
-            ask: Arc::new(ask),
-            phase: Phase::Delayed,
-            copies: Vec::new(),
-            history: Vec::new(),
-            outcome: None,
-            again: true,
-            submitted: now,
-            placed: None,
-            started: None,
-            ended: None,
-            broken: None,
-        };
+        let new = Job::new(name, session, Arc::new(ask), reedring::TaskKey(task.key), now);
+        let job = Job { again: true, ..new };
         Ok(self.add_job(job))
     }
 
@@ -400,7 +401,7 @@
             Message::Accepted { attempt, report } => match find(self, attempt) {
                 Some(id) => self.accepted(now, id, report),
                 // Its job went on without it: what it is now comes with the answer to this stop.
-                None => self.send(number, Message::Stop { attempt }),
+                None => self.stage_send(now, number, Message::Stop { attempt }),
             },
             Message::Refused { attempt, reason, report, .. } => {
                 self.constrain.ghost_gone(attempt);
@@ -417,7 +418,7 @@
                 }
             }
             Message::Ended { attempt, end, ran, report } => {
-                self.send(number, Message::Ack { attempt });
+                self.stage_send(now, number, Message::Ack { attempt });
                 self.constrain.ghost_gone(attempt);
                 if let Some(id) = find(self, attempt) {
                     self.over(now, id, end, ran, report);
@@ -430,17 +431,24 @@
     }
 
     pub(crate) fn accepted(&mut self, now: Micros, id: AttemptId, report: Vec<f64>) {
-        let Some(attempt) = self.ledger.attempts.get_mut(&id) else { return };
+        let Some(attempt) = self.ledger.attempt_mut(id) else { return };
         attempt.accepted = true;
         if attempt.known != Known::Out {
             // It crossed the stop on the wire; the answer to the stop says what became of it.
             return;
         }
         attempt.known = Known::Accepted;
+        let told = std::mem::replace(&mut attempt.told, true);
         let (job, machine, took_us) = (attempt.job, attempt.machine, now.saturating_sub(attempt.sent));
         self.ledger.requests.remove(&id.request);
         self.constrain.answered(id.request);
-        self.events.push(Event::Placed { attempt: id, machine, took_us });
+        if told {
+            self.events.push(Event::Placed { attempt: id, machine, took_us });
+        } else if let Some(task) = self.module_task(job, id.request) {
+            // A former life offered it.
+            self.events.push(Event::Adopted { task, machine });
+        }
+        self.recovered(job);
         if !report.is_empty() {
             self.events.push(Event::Probed { machine, answered: true, took_us, report });
         }
@@ -455,7 +463,7 @@
         if let Some((node, subject)) = node.zip(subject) {
             self.constrain.stands(job, subject, node);
         }
-        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.ledger.job_mut(job) else { return };
         entry.fate(id, "accepted");
         entry.phase = Phase::Placed(id);
         if entry.outcome.is_none() {
@@ -468,12 +476,21 @@
     }
 
     pub(crate) fn runs(&mut self, now: Micros, job: JobNo, id: AttemptId) {
-        let Some(entry) = self.ledger.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.ledger.job_mut(job) else { return };
         entry.phase = Phase::Running(id);
         entry.started = Some(now);
+        self.limit_run(job);
+    }
+
+    /// A job runs for as long as its template allows.
+    pub(crate) fn limit_run(&mut self, job: JobNo) {
+        let Some((entry, started)) = self.ledger.jobs.get(&job).and_then(|job| Some((job, job.started?)))
+        else {
+            return;
+        };
         let spec = &entry.ask.spec;
         if let Some(limit) = spec.wall_hard.into_iter().chain(spec.run_hard).min() {
-            self.timers.set(now.saturating_add(limit.saturating_mul(1_000_000)), Timer::WallLimit(job));
+            self.timers.set(started.saturating_add(limit.saturating_mul(1_000_000)), Timer::WallLimit(job));
         }
     }
 
@@ -506,7 +523,7 @@
             }
             Topic::Suspended | Topic::Resumed => {
                 if let (Some(Phase::Placed(_) | Phase::Running(_) | Phase::Suspended(_)), Some(entry)) =
-                    (phase, self.ledger.jobs.get_mut(&job))
+                    (phase, self.ledger.job_mut(job))
                 {
                     let suspended = topic == Topic::Suspended;
                     entry.phase = if suspended { Phase::Suspended(id) } else { Phase::Running(id) };
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -9,6 +9,8 @@
 mod links;
 mod run;
 mod source;
+mod state;
 
 pub use run::{Options, Placer, StartError};
 pub use source::{FileSource, NodeSource, Update};
+pub use state::StateError;
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -17,6 +17,7 @@
 use crate::clients::{self, Came, Clients, Listener};
 use crate::links::Links;
 use crate::source::{NodeSource, Update};
+use crate::state::{Folder, StateError, Writer};
 
 /// Inputs taken into the core before the module decides on them.
 const BATCH: usize = 512;
@@ -56,6 +57,14 @@
         /// Why.
         error: io::Error,
     },
+    /// Its state can't be taken up.
+    #[error("placer {name}: {error}")]
+    State {
+        /// The placer.
+        name: String,
+        /// Why.
+        error: StateError,
+    },
 }
 
 /// What every task of a placer knows.
@@ -89,13 +98,22 @@
     Stall(Duration),
 }
 
+/// How a placer ends.
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    /// At once, as if it were killed.
+    Killed,
+    /// What was promised and learned is kept first.
+    Stopped,
+}
+
 /// A running placer.
 pub struct Placer {
     name: String,
     contact: String,
     life: u64,
     orders: mpsc::UnboundedSender<Order>,
-    stop: Option<oneshot::Sender<()>>,
+    stop: Option<oneshot::Sender<End>>,
     thread: Option<JoinHandle<()>>,
     recorder: Option<Arc<Recorder>>,
     socket: Option<PathBuf>,
@@ -118,7 +136,13 @@
         }
         let runtime = builder.enable_all().build().map_err(runtime_error)?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let life = unix.as_micros() as u64;
+        let mut life = unix.as_micros() as u64;
+        let folder = settings.state.as_ref().map(|state| Folder::open(&settings, state, life)).transpose();
+        let folder = folder.map_err(|error| StartError::State { name: settings.name.clone(), error })?;
+        if let Some(folder) = &folder {
+            // Nodes and clients take a greater life for the newer one, also where the clock went back.
+            life = life.max(folder.restored.image.last_life() + 1);
+        }
         let (orders, ordered) = mpsc::unbounded_channel();
         let (stop, stopped) = oneshot::channel();
         let (ready, started) = blocking::channel();
@@ -135,10 +159,7 @@
                 };
                 let _ = ready.send(Ok(contact));
                 let life = (life, unix);
-                tokio::select! {
-                    () = run(settings, options, listener, life, ordered) => {}
-                    _ = stopped => {}
-                }
+                run(settings, options, listener, life, folder, ordered, stopped).await;
             };
             runtime.block_on(begin);
             // What still runs ends here, and its sockets with it.
@@ -169,14 +190,19 @@
         let _ = self.orders.send(Order::Stall(time));
     }
 
-    /// Ends it at once; whatever it knew is lost.
+    /// Ends it at once; whatever it knew and had not kept is lost.
     pub fn kill(mut self) {
-        self.end();
+        self.end(End::Killed);
     }
 
-    fn end(&mut self) {
+    /// Ends it after it has kept what it promised and learned, where it keeps anything.
+    pub fn stop(mut self) {
+        self.end(End::Stopped);
+    }
+
+    fn end(&mut self, how: End) {
         if let Some(stop) = self.stop.take() {
-            let _ = stop.send(());
+            let _ = stop.send(how);
         }
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
@@ -192,7 +218,7 @@
 
 impl Drop for Placer {
     fn drop(&mut self) {
-        self.end();
+        self.end(End::Killed);
     }
 }
 
@@ -229,10 +255,13 @@
     options: Options,
     listener: Listener,
     (life, unix): (u64, Duration),
+    folder: Option<Folder>,
     mut orders: mpsc::UnboundedReceiver<Order>,
+    mut stopped: oneshot::Receiver<End>,
 ) {
-    let clock = Instant::now();
-    let now = || clock.elapsed().as_micros() as u64;
+    // The core's clock starts at the time of day, so that it can name moments before its start.
+    let (clock, unix_us) = (Instant::now(), unix.as_micros() as u64);
+    let now = || unix_us + clock.elapsed().as_micros() as u64;
     let shared = Arc::new(Shared {
         name: settings.name.clone(),
         life,
@@ -242,13 +271,23 @@
     shared.record(Event::PlacerStarted, "", life, options.settings_text.as_bytes());
     let seed = settings.seed.unwrap_or(life);
     let limit = settings.limits.connections;
-    let mut core = Core::new(settings, Start { now: now(), unix_us: unix.as_micros() as u64, life, seed });
-    core.time_module(monotonic_ns);
+    let start = Start { now: unix_us, unix_us, life, seed };
     let (came, mut coming) = mpsc::channel(INPUTS);
+    let (mut core, writer) = match folder {
+        None => (Core::new(settings, start), None),
+        Some(mut folder) => {
+            let core = Core::with_state(settings, start, folder.take_restored());
+            match folder.write(came.clone()) {
+                Ok(writer) => (core, Some(writer)),
+                Err(error) => return tracing::error!(%error, "no thread for the state folder"),
+            }
+        }
+    };
+    core.time_module(monotonic_ns);
     let (listed, mut lists) = mpsc::channel(4);
     tokio::spawn(clients::accept(listener, limit, Arc::clone(&shared), came.clone()));
     tokio::spawn(options.source.run(listed));
-    let mut shell = Shell { clients: Clients::default(), links: Links::default(), shared, came };
+    let mut shell = Shell { clients: Clients::default(), links: Links::default(), shared, came, writer };
     let mut batch = Vec::with_capacity(BATCH);
     loop {
         let wake = core.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
@@ -259,6 +298,19 @@
                 shell.shared.record(Event::PlacerStalled, "", time.as_micros() as u64, b"");
                 std::thread::sleep(time);
             }
+            how = &mut stopped => {
+                if how == Ok(End::Stopped) {
+                    core.farewell(now());
+                    core.flush(now());
+                    while let Some(output) = core.poll() {
+                        shell.carry_out(output);
+                    }
+                } else {
+                    shell.writer.iter().for_each(Writer::abandon);
+                }
+                // The writer ends with the shell, and must not wait to be heard.
+                return coming.close();
+            }
             () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => {}
         }
         for news in batch.drain(..) {
@@ -285,6 +337,7 @@
     links: Links,
     shared: Arc<Shared>,
     came: mpsc::Sender<Came>,
+    writer: Option<Writer>,
 }
 
 impl Shell {
@@ -311,6 +364,16 @@
             Output::Send { node, message } => {
                 self.links.send(&node, message, &self.shared, &self.came);
             }
+            Output::Keep { batch, whole } => {
+                if let Some(writer) = &self.writer {
+                    writer.keep(batch, whole);
+                }
+            }
+            Output::Learn(learned) => {
+                if let Some(writer) = &self.writer {
+                    writer.learn(learned);
+                }
+            }
             Output::Log { level: Level::Warn, line } => tracing::warn!(placer = self.shared.name, "{line}"),
             Output::Log { level: Level::Info, line } => tracing::info!(placer = self.shared.name, "{line}"),
         }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -171,6 +171,37 @@
     pub probe_us: Micros,
 }
 
+/// What happens to tasks that must not be started twice while the state folder can't be written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WhenLost {
+    /// They are taken with a warning, as long as the folder can at least say that promises are missing.
+    #[default]
+    Warn,
+    /// None is taken, and none that was taken leaves.
+    Refuse,
+}
+
+/// What is kept over restarts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct State {
+    /// The folder, relative to the settings' file.
+    pub folder: PathBuf,
+    /// What happens while it can't be written.
+    pub when_lost: WhenLost,
+    /// How often what was learned is kept.
+    pub learn_us: Micros,
+    /// How often a folder that can't be written is tried again.
+    pub retry_us: Micros,
+}
+
+impl State {
+    /// The usual, in this folder.
+    pub fn in_folder(folder: PathBuf) -> Self {
+        Self { folder, when_lost: WhenLost::Warn, learn_us: 10_000_000, retry_us: 5_000_000 }
+    }
+}
+
 /// The settings of one placer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -192,6 +223,8 @@
     pub limits: Limits,
     /// Links.
     pub links: Links,
+    /// What is kept over restarts; nothing where it is not told.
+    pub state: Option<State>,
     /// Classes, in order.
     pub classes: Vec<Class>,
     /// Kinds, in order.
@@ -216,6 +249,7 @@
     limits: LimitsTable,
     #[serde(default)]
     links: LinksTable,
+    state: Option<StateTable>,
     #[serde(default)]
     class: Vec<ClassTable>,
     #[serde(default)]
@@ -361,6 +395,30 @@
     }
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StateTable {
+    folder: PathBuf,
+    #[serde(default)]
+    when_lost: WhenLost,
+    learn_every: Option<Spanned<Time>>,
+    retry: Option<Spanned<Time>>,
+}
+
+impl StateTable {
+    fn check(self, check: &mut Checker<'_>) -> State {
+        for (key, time) in [("state.learn_every", &self.learn_every), ("state.retry", &self.retry)] {
+            if let Some(time) = time.as_ref().filter(|time| time.get_ref().0 < 100_000) {
+                check.wrong(time.span(), key, "under 100ms the disk would do nothing else; write `10s`");
+            }
+        }
+        let or = |time: Option<Spanned<Time>>, usual| time.map_or(usual, |time| time.get_ref().0);
+        let usual = State::in_folder(self.folder);
+        let (learn_us, retry_us) = (or(self.learn_every, usual.learn_us), or(self.retry, usual.retry_us));
+        State { when_lost: self.when_lost, learn_us, retry_us, ..usual }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ClassTable {
@@ -523,7 +581,9 @@
             memory: *kind.memory.get_ref(),
         };
         let (limits, links) = (read.limits, read.links);
+        let state = read.state.map(|state| state.check(&mut check));
         let settings = Self {
+            state,
             name: read.placer.name.get_ref().clone(),
             listen,
             nodes: read.placer.nodes,
--- a/crates/site/src/badday.rs
+++ b/crates/site/src/badday.rs
@@ -353,6 +353,7 @@
             recorder: Some(Arc::clone(&recorder)),
             threads: 1,
             listen: None,
+            state_dir: None,
             sabotage,
         })?;
         let mut owners = Owners::open(&site, &self.demand, seed)?;
--- a/crates/site/src/site.rs
+++ b/crates/site/src/site.rs
@@ -39,6 +39,8 @@
     pub threads: usize,
     /// Where the first placer listens; a free port on loopback unless it is told.
     pub listen: Option<String>,
+    /// Where placers' state folders are; the site's own folder, which goes with it, unless told.
+    pub state_dir: Option<PathBuf>,
     /// Guards that are taken away, to show that the audit finds what they guard against.
     pub sabotage: Sabotage,
 }
@@ -98,6 +100,7 @@
             recorder: None,
             threads: 1,
             listen: None,
+            state_dir: None,
             sabotage: Sabotage::default(),
         }
     }
@@ -154,6 +157,7 @@
     seed: u64,
     threads: usize,
     sabotage: Sabotage,
+    state_dir: PathBuf,
     dir: TempDir,
     runtime: Option<Runtime>,
 }
@@ -207,6 +211,7 @@
             seed: plan.seed,
             threads: plan.threads,
             sabotage: plan.sabotage,
+            state_dir: plan.state_dir.unwrap_or_else(|| dir.path().to_owned()),
             dir,
             runtime: Some(runtime),
         };
@@ -343,7 +348,11 @@
         let place = self.placers.get_mut(name).ok_or_else(|| SiteError::Unknown(name.to_owned()))?;
         let replaced = |text: String, (from, to): &(&str, &str)| text.replace(from, to);
         let told = self.sabotage.settings.iter().fold(place.settings.clone(), replaced);
-        let settings = Settings::parse(&told, name)?;
+        let mut settings = Settings::parse(&told, name)?;
+        if let Some(state) = &mut settings.state {
+            // Placers share the settings, not a folder.
+            state.folder = self.state_dir.join(format!("{name}.{}", state.folder.display()));
+        }
         let file = FileSource::new(list, settings.clone());
         let source: Box<dyn NodeSource> =
             if self.sabotage.blind_to_drains { Box::new(Blind(file)) } else { Box::new(file) };
@@ -357,6 +366,18 @@
         Ok(())
     }
 
+    /// Ends a placer in order: what it promised and learned is kept first.
+    pub fn stop_placer(&mut self, name: &str) {
+        if let Some(placer) = self.placers.get_mut(name).and_then(|place| place.placer.take()) {
+            placer.stop();
+        }
+    }
+
+    /// The folder of a placer's state, where its settings tell one by this name.
+    pub fn state_folder(&self, name: &str, folder: &str) -> PathBuf {
+        self.state_dir.join(format!("{name}.{folder}"))
+    }
+
     /// Kills a placer outright.
     pub fn kill_placer(&mut self, name: &str) {
         if let Some(placer) = self.placers.get_mut(name).and_then(|place| place.placer.take()) {
--- a/crates/state/src/rows.rs
+++ b/crates/state/src/rows.rs
@@ -260,7 +260,7 @@
     pub jobs: BTreeMap<JobNo, Job>,
     /// Nodes that an operator drains.
     pub drained: BTreeSet<String>,
-    /// Offers to nodes that were cold, in microseconds since 1970.
+    /// Offers to nodes that were cold, each in microseconds since 1970.
     pub cold: BTreeMap<String, Vec<u64>>,
 }
 
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -13,7 +13,7 @@
 use crate::rows::{Answer, Ask, Batch, Change, Image, Job, Link, Session};
 
 /// The version of the tables that this program writes.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
 /// Microseconds for which offers to cold nodes are kept: longer than any node is cold.
 const COLD_US: u64 = 3_600_000_000;
 /// Lives that are remembered: a client that comes back after more restarts is told that nothing is known.
@@ -28,7 +28,11 @@
 const ASK: TableDefinition<(u32, u64), &[u8]> = TableDefinition::new("asks");
 const JOB: TableDefinition<u64, &[u8]> = TableDefinition::new("jobs");
 const DRAINED: TableDefinition<&str, ()> = TableDefinition::new("drained");
-const COLD: TableDefinition<(&str, u64), ()> = TableDefinition::new("cold");
+/// How many offers went to a cold node in one batch. Format 1 had the times without the counts.
+const COLD: TableDefinition<(&str, u64), u32> = TableDefinition::new("cold counts");
+const COLD_1: TableDefinition<(&str, u64), ()> = TableDefinition::new("cold");
+/// What a time without a count counts for, and the most that is read of one: more than any node's budget.
+const MANY: u32 = 4_096;
 
 /// Why the ledger can't be read or written.
 #[derive(Debug, thiserror::Error)]
@@ -132,10 +136,28 @@
                 let (found, wanted) = (owner, placer.to_owned());
                 Err(StoreError::Foreign { file: self.file.clone(), found, wanted })
             }
-            Some(_) => Ok(()),
+            Some(FORMAT) => Ok(()),
+            Some(_) => self.migrate().map_err(|error| self.io(error)),
         }
     }
 
+    /// Brings an older format to this one, in one transaction: a crash leaves the older one whole.
+    fn migrate(&self) -> Result<(), redb::Error> {
+        let write = self.database.begin_write()?;
+        {
+            // From 1: how many offers a time stands for is not known, and no budget may be freed by that.
+            let old = write.open_table(COLD_1)?;
+            let mut cold = write.open_table(COLD)?;
+            for row in old.iter()? {
+                cold.insert(row?.0.value(), MANY)?;
+            }
+        }
+        write.delete_table(COLD_1)?;
+        write.open_table(META)?.insert("format", FORMAT.to_le_bytes().as_slice())?;
+        write.commit()?;
+        Ok(())
+    }
+
     fn told(&self) -> Result<(Option<u32>, String), redb::Error> {
         let read = self.database.begin_read()?;
         let meta = match read.open_table(META) {
@@ -191,16 +213,17 @@
             image.drained.insert(row?.0.value().to_owned());
         }
         for row in read.open_table(COLD)?.iter()? {
-            let (key, _) = row?;
+            let (key, count) = row?;
             let (node, at) = key.value();
-            image.cold.entry(node.to_owned()).or_default().push(at);
+            let times = std::iter::repeat_n(at, count.value().min(MANY) as usize);
+            image.cold.entry(node.to_owned()).or_default().extend(times);
         }
         Ok(image)
     }
 
     /// Makes batches durable, all or none. `changes` holds the last change of each row.
     pub fn commit(&mut self, at: u64, changes: &Pending) -> Result<(), StoreError> {
-        let life = changes.life.unwrap_or(self.life);
+        let life = changes.lives.last().copied().unwrap_or(self.life);
         let commit = || -> Result<(), redb::Error> {
             let write = self.database.begin_write()?;
             write_all(&write, at, life, changes)?;
@@ -233,7 +256,10 @@
 fn write_all(write: &WriteTransaction, at: u64, life: u64, changes: &Pending) -> Result<(), redb::Error> {
     let mut lives = write.open_table(LIFE)?;
     lives.insert(life, at)?;
-    if changes.life.is_some() {
+    for life in &changes.lives {
+        lives.insert(life, at)?;
+    }
+    if !changes.lives.is_empty() {
         let oldest: Vec<u64> = lives.iter()?.rev().skip(LIVES).flatten().map(|row| row.0.value()).collect();
         oldest.into_iter().try_for_each(|life| lives.remove(life).map(drop))?;
     }
@@ -273,11 +299,9 @@
         }
     }
     let mut cold = write.open_table(COLD)?;
-    for (node, times) in &changes.cold {
+    for ((node, time), count) in &changes.cold {
         cold.retain_in((node.as_str(), 0)..(node.as_str(), at.saturating_sub(COLD_US)), |_, _| false)?;
-        for at in times {
-            cold.insert((node.as_str(), *at), ())?;
-        }
+        cold.insert((node.as_str(), *time), *count)?;
     }
     Ok(())
 }
@@ -285,21 +309,21 @@
 /// The last change of each row that waits to be written.
 #[derive(Debug, Default)]
 pub(crate) struct Pending {
-    life: Option<u64>,
+    lives: Vec<u64>,
     sessions: BTreeMap<u32, Option<Session>>,
     calls: BTreeMap<(u32, u64), Answer>,
     settled: BTreeMap<u32, u64>,
     asks: BTreeMap<(u32, u64), Option<Ask>>,
     jobs: BTreeMap<u64, Option<Box<Job>>>,
     drained: BTreeMap<String, bool>,
-    cold: BTreeMap<String, Vec<u64>>,
+    cold: BTreeMap<(String, u64), u32>,
 }
 
 impl Pending {
     pub fn add(&mut self, batch: Batch) {
         for change in batch.changes {
             match change {
-                Change::Life(life) => self.life = Some(life),
+                Change::Life(life) => self.lives.push(life),
                 Change::Session(number, row) => {
                     if row.is_none() {
                         // Nothing of a session outlives it.
@@ -317,7 +341,7 @@
                 Change::Ask(session, call, row) => drop(self.asks.insert((session, call), row)),
                 Change::Job(number, row) => drop(self.jobs.insert(number, row)),
                 Change::Drained(node, drains) => drop(self.drained.insert(node, drains)),
-                Change::Cold(node) => self.cold.entry(node).or_default().push(batch.at),
+                Change::Cold(node) => *self.cold.entry((node, batch.at)).or_default() += 1,
             }
         }
     }
