Kill a placer process over and over; reedring state show, check, export, import

reedring kills takes the real program with SIGKILL at drawn moments under load, checks its files between lives, and judges outcomes at the clients and unsafe starts at the nodes' sockets. It found an end told twice: a successor that had not kept which calls were settled adopted a task that was told. Mended; the simulated client settles its calls now, too.

--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -361,6 +361,8 @@
     report: Report,
     placers: BTreeMap<String, Placer>,
     lives: BTreeMap<u64, String>,
+    /// Offers of unsafe tasks as nodes read them, and their jobs.
+    unsafe_read: BTreeMap<AttemptId, String>,
     attempts: BTreeMap<AttemptId, Attempt>,
     by_job: BTreeMap<String, Vec<AttemptId>>,
     by_node: BTreeMap<(String, String), BTreeSet<AttemptId>>,
@@ -946,7 +948,10 @@
     // ---- Nodes ----
 
     fn node_read(&mut self, frame: &Frame, message: Message) {
-        let Message::Offer { attempt, .. } = message else { return };
+        let Message::Offer { attempt, task, .. } = message else { return };
+        if task.repeat == Repeat::Unsafe {
+            self.unsafe_read.insert(attempt, task.job);
+        }
         if let Some(placer) = self.lives.get(&attempt.life).cloned() {
             let sent = self.attempts.get(&attempt).map(|attempt| attempt.frame);
             self.drain(frame, &placer, &frame.place.clone(), sent);
@@ -982,11 +987,15 @@
     fn node_wrote(&mut self, frame: &Frame, message: Message) {
         match message {
             Message::Accepted { attempt, .. } => {
-                let Some(task) = self.attempts.get(&attempt).filter(|a| a.repeat == Repeat::Unsafe) else {
-                    return;
+                let sent = self.attempts.get(&attempt);
+                // A placer in a process of its own may have left no trace: then the offer says what it was.
+                let job = match sent {
+                    Some(sent) => (sent.repeat == Repeat::Unsafe).then(|| sent.job.clone()),
+                    None => self.unsafe_read.get(&attempt).cloned(),
                 };
-                let (job, again) = (task.job.clone(), self.placers.get(&task.placer));
-                let may_again = again.is_some_and(|placer| placer.told.comes_again(&task.class).0);
+                let Some(job) = job else { return };
+                let placer = sent.and_then(|sent| Some((self.placers.get(&sent.placer)?, &sent.class)));
+                let may_again = placer.is_some_and(|(placer, class)| placer.told.comes_again(class).0);
                 let runs = self.ran.entry(job.clone()).or_default();
                 if runs.iter().all(|(id, _)| *id != attempt) {
                     runs.push((attempt, frame.number));
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod log;
 mod operator;
 mod run;
+mod state;
 mod submit;
 mod trial;
 
@@ -57,6 +58,10 @@
     Audit(trial::Audit),
     /// Measure the whole path on loopback.
     Bench(trial::Bench),
+    /// Kill a placer process again and again under load, and audit it.
+    Kills(trial::KillsArgs),
+    /// Look at a placer's state folder, or move it, while no placer runs on it.
+    State(state::State),
 }
 
 /// What went wrong, in words for the user.
@@ -83,6 +88,8 @@
         Command::BadDay(day) => day.run(),
         Command::Audit(audit) => audit.run(),
         Command::Bench(bench) => bench.run(),
+        Command::Kills(kills) => kills.run(),
+        Command::State(state) => state.run(),
     };
     match result {
         Ok(code) => code,
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -55,6 +55,9 @@
             Some(last) => session.run_bulk_jobs(&template, Range { first: 1, last, step: 1 })?,
             None => vec![session.run_job(&template)?],
         };
+        if let Some(warning) = session.warning() {
+            eprintln!("reedring: {warning}");
+        }
         if self.detach {
             jobs.iter().for_each(|job| println!("{job}"));
             println!("session: {}", session.contact());
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -6,6 +6,7 @@
 use clap::Args;
 use reedring_audit::{Frame, Report, audit};
 use reedring_site::badday::{DEFAULT, Script};
+use reedring_site::kills::Kills;
 use reedring_site::load::{self, Size};
 
 use crate::Failure;
@@ -24,6 +25,20 @@
     trace: Option<PathBuf>,
 }
 
+/// Kill a placer process again and again under load, and audit what nodes and clients saw.
+#[derive(Args)]
+pub struct KillsArgs {
+    /// Kills.
+    #[arg(long, default_value_t = 1_000)]
+    count: u32,
+    /// Milliseconds that a placer lives at most.
+    #[arg(long, default_value_t = 150)]
+    life: u32,
+    /// Seed of what is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
 /// Judge the five rules from a trace.
 #[derive(Args)]
 pub struct Audit {
@@ -124,3 +139,31 @@
         Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 }
+
+impl KillsArgs {
+    pub fn run(self) -> Result<ExitCode, Failure> {
+        let program = std::env::current_exe()?;
+        let kills = Kills { program, count: self.count, life_ms: self.life, seed: self.seed };
+        let found = kills.play()?;
+        println!("{} kills, {} jobs acknowledged, outcomes {:?}", found.kills, found.taken, found.outcomes);
+        let mut starts = found.start_ms.clone();
+        starts.sort_by(f64::total_cmp);
+        println!(
+            "from start to contact: median {:.1} ms, at most {:.1} ms",
+            starts[starts.len() / 2],
+            starts[starts.len() - 1]
+        );
+        println!("ends told twice: {}", found.told_again);
+        found.untold.iter().for_each(|job| println!("no outcome: {job}"));
+        found.damaged.iter().for_each(|what| println!("damaged: {what}"));
+        found
+            .breaches
+            .iter()
+            .for_each(|breach| println!("broken rule {}: {}", breach.rule as u8, breach.text));
+        if found.is_clean() {
+            println!("kills: clean");
+            return Ok(ExitCode::SUCCESS);
+        }
+        Ok(ExitCode::FAILURE)
+    }
+}
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -123,3 +123,44 @@
         text(&audited.stdout)
     );
 }
+
+/// The full run is `reedring kills`; a placer's files, and its owners' outcomes, outlive every SIGKILL.
+#[test]
+fn a_placer_process_that_is_killed_over_and_over_loses_and_doubles_nothing() {
+    let kills = reedring(&["kills", "--count", "25", "--life", "120"]);
+    assert!(kills.status.success(), "{}{}", text(&kills.stdout), text(&kills.stderr));
+}
+
+#[test]
+fn a_state_folder_is_shown_checked_and_moved_and_its_jobs_go_on() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = |name: &str| dir.path().join(name).display().to_string();
+    let local = running(&["local", "--nodes", "2", "--state-dir", &path("one")]);
+    let submitted = reedring(&["submit", "--contact", &local.1, "--detach", "sleep", "60"]);
+    let job = text(&submitted.stdout).lines().next().unwrap().to_owned();
+    assert!(reedring(&["drain", "--contact", &local.1, "node-2"]).status.success());
+    let folder = format!("{}/placer-1.state", path("one"));
+    let busy = reedring(&["state", "show", &folder]);
+    assert!(text(&busy.stderr).contains("another placer keeps its state there"), "{}", text(&busy.stderr));
+    drop(local);
+    let shown = text(&reedring(&["state", "show", &folder]).stdout);
+    assert!(shown.contains("placer placer-1") && shown.contains("jobs: 1"), "{shown}");
+    assert!(shown.contains("drained by an operator: node-2"), "{shown}");
+    assert!(reedring(&["state", "check", &folder]).status.success());
+    let export = reedring(&["state", "export", &folder]);
+    std::fs::write(path("export.json"), &export.stdout).unwrap();
+    let moved = format!("{}/placer-1.state", path("two"));
+    let import = reedring(&["state", "import", &moved, &path("export.json")]);
+    assert!(import.status.success(), "{}", text(&import.stderr));
+    assert_eq!(reedring(&["state", "export", &moved]).stdout, export.stdout, "it is the same state");
+    let again = reedring(&["state", "import", &moved, &path("export.json")]);
+    assert!(text(&again.stderr).contains("there is a ledger in it already"), "{}", text(&again.stderr));
+    let none = reedring(&["state", "check", &path("nothing")]);
+    assert!(text(&none.stderr).contains("there is no such folder"), "{}", text(&none.stderr));
+    // The moved state answers for the job: its nodes are other ones by now, so it is lost and placed again.
+    let local = running(&["local", "--nodes", "2", "--state-dir", &path("two")]);
+    let found = text(&reedring(&["job", "--contact", &local.1, &job]).stdout);
+    assert!(found.contains(&job), "{found}");
+    let nodes = text(&reedring(&["nodes", "--contact", &local.1]).stdout);
+    assert!(nodes.contains("ready, by hand"), "{nodes}");
+}
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -37,6 +37,7 @@
     idle: Mutex<Vec<Connection>>,
     calls: Mutex<Calls>,
     told: Mutex<Told>,
+    warning: Mutex<Option<String>>,
 }
 
 /// Ends remembered of a session, to pass them by when they are told once more.
@@ -48,12 +49,14 @@
 struct Told {
     jobs: BTreeSet<String>,
     order: VecDeque<String>,
+    again: u64,
 }
 
 impl Told {
     /// Whether this is the first time.
     fn first(&mut self, job: &str) -> bool {
         if !self.jobs.insert(job.to_owned()) {
+            self.again += 1;
             return false;
         }
         self.order.push_back(job.to_owned());
@@ -99,7 +102,8 @@
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let calls = Calls { next: now.as_micros() as u64, under_way: BTreeSet::new() };
         let (idle, calls, told) = (Mutex::default(), Mutex::new(calls), Mutex::default());
-        let session = Self { contact, name, patience, idle, calls, told };
+        let warning = Mutex::default();
+        let session = Self { contact, name, patience, idle, calls, told, warning };
         let connection = session.connect().map_err(|error| unreachable(&session.contact, &error))??;
         lock(&session.idle).push(connection);
         Ok(session)
@@ -198,11 +202,24 @@
     pub fn run_job(&self, template: &JobTemplate) -> Result<String> {
         let job = Box::new(template.spec(&Zoned::now())?);
         match self.call(Some(Duration::ZERO), |key, _| Call::RunJob { key, job: job.clone() })? {
-            Answer::Submitted(mut submitted) if submitted.jobs.len() == 1 => Ok(submitted.jobs.remove(0)),
+            Answer::Submitted(mut submitted) if submitted.jobs.len() == 1 => {
+                *lock(&self.warning) = submitted.warning;
+                Ok(submitted.jobs.remove(0))
+            }
             other => Err(unexpected(&other)),
         }
     }
 
+    /// How many ends were told a second time, and passed by: none by a placer that keeps its state.
+    pub fn told_again(&self) -> u64 {
+        lock(&self.told).again
+    }
+
+    /// What the placer said with the last submission that its submitter should know, if it did.
+    pub fn warning(&self) -> Option<String> {
+        lock(&self.warning).clone()
+    }
+
     /// Submits a job for each index of the range and returns their ids in order.
     ///
     /// # Errors
@@ -210,7 +227,10 @@
     pub fn run_bulk_jobs(&self, template: &JobTemplate, range: Range) -> Result<Vec<String>> {
         let job = Box::new(template.spec(&Zoned::now())?);
         match self.call(Some(Duration::ZERO), |key, _| Call::RunBulkJobs { key, job: job.clone(), range })? {
-            Answer::Submitted(submitted) => Ok(submitted.jobs),
+            Answer::Submitted(submitted) => {
+                *lock(&self.warning) = submitted.warning;
+                Ok(submitted.jobs)
+            }
             other => Err(unexpected(&other)),
         }
     }
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -52,7 +52,7 @@
         match session.recorded(key.call) {
             Err(error) => return Some(Err(error)),
             Ok(Some(Record::Answer(result))) => return Some(result.clone()),
-            Ok(Some(Record::Submission(range))) => return Some(Ok(submitted(&key, *range))),
+            Ok(Some(Record::Submission(range))) => return Some(Ok(submitted(&key, *range, self.not_kept()))),
             Ok(None) => {}
         }
         let result = match call {
@@ -224,7 +224,12 @@
         if let Some(session) = self.sessions.get_mut(session) {
             session.record(key.call, Record::Submission(range));
         }
-        Some(Ok(submitted(&key, range)))
+        Some(Ok(submitted(&key, range, self.not_kept())))
+    }
+
+    /// What a submitter is told while nothing is durable.
+    fn not_kept(&self) -> Option<String> {
+        self.keep.lost().map(|why| format!("the jobs would not outlive a restart of the placer: {why}"))
     }
 
     /// A new job waits for its user, for its time, or for the module.
@@ -576,8 +581,8 @@
 }
 
 /// The answer of a submission: the jobs' names follow from the call and the indices.
-fn submitted(key: &CallKey, range: Range) -> Answer {
+fn submitted(key: &CallKey, range: Range, warning: Option<String>) -> Answer {
     let name = |index| JobName { session: key.session.as_str().into(), call: key.call, index }.to_string();
     let jobs = range.indices(u64::MAX).map(|indices| indices.map(name).collect()).unwrap_or_default();
-    Answer::Submitted(Submitted { jobs })
+    Answer::Submitted(Submitted { jobs, warning })
 }
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use reedring::{AttemptId, Ended, Event, Micros, Outcome as Fate, Reason, RequestId, Task};
-use reedring_nodeproto::Message;
+use reedring_nodeproto::{self as wire, Message};
 
 use crate::core::{Core, SWEEPS, opened_event};
 use crate::decide::{self, Loss};
@@ -161,8 +161,11 @@
         session.jobs.get(&(name.call, name.index)).copied()
     }
 
-    /// A call of a former life made this job, and its owner was told how it ended.
-    pub(crate) fn was_told(&self, name: &str) -> bool {
+    /// A former life made this attempt, its job was in the ledger, and its owner was told how it ended.
+    pub(crate) fn was_told(&self, attempt: wire::AttemptId, name: &str) -> bool {
+        if !self.covered.contains(&attempt.life) {
+            return false;
+        }
         let told = JobName::parse(name).and_then(|name| {
             let session = self.sessions.get(self.sessions.find(&name.session).ok()?)?;
             Some(session.knows(name.call) && !session.jobs.contains_key(&(name.call, name.index)))
--- a/crates/core/src/sessions.rs
+++ b/crates/core/src/sessions.rs
@@ -116,7 +116,8 @@
     pub fn settle(&mut self, settled: u64) {
         if settled > self.settled {
             self.settled = settled;
-            self.changes.push(Change::Settled(self.number, settled));
+            // A successor must know of the calls that it finds no answer of.
+            self.changes.extend([Change::Settled(self.number, settled), self.row()]);
             self.records = self.records.split_off(&settled);
         }
     }
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -265,7 +265,7 @@
                 Phase::Held | Phase::Ending(_) | Phase::Ended(_) => Standing::Over,
             },
             None if attempt.life == self.start.life || self.retired.contains(&attempt) => Standing::Forgotten,
-            None if self.was_told(&task.job) => Standing::Forgotten,
+            None if self.was_told(attempt, &task.job) => Standing::Forgotten,
             None => Standing::Unknown,
         };
         let adopted = match decide::late_copy(standing) {
@@ -299,7 +299,7 @@
         // A job of the ledger whose offer left unwritten ran all the same.
         let job = self.job_named(&task.job);
         let recovering = job.filter(|job| self.ledger.jobs.get(job).is_some_and(|job| job.recovering));
-        let fresh = foreign && (recovering.is_some() || job.is_none() && !self.was_told(&task.job));
+        let fresh = foreign && (recovering.is_some() || job.is_none() && !self.was_told(attempt, &task.job));
         if fresh
             && ran
             && self.adopt(now, number, attempt, task, recovering, &HeldState::Running)
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -425,7 +425,9 @@
         self.last_call += 1;
         let number = self.last_call;
         self.sent_to.insert(number, self.life);
-        let key = CallKey { session: self.session.clone(), call: number, settled: 0, sent_to: self.life };
+        // As the client library has it: what is answered can be forgotten.
+        let settled = self.open.keys().next().copied().unwrap_or(number);
+        let key = CallKey { session: self.session.clone(), call: number, settled, sent_to: self.life };
         let call = make(key);
         self.open.insert(number, call.clone());
         self.input(Input::Call { conn: 1, id: number, call });
--- a/crates/drmaa/src/rpc.rs
+++ b/crates/drmaa/src/rpc.rs
@@ -339,6 +339,9 @@
 pub struct Submitted {
     /// The jobs, in the order of their indices.
     pub jobs: Vec<String>,
+    /// What the submitter should know, such as that its jobs would not outlive the placer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warning: Option<String>,
 }
 
 /// A page of jobs.
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -2,10 +2,11 @@
 //! measurement does to them.
 //!
 //! [`Site`] starts and ends placers and nodes and keeps the node list; [`badday`] plays a script against
-//! one; [`load`] submits jobs to one and measures.
+//! one; [`kills`] kills a placer process over and over; [`load`] submits jobs to one and measures.
 #![forbid(unsafe_code)]
 
 pub mod badday;
+pub mod kills;
 pub mod load;
 mod owners;
 mod site;
--- a/crates/state/src/keeper.rs
+++ b/crates/state/src/keeper.rs
@@ -3,10 +3,12 @@
 use std::io;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::folder::Folder;
 use crate::learned::{Learned, LearnedError};
 use crate::rows::{Batch, Image};
-use crate::store::{Pending, Store, StoreError};
+use crate::store::{FORMAT, Pending, Store, StoreError};
 
 const LEDGER: &str = "ledger";
 const LEDGER_NEW: &str = "ledger.new";
@@ -41,6 +43,69 @@
     pub passed_by: Vec<LearnedError>,
 }
 
+/// All that a folder holds, for those who only look at it or move it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Export {
+    /// The format of the rows.
+    pub format: u32,
+    /// Whose state it is.
+    pub placer: String,
+    /// What was promised.
+    pub ledger: Image,
+    /// What was learned, if a whole file has it.
+    pub learned: Option<Learned>,
+}
+
+impl Export {
+    /// Reads a folder, whosever it is. Only what a crash left to be repaired is written.
+    ///
+    /// # Errors
+    /// See [`StoreError`]; a folder without a ledger is one too.
+    pub fn read<F: Folder>(folder: F) -> Result<(Self, Vec<LearnedError>), StoreError> {
+        let io = |error: io::Error| StoreError::Io { file: folder.shown(), what: error.to_string() };
+        if folder.len(LEDGER).map_err(io)?.is_none() {
+            let what = "there is no ledger in it".to_owned();
+            return Err(StoreError::Io { file: folder.shown(), what });
+        }
+        let data = folder.database(LEDGER).map_err(io)?;
+        let (store, mut ledger) = Store::open(data, &shown(&folder, LEDGER), None)?;
+        let placer = store.placer.clone();
+        store.close()?;
+        ledger.holes = folder.read(MARK).map_err(io)?.as_deref() != Some(WHOLE.as_slice());
+        let (learned, passed_by) = read_learned(&folder, &placer);
+        Ok((Self { format: FORMAT, placer, ledger, learned }, passed_by))
+    }
+
+    /// Writes a folder that has no ledger yet.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub fn write<F: Folder>(&self, folder: F) -> Result<(), StoreError> {
+        let shown = folder.shown();
+        let io = |what: String| StoreError::Io { file: shown.clone(), what };
+        if self.format != FORMAT {
+            return Err(io(format!("the export has format {}, this program reads {FORMAT}", self.format)));
+        }
+        if folder.len(LEDGER).map_err(|error| io(error.to_string()))?.is_some() {
+            return Err(io("there is a ledger in it already; name an empty folder".to_owned()));
+        }
+        if let Some(wrong) = self.ledger.check().first() {
+            return Err(io(format!("the export can't be a placer's: {wrong}")));
+        }
+        let mut keeper = Keeper::open(folder, &self.placer)?.keeper;
+        keeper.write(self.ledger.batches()).map_err(|lost| io(lost.why))?;
+        if self.ledger.holes {
+            keeper.mark(HOLES).map_err(|error| io(error.to_string()))?;
+        }
+        if let Some(learned) = &self.learned {
+            keeper.learn(learned).map_err(|error| io(error.to_string()))?;
+        }
+        keeper.close();
+        Ok(())
+    }
+}
+
 /// The files of one placer's state.
 #[derive(Debug)]
 pub struct Keeper<F: Folder> {
@@ -77,7 +142,7 @@
         }
         let marked = folder.read(MARK).map_err(io)?.as_deref() != Some(WHOLE.as_slice());
         let data = folder.database(LEDGER).map_err(io)?;
-        let (store, mut image) = Store::open(data, &shown(&*folder, LEDGER), placer)?;
+        let (store, mut image) = Store::open(data, &shown(&*folder, LEDGER), Some(placer))?;
         image.holes = marked;
         let (learned, passed_by) = read_learned(&*folder, placer);
         let (store, fresh, pending, why) = (Some(store), None, Pending::default(), String::new());
@@ -155,7 +220,7 @@
             self.folder.rename(LEDGER_NEW, LEDGER).map_err(io)?;
             self.folder.sync_names().map_err(io)?;
             let data = self.folder.database(LEDGER).map_err(io)?;
-            Ok(Store::open(data, &shown(&*self.folder, LEDGER), &self.placer)?.0)
+            Ok(Store::open(data, &shown(&*self.folder, LEDGER), Some(&self.placer))?.0)
         };
         match replace() {
             Ok(store) => {
@@ -218,7 +283,7 @@
     let io = |error: io::Error| StoreError::Io { file: shown(folder, LEDGER_NEW), what: error.to_string() };
     folder.remove(LEDGER_NEW).map_err(io)?;
     let data = folder.database(LEDGER_NEW).map_err(io)?;
-    Ok(Store::open(data, &shown(folder, LEDGER_NEW), placer)?.0)
+    Ok(Store::open(data, &shown(folder, LEDGER_NEW), Some(placer))?.0)
 }
 
 /// The newest of the files that is whole.
--- a/crates/state/src/learned.rs
+++ b/crates/state/src/learned.rs
@@ -215,7 +215,10 @@
     pub fn of(at: u64, beliefs: Beliefs, named: impl Fn(MachineId) -> Option<(String, Option<u64>)>) -> Self {
         let known = |belief: Belief| {
             let (node, life) = named(belief.machine)?;
-            Some(Known { node, life, belief })
+            // JSON has no infinity, and no task asks for more than this.
+            let finite =
+                |(ago, cores, memory): (Micros, f64, f64)| (ago, cores.min(f64::MAX), memory.min(f64::MAX));
+            Some(Known { node, life, belief: Belief { refused: belief.refused.map(finite), ..belief } })
         };
         Self {
             at,
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use crate::folder::{Disk, Folder, LockError};
 pub use crate::gate::Gate;
-pub use crate::keeper::{Keeper, Lost, Opened};
+pub use crate::keeper::{Export, Keeper, Lost, Opened};
 pub use crate::learned::{HalfLives, Known, Learned, LearnedError};
 pub use crate::rows::{
     Answer, Ask, Attempt, Batch, Change, Ending, Image, Job, JobNo, Link, Outcome, Phase, Session, SessionNo,
--- a/crates/state/src/rows.rs
+++ b/crates/state/src/rows.rs
@@ -281,6 +281,28 @@
         self.lives.iter().any(|link| link.life == life) && !(self.holes && life == last)
     }
 
+    /// The batches that make these rows in an empty ledger. Lives all end when the last one did.
+    pub fn batches(&self) -> Vec<Batch> {
+        let mut changes: Vec<Change> = self.lives.iter().map(|link| Change::Life(link.life)).collect();
+        changes.extend(self.sessions.iter().map(|(number, row)| Change::Session(*number, Some(row.clone()))));
+        for (session, calls) in &self.calls {
+            changes.extend(calls.iter().map(|(call, row)| Change::Call(*session, *call, row.clone())));
+        }
+        for (session, asks) in &self.asks {
+            changes.extend(asks.iter().map(|(call, row)| Change::Ask(*session, *call, Some(row.clone()))));
+        }
+        let job = |(number, row): (&JobNo, &Job)| Change::Job(*number, Some(Box::new(row.clone())));
+        changes.extend(self.jobs.iter().map(job));
+        changes.extend(self.drained.iter().map(|node| Change::Drained(node.clone(), true)));
+        let mut batches = vec![Batch { seq: 1, at: self.last_at(), changes }];
+        // An offer's time is that of its batch.
+        let cold = self.cold.iter().flat_map(|(node, times)| times.iter().map(move |at| (node, at)));
+        let cold =
+            cold.map(|(node, at)| Batch { seq: 1, at: *at, changes: vec![Change::Cold(node.clone())] });
+        batches.extend(cold);
+        batches
+    }
+
     /// What is wrong with the rows taken together, in words; nothing in an image that a placer kept.
     pub fn check(&self) -> Vec<String> {
         let mut wrong = Vec::new();
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -82,6 +82,8 @@
     database: Database,
     file: String,
     life: u64,
+    /// Whose it is.
+    pub placer: String,
 }
 
 fn encode<T: Serialize>(row: &T) -> Vec<u8> {
@@ -91,7 +93,12 @@
 
 impl Store {
     /// Opens a ledger, or makes an empty one in an empty file. All pages are checked against their sums.
-    pub fn open<B: StorageBackend>(data: B, file: &str, placer: &str) -> Result<(Self, Image), StoreError> {
+    /// `placer` is whose it must be; any placer's is opened where none is named.
+    pub fn open<B: StorageBackend>(
+        data: B,
+        file: &str,
+        placer: Option<&str>,
+    ) -> Result<(Self, Image), StoreError> {
         let io = |what: String| StoreError::Io { file: file.to_owned(), what };
         let damaged = |what: String| StoreError::Damaged { file: file.to_owned(), what };
         let mut builder = Builder::new();
@@ -106,16 +113,17 @@
             },
             error => damaged(error.to_string()),
         })?;
-        let mut store = Self { database, file: file.to_owned(), life: 0 };
-        store.identify(placer)?;
+        let mut store = Self { database, file: file.to_owned(), life: 0, placer: String::new() };
+        store.placer = store.identify(placer)?;
         let image = store.load().map_err(|error| damaged(error.to_string()))?;
         store.life = image.last_life();
         Ok((store, image))
     }
 
     /// Checks whose ledger it is and of which format; an empty one becomes this placer's.
-    fn identify(&self, placer: &str) -> Result<(), StoreError> {
+    fn identify(&self, placer: Option<&str>) -> Result<String, StoreError> {
         let (format, owner) = self.told().map_err(|error| self.damaged(error))?;
+        let placer = placer.unwrap_or(&owner);
         match format {
             None => {
                 let init = || -> Result<(), redb::Error> {
@@ -129,16 +137,19 @@
                     write.commit()?;
                     Ok(())
                 };
-                init().map_err(|error| self.io(error))
+                init().map_err(|error| self.io(error))?;
+            }
+            Some(found) if found > FORMAT => {
+                return Err(StoreError::Newer { file: self.file.clone(), found });
             }
-            Some(found) if found > FORMAT => Err(StoreError::Newer { file: self.file.clone(), found }),
             Some(_) if owner != placer => {
-                let (found, wanted) = (owner, placer.to_owned());
-                Err(StoreError::Foreign { file: self.file.clone(), found, wanted })
+                let (found, wanted) = (owner.clone(), placer.to_owned());
+                return Err(StoreError::Foreign { file: self.file.clone(), found, wanted });
             }
-            Some(FORMAT) => Ok(()),
-            Some(_) => self.migrate().map_err(|error| self.io(error)),
+            Some(FORMAT) => {}
+            Some(_) => self.migrate().map_err(|error| self.io(error))?,
         }
+        Ok(placer.to_owned())
     }
 
     /// Brings an older format to this one, in one transaction: a crash leaves the older one whole.
@@ -346,3 +357,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::folder::Folder;
+    use crate::sim::SimFolder;
+
+    #[test]
+    fn a_newer_ledger_is_refused_and_stays_as_it_is() {
+        let folder = SimFolder::default();
+        let (store, _) = Store::open(folder.database("l").unwrap(), "l", Some("p")).unwrap();
+        let write = store.database.begin_write().unwrap();
+        let newer = (FORMAT + 1).to_le_bytes();
+        write.open_table(META).unwrap().insert("format", newer.as_slice()).unwrap();
+        write.commit().unwrap();
+        store.close().unwrap();
+        for _ in 0..2 {
+            let error = Store::open(folder.database("l").unwrap(), "l", Some("p")).unwrap_err();
+            assert!(matches!(error, StoreError::Newer { found, .. } if found == FORMAT + 1), "{error}");
+        }
+    }
+}
