Hard cases of a restart, and disks that fail under a running placer

Simulated by name: a slow disk, an offer no node can vouch for, a deadline that passed, a task the ledger closed, a kill while recovering, a drain by hand, a full disk under both settings, an end that could not be kept.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -228,7 +228,7 @@
     }
 
     /// What a submitter is told while nothing is durable.
-    fn not_kept(&self) -> Option<String> {
+    pub(crate) fn not_kept(&self) -> Option<String> {
         self.keep.lost().map(|why| format!("the jobs would not outlive a restart of the placer: {why}"))
     }
 
--- a/crates/core/src/keep.rs
+++ b/crates/core/src/keep.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 
 use reedring::{AttemptId, Beliefs, Effect, Micros, Outcome as Fate};
+use reedring_drmaa::rpc::Answer;
 use reedring_nodeproto::{self as wire, Message};
 use reedring_settings::{Health, WhenLost};
 use reedring_state::{self as state, Batch, Change, Gate, Image, Known as NodeKnown, Learned};
@@ -414,7 +415,12 @@
             self.log(Level::Warn, format!("state: {why}; nothing is kept over a restart until it is mended"));
         }
         self.keep.mode = new;
-        for (to, (_, output)) in self.keep.gate.take_all(|_| true) {
+        for (to, (_, mut output)) in self.keep.gate.take_all(|_| true) {
+            if let Output::Reply { response, .. } = &mut output
+                && let Some(Answer::Submitted(submitted)) = &mut response.result
+            {
+                submitted.warning = self.not_kept();
+            }
             let unsafe_offer = match &output {
                 Output::Send { message: Message::Offer { task, .. }, .. } => {
                     task.repeat != wire::Repeat::Safe
--- a/crates/core/tests/restart.rs
+++ b/crates/core/tests/restart.rs
@@ -5,9 +5,11 @@
 
 use proptest::prelude::*;
 use rand_core::Rng;
+use reedring_drmaa::JobInfo;
+use reedring_drmaa::rpc::Call;
 use reedring_nodeproto::Repeat;
 use reedring_settings::Health;
-use world::{MS, World};
+use world::{MS, SECOND, World};
 
 /// What must hold whatever happened: every job that was taken has exactly one outcome, nothing stands that
 /// nobody waits for, and what must not start twice did not.
@@ -19,15 +21,30 @@
     for (job, infos) in &world.told {
         assert_eq!(infos.len(), 1, "{job}: {infos:?}");
     }
+    one_start(world);
+    assert_eq!(world.standing().len(), 0, "{:?}", world.standing());
+}
+
+/// Rule 2, and what a refusal promises.
+fn one_start(world: &World) {
     for (job, copies) in &world.copies {
         if copies.repeat == Some(Repeat::Unsafe) {
             assert!(copies.ran.len() <= 1, "{job} ran as {:?}", copies.ran);
-            let refused = |info: &reedring_drmaa::JobInfo| info.usage("reedring.outcome") == Some("refused");
-            let told = world.told.get(job).is_some_and(|infos| refused(&infos[0]));
+            let told = world.told.get(job).is_some_and(|infos| outcome(&infos[0]) == "refused");
             assert!(!told || copies.ran.is_empty(), "{job} was refused and ran");
         }
     }
-    assert_eq!(world.standing().len(), 0, "{:?}", world.standing());
+}
+
+fn outcome(info: &JobInfo) -> &str {
+    info.usage("reedring.outcome").unwrap()
+}
+
+/// The outcome and the reason of a world's only job.
+fn only(world: &World) -> (String, String) {
+    let infos: Vec<&JobInfo> = world.told.values().flatten().collect();
+    assert_eq!(infos.len(), 1, "{infos:?}");
+    (outcome(infos[0]).to_owned(), infos[0].usage("reedring.reason").unwrap_or_default().to_owned())
 }
 
 /// Jobs of three classes while nodes, links, disk and placer fail.
@@ -83,6 +100,22 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    /// A disk that fails and a placer that is killed meanwhile: what was told without a warning still has an
+    /// outcome, and nothing unsafe starts twice.
+    #[test]
+    fn a_failing_disk_loses_only_what_was_warned_of(seed in any::<u64>()) {
+        let world = day(seed, 30, true);
+        one_start(&world);
+        prop_assert_eq!(&world.late_offers, &Vec::<String>::new());
+        let without = |job: &&String| !world.told.contains_key(*job) && !world.warned.contains(*job);
+        let untold: Vec<&String> = world.taken.iter().filter(without).collect();
+        prop_assert!(untold.is_empty(), "no outcome for {:?}", untold);
+    }
+}
+
 #[test]
 fn equal_seeds_give_equal_runs() {
     let (one, two) = (day(5, 30, true), day(5, 30, true));
@@ -104,6 +137,179 @@
     world.wait_for(1_000);
     judge(&world);
     assert_eq!(world.told.len(), 120);
-    let outcomes = world.told.values().filter(|infos| infos[0].usage("reedring.outcome") == Some("placed"));
+    let outcomes = world.told.values().filter(|infos| outcome(&infos[0]) == "placed");
     assert_eq!(outcomes.count(), 120);
 }
+
+/// Rule 2 rests on it: no offer of an unsafe task leaves before the disk has it, however slow that is.
+#[test]
+fn nothing_that_must_be_known_leaves_before_it_is_durable() {
+    let mut world = World::keeping(2, 1);
+    world.run_for(50 * MS);
+    world.freeze_disk(true);
+    world.submit("unsafe", 2, 100);
+    world.submit("safe", 2, 100);
+    world.run_for(200 * MS);
+    assert_eq!((world.offers_to_others("").len(), world.taken.len()), (0, 0));
+    // Rule 3: what waits for the disk does not leave for a node that drains meanwhile.
+    world.list(0, Health::Draining);
+    world.run_for(200 * MS);
+    world.freeze_disk(false);
+    world.wait_for(300);
+    judge(&world);
+    assert!(world.offers_to_others("").iter().all(|n| *n == 1));
+    assert_eq!(world.told.len(), 4);
+}
+
+/// The ledger says offered, the node never heard of it, and was itself started anew meanwhile.
+#[test]
+fn an_offer_that_no_node_can_vouch_for_is_failed_where_it_must_not_start_twice() {
+    for (class, want) in [("unsafe", "failed"), ("keyed", "failed"), ("safe", "placed")] {
+        let mut world = World::keeping(1, 1);
+        world.run_for(50 * MS);
+        world.submit(class, 1, 100);
+        while world.offers_to_others("").is_empty() {
+            world.run_for(100);
+        }
+        // The offer is on its way when node and placer die.
+        world.kill_node(0);
+        world.restart_placer();
+        world.start_node(0);
+        world.wait_for(400);
+        judge(&world);
+        assert_eq!(only(&world).0, want, "{class}: {:?}", only(&world));
+    }
+}
+
+/// The same, but the node lived on: it did not get the offer, so it never ran, and is offered again.
+#[test]
+fn an_offer_that_never_reached_a_node_that_lived_on_is_made_again() {
+    let mut world = World::keeping(1, 1);
+    world.run_for(50 * MS);
+    world.submit("unsafe", 1, 100);
+    while world.offers_to_others("").is_empty() {
+        world.run_for(100);
+    }
+    world.cut(0);
+    world.restart_placer();
+    world.wait_for(400);
+    judge(&world);
+    assert_eq!(only(&world).0, "placed");
+    assert_eq!(world.offers_to_others("").len(), 2);
+}
+
+#[test]
+fn a_deadline_that_passed_while_the_placer_was_down_is_answered() {
+    for class in ["safe", "keyed", "unsafe"] {
+        let mut world = World::keeping(1, 1);
+        world.run_for(50 * MS);
+        world.list(0, Health::Draining);
+        world.submit(class, 1, 100);
+        world.run_for(100 * MS);
+        world.restart_placer_after(10 * SECOND);
+        world.wait_for(200);
+        judge(&world);
+        let (outcome, reason) = only(&world);
+        assert!(outcome == "refused" && reason.contains("its time was over"), "{class}: {outcome} {reason}");
+    }
+}
+
+/// A node that was out of reach comes back with a task whose owner was told that it failed.
+#[test]
+fn a_node_that_comes_back_with_a_task_that_the_ledger_closed_is_asked_to_stop_it() {
+    let mut world = World::keeping(1, 1);
+    world.run_for(50 * MS);
+    world.submit("unsafe", 1, 60_000);
+    world.wait_for(10);
+    assert!(world.holds(0));
+    world.part(0, true);
+    // Longer than an unreachable node's tasks are waited for.
+    world.wait_for(500);
+    assert!(only(&world).1.contains("it may run still"), "{:?}", only(&world));
+    world.restart_placer();
+    world.part(0, false);
+    world.wait_for(200);
+    judge(&world);
+}
+
+#[test]
+fn a_placer_killed_while_it_recovers_begins_again() {
+    let mut world = World::keeping(3, 4);
+    world.run_for(50 * MS);
+    for class in ["safe", "keyed", "unsafe"] {
+        world.submit(class, 5, 200);
+    }
+    world.run_for(4 * MS);
+    for _ in 0..40 {
+        world.cut_power();
+        world.run_for(700);
+    }
+    world.wait_for(500);
+    judge(&world);
+    assert!(world.told.len() == world.taken.len() && world.told.len() >= 10, "{}", world.told.len());
+}
+
+#[test]
+fn a_drain_by_hand_outlives_a_restart() {
+    let mut world = World::keeping(2, 1);
+    world.run_for(50 * MS);
+    world.call(|_| Call::Drain { node: "node-0".to_owned(), drain: true });
+    world.run_for(50 * MS);
+    world.restart_placer();
+    world.submit("safe", 8, 50);
+    world.wait_for(300);
+    judge(&world);
+    assert!(world.offers_to_others("").iter().all(|n| *n == 1));
+    assert_eq!(world.logged("still drained by an operator"), 1);
+}
+
+/// As configured, tasks that must not start twice are taken with a warning or not at all.
+#[test]
+fn a_disk_without_room_is_told_in_answers_and_obeyed_as_configured() {
+    for (more, taken) in [("", true), ("when_lost = \"refuse\"", false)] {
+        let mut world = World::keeping_as(2, 1, more);
+        world.run_for(50 * MS);
+        world.disk().fail_sync();
+        world.submit("safe", 1, 50);
+        world.run_for(20 * MS);
+        world.disk().full(true);
+        let call = world.submit("unsafe", 1, 50);
+        world.run_for(20 * MS);
+        assert_eq!(world.logged("nothing is kept over a restart until it is mended"), 1);
+        let job = format!("s.{call}.1");
+        assert_eq!(world.taken.contains(&job), taken);
+        assert_eq!(world.warned.contains(&job), taken);
+        let denied = world.errors.iter().filter(|error| error.contains("must not start twice")).count();
+        assert_eq!(denied, usize::from(!taken), "{:?}", world.errors);
+        world.errors.clear();
+        world.disk().full(false);
+        world.wait_for(100);
+        assert_eq!(world.logged("everything is kept anew"), 1);
+        // What was taken meanwhile is kept now, too.
+        world.submit("unsafe", 3, 300);
+        world.run_for(100 * MS);
+        world.cut_power();
+        world.wait_for(300);
+        judge(&world);
+    }
+}
+
+/// A task that ran to its end while nothing could be kept: its node is asked to keep the end in mind, so a
+/// successor that finds the task as offered hears of it.
+#[test]
+fn an_end_that_could_not_be_kept_is_not_acknowledged() {
+    let mut world = World::keeping(1, 1);
+    world.run_for(50 * MS);
+    world.submit("unsafe", 1, 100);
+    world.run_for(60 * MS);
+    world.disk().full(true);
+    world.disk().fail_sync();
+    world.submit("safe", 1, 10);
+    world.run_for(300 * MS);
+    world.restart_placer();
+    world.disk().full(false);
+    world.wait_for(200);
+    one_start(&world);
+    let job = world.told.iter().find(|(job, _)| world.copies[*job].repeat == Some(Repeat::Unsafe)).unwrap();
+    assert_eq!(outcome(&job.1[0]), "placed");
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -77,6 +77,8 @@
     keeper: Option<Keeper<SimFolder>>,
     queue: Vec<(Batch, bool)>,
     busy: bool,
+    /// The disk answers nothing.
+    frozen: bool,
 }
 
 struct Place {
@@ -125,6 +127,8 @@
     /// What the client was told of each job.
     pub told: BTreeMap<String, Vec<JobInfo>>,
     pub taken: BTreeSet<String>,
+    /// Those whose submitter was warned that they would not outlive the placer.
+    pub warned: BTreeSet<String>,
     pub errors: Vec<String>,
     pub copies: BTreeMap<String, Copies>,
     /// When each node was told to the placer as closed, and offers that left later than the grace.
@@ -133,6 +137,8 @@
     /// Copies as the placer knows them: attempts that it sent and of whose end it has not heard.
     known: BTreeMap<AttemptId, (String, usize)>,
     unlisted: BTreeSet<usize>,
+    /// Nodes to which no connection can be made.
+    apart: BTreeSet<usize>,
     /// Links that the core asked for.
     pub connects: usize,
     /// What the placer told the staff.
@@ -187,11 +193,13 @@
             sent_to: BTreeMap::new(),
             told: BTreeMap::new(),
             taken: BTreeSet::new(),
+            warned: BTreeSet::new(),
             errors: Vec::new(),
             copies: BTreeMap::new(),
             closed: BTreeMap::new(),
             late_offers: Vec::new(),
             unlisted: BTreeSet::new(),
+            apart: BTreeSet::new(),
             connects: 0,
             lines: Vec::new(),
             sent: Vec::new(),
@@ -216,8 +224,13 @@
         let mut world = Self::new(nodes, seed);
         let text = format!("{SETTINGS}\n[state]\nfolder = \"s\"\nlearn_every = \"200ms\"\n{more}");
         world.settings = Settings::parse(&text, "world").unwrap();
-        world.kept =
-            Some(Kept { folder: SimFolder::default(), keeper: None, queue: Vec::new(), busy: false });
+        world.kept = Some(Kept {
+            folder: SimFolder::default(),
+            keeper: None,
+            queue: Vec::new(),
+            busy: false,
+            frozen: false,
+        });
         world.restart_placer();
         world
     }
@@ -254,8 +267,28 @@
         self.restart_placer();
     }
 
+    /// The disk takes what it is given and answers nothing, or answers all of it.
+    pub fn freeze_disk(&mut self, frozen: bool) {
+        self.kept.as_mut().unwrap().frozen = frozen;
+        if !frozen {
+            self.written();
+        }
+    }
+
+    /// The placer is killed and started again so much later.
+    pub fn restart_placer_after(&mut self, us: u64) {
+        let core = Core::new(
+            self.settings.clone(),
+            Start { now: self.now, unix_us: self.now, life: self.life, seed: 0 },
+        );
+        self.core = core;
+        self.life += 1;
+        self.run_for(us);
+        self.restart_placer();
+    }
+
     fn written(&mut self) {
-        let Some(kept) = self.kept.as_mut() else { return };
+        let Some(kept) = self.kept.as_mut().filter(|kept| !kept.frozen) else { return };
         let (queue, keeper) = (std::mem::take(&mut kept.queue), kept.keeper.as_mut().unwrap());
         kept.busy = false;
         let mut said = Ok(keeper.durable());
@@ -343,6 +376,16 @@
         }
     }
 
+    /// A node lives on, and no connection reaches it, or does again.
+    pub fn part(&mut self, n: usize, apart: bool) {
+        if apart {
+            self.apart.insert(n);
+            self.cut(n);
+        } else {
+            self.apart.remove(&n);
+        }
+    }
+
     /// Loses everything that is on its way to or from a node without ending the link's life at the node
     /// before the placer's: the half-closed case, where the last answers never arrive.
     pub fn lose_answers(&mut self, n: usize) {
@@ -652,7 +695,7 @@
                 if !self.wanted.contains(&n) || self.links.values().any(|link| link.node == n && link.known) {
                     return;
                 }
-                if self.places[n].node.is_none() {
+                if self.places[n].node.is_none() || self.apart.contains(&n) {
                     let node = self.list[n].name.clone();
                     self.input(Input::LinkDown { node, why: "refused".to_owned() });
                     return self.later(100 * MS, Due::Connect(n));
@@ -693,7 +736,12 @@
             return self.errors.push(format!("call {id} was answered twice"));
         };
         match (response.result, response.error) {
-            (Some(Answer::Submitted(submitted)), None) => self.taken.extend(submitted.jobs),
+            (Some(Answer::Submitted(submitted)), None) => {
+                if submitted.warning.is_some() {
+                    self.warned.extend(submitted.jobs.iter().cloned());
+                }
+                self.taken.extend(submitted.jobs);
+            }
             (Some(Answer::Ended(info)), None) => {
                 let infos = self.told.entry(info.job.clone()).or_default();
                 // A successor may hear of an end once more that the life before it told: the client library
