--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -64,6 +64,9 @@
     /// Live jobs at which a placer's memory is measured.
     #[arg(long, default_value_t = 100_000)]
     live: u64,
+    /// Measure restarts and the state folder in place of the path, with so many seeds each.
+    #[arg(long, value_name = "SEEDS", num_args = 0..=1, default_missing_value = "5")]
+    state: Option<u64>,
 }
 
 fn tell(report: &Report) -> ExitCode {
@@ -132,6 +135,10 @@
 
 impl Bench {
     pub fn run(self) -> Result<ExitCode, Failure> {
+        if let Some(seeds) = self.state {
+            reedring_site::restart::bench(seeds.max(1), self.live, &mut std::io::stdout())?;
+            return Ok(ExitCode::SUCCESS);
+        }
         let program = std::env::current_exe()?;
         let size =
             Size { jobs: self.jobs, nodes: self.nodes, seconds: self.seconds, live: self.live, program };
--- a/crates/site/src/load.rs
+++ b/crates/site/src/load.rs
@@ -175,6 +175,61 @@
     Ok(report.breaches.is_empty() && placed + refused + failed == run.jobs)
 }
 
+/// What the path takes with these settings added, and how long placing takes at a given rate.
+pub(crate) fn cost(word: &str, more: &str, out: &mut impl Write) -> Result<(), BadDayError> {
+    let mut plan = plan(8);
+    plan.settings += more;
+    let site = Site::start(plan)?;
+    let contact = site.contact("placer-1")?;
+    run(contact, 2_000, None)?;
+    let steady = run(contact, 4_000, Some(1_000.0))?;
+    let submitted = submissions(contact)?;
+    let ms = |times: &Histogram<u64>, q: f64| times.value_at_quantile(q) as f64 / 1e3;
+    writeln!(
+        out,
+        "{word:>20}: {:>6.0} submissions a second, each of one job, by {SUBMITTERS} clients: p50 {:.2} ms, p99 {:.2} ms; \
+         placing at 1,000 jobs a second: p50 {:.2} ms, p99 {:.2} ms",
+        submitted.len() as f64 / SUBMITTING.as_secs_f64(),
+        ms(&submitted, 0.5),
+        ms(&submitted, 0.99),
+        ms(&steady.placed, 0.5),
+        ms(&steady.placed, 0.99)
+    )?;
+    Ok(())
+}
+
+/// Clients that submit one job after the other, each as soon as the one before is acknowledged, and for how long.
+const SUBMITTERS: usize = 16;
+const SUBMITTING: Duration = Duration::from_secs(3);
+
+/// Times from a submission to its acknowledgement. The jobs are held, so that nothing else is measured.
+fn submissions(contact: &str) -> Result<Histogram<u64>, BadDayError> {
+    let client = |error| BadDayError::Site(crate::SiteError::Client(error));
+    let submit = |contact: String| {
+        std::thread::spawn(move || -> Result<Histogram<u64>, reedring_client::drmaa::Error> {
+            let mut times = Histogram::new(3).unwrap_or_else(|_| unreachable!());
+            let session = Session::open(&contact)?;
+            let mut held = template(SMALL);
+            held.set("drmaa_js_state", "drmaa_hold")?;
+            let began = Instant::now();
+            while began.elapsed() < SUBMITTING {
+                let sent = Instant::now();
+                session.run_job(&held)?;
+                times.record(sent.elapsed().as_micros() as u64).unwrap_or_default();
+            }
+            Ok(times)
+        })
+    };
+    let threads: Vec<_> = (0..SUBMITTERS).map(|_| submit(contact.to_owned())).collect();
+    let mut all = Histogram::new(3).unwrap_or_else(|_| unreachable!());
+    for thread in threads {
+        let times =
+            thread.join().map_err(|_| io::Error::other("a submitting thread ended"))?.map_err(client)?;
+        all += &times;
+    }
+    Ok(all)
+}
+
 /// Times from submission to placement at a fifth, half and all of what the path takes.
 fn loads(nodes: usize, seconds: f64, out: &mut impl Write) -> Result<(), BadDayError> {
     let site = Site::start(plan(nodes))?;
