--- a/crates/core/src/keep.rs
+++ b/crates/core/src/keep.rs
@@ -136,7 +136,10 @@
     /// Starts to keep; `covered` holds the lives whose promises are all known.
     pub(crate) fn start_keeping(&mut self, lost: Option<String>) {
         self.keep.mode = match lost {
-            Some(why) => Mode::Lost { why, marked: false },
+            Some(why) => {
+                self.log(Level::Warn, format!("state: {why}; this placer keeps nothing over a restart"));
+                Mode::Lost { why, marked: false }
+            }
             None => Mode::On,
         };
         self.keep.change(Change::Life(self.start.life));
--- a/crates/core/tests/restart.rs
+++ b/crates/core/tests/restart.rs
@@ -357,3 +357,24 @@
     world.wait_for(500);
     judge(&world);
 }
+
+/// A placer whose folder can't be written from its start goes on without it, and starts nothing that the
+/// ledger, which it could not read, may hold already.
+#[test]
+fn a_read_only_folder_is_told_and_nothing_that_must_not_start_twice_is_taken() {
+    let mut world = World::keeping(2, 1);
+    world.run_for(50 * MS);
+    world.disk().read_only(true);
+    world.restart_placer();
+    world.run_for(50 * MS);
+    world.submit("safe", 2, 50);
+    world.submit("unsafe", 2, 50);
+    world.wait_for(200);
+    assert_eq!(world.logged("this placer keeps nothing over a restart"), 1);
+    assert_eq!((world.told.len(), world.warned.len()), (2, 2));
+    assert!(
+        world.errors.len() == 1 && world.errors[0].contains("must not start twice"),
+        "{:?}",
+        world.errors
+    );
+}
--- a/crates/state/src/sim.rs
+++ b/crates/state/src/sim.rs
@@ -202,7 +202,9 @@
                 Naming::Remove(name) => drop(names.remove(name)),
             }
         }
-        let state = State { files, names: names.clone(), durable_names: names, ..State::default() };
+        let read_only = state.read_only;
+        let state =
+            State { files, names: names.clone(), durable_names: names, read_only, ..State::default() };
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -265,13 +265,13 @@
 }
 
 /// Writes a row, or removes it.
-fn put<K: redb::Key + 'static, T: Serialize>(
+fn put<K, T: Serialize>(
     table: &mut Table<'_, K, &'static [u8]>,
     key: &K,
     row: Option<&T>,
 ) -> Result<(), redb::Error>
 where
-    for<'a> &'a K: std::borrow::Borrow<K::SelfType<'a>>,
+    K: redb::Key + for<'a> redb::Value<SelfType<'a> = K> + 'static,
 {
     match row {
         Some(row) => drop(table.insert(key, encode(row).as_slice())?),
