--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod constraint;
 mod log;
 mod operator;
+mod platform;
 mod run;
 mod state;
 mod submit;
@@ -19,7 +20,7 @@
 #[command(name = "reedring", version, about)]
 struct Cli {
     /// What is logged: off, error, warn, info, debug, trace, or a filter such as `reedring_placer=debug`.
-    #[arg(long, global = true, default_value = "warn", value_name = "FILTER")]
+    #[arg(long, global = true, default_value = "warn,reedring_platform=info", value_name = "FILTER")]
     log: String,
     /// How it is logged, on standard error.
     #[arg(long, global = true, value_enum, default_value_t = log::Format::Text)]
@@ -32,6 +33,8 @@
 enum Command {
     /// Run one placer until it is interrupted.
     Serve(run::Serve),
+    /// Run one placer on the platform, by its protocol, until it is asked to end.
+    Platform(platform::Platform),
     /// Run stand-in nodes until interrupted.
     Standin(run::Standin),
     /// Run a placer and stand-in nodes on loopback until interrupted.
@@ -75,6 +78,7 @@
     }
     let result = match cli.command {
         Command::Serve(serve) => serve.run(),
+        Command::Platform(platform) => platform.run(),
         Command::Standin(standin) => standin.run(),
         Command::Local(local) => local.run(),
         Command::Check(check) => check.run(),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -7,6 +7,7 @@
 
 use clap::Args;
 use reedring_audit::Recorder;
+use reedring_net::Signals;
 use reedring_placer::{FileSource, Options, Placer};
 use reedring_settings::{Settings, State};
 use reedring_site::{Plan, Site};
@@ -75,13 +76,9 @@
 fn interrupted() -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
-        let mut asked = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
-        tokio::select! {
-            end = tokio::signal::ctrl_c() => end,
-            _ = asked.recv() => Ok(()),
-        }
-    })?;
-    Ok(())
+        Signals::new()?.next().await;
+        Ok(())
+    })
 }
 
 impl Serve {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use reedring::names::task_key;
+use reedring::timers::Timers;
 use reedring::{Action, AttemptId, Event, Micros, Outcome as Fate, Placer, RequestId};
 use reedring_drmaa::rpc::{Answer, Call, Response, Stats};
 use reedring_drmaa::{End, Result};
@@ -16,9 +18,8 @@
 use crate::jobs::{Attempt, Ending, JobName, JobNo, Ledger, NodeNo, Outcome, Phase};
 use crate::keep::Keep;
 use crate::links::{Born, Nodes};
-use crate::names::task_key;
 use crate::sessions::{Answered, Parked, Sessions};
-use crate::timers::{Timer, Timers};
+use crate::timers::Timer;
 
 /// What a core is told at its start.
 #[derive(Clone, Copy, Debug)]
@@ -41,7 +42,7 @@
     pub(crate) ledger: Ledger,
     pub(crate) nodes: Nodes,
     pub(crate) sessions: Sessions,
-    pub(crate) timers: Timers,
+    pub(crate) timers: Timers<Timer>,
     pub(crate) constrain: Constrainer,
     pub(crate) stats: Stats,
     /// Nanoseconds spent in the module.
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use reedring::names::service_id;
 use reedring::{AttemptId, Ended, Event, Micros, Outcome as Fate, Reason, RequestId, Task};
 use reedring_nodeproto::{self as wire, Message};
 
@@ -9,7 +10,6 @@
 use crate::decide::{self, Loss};
 use crate::io::Level;
 use crate::jobs::{Attempt, Ending, Job, JobName, JobNo, Outcome, Phase};
-use crate::names::service_id;
 use crate::sessions::{Sessions, ended};
 use crate::timers::Timer;
 
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use reedring::names::machine_id;
 use reedring::{self as module, AttemptId, MachineId, Micros};
 use reedring_drmaa::rpc::NodeLine;
 use reedring_nodeproto::{Held, Reason};
@@ -10,7 +11,17 @@
 
 use crate::decide;
 use crate::jobs::NodeNo;
-use crate::names::{Places, machine_id};
+
+/// Numbers for racks and halls, in the order in which they are first named.
+#[derive(Debug, Default)]
+pub(crate) struct Places(BTreeMap<String, u16>);
+
+impl Places {
+    pub fn number(&mut self, name: &str) -> u16 {
+        let next = self.0.len() as u16;
+        *self.0.entry(name.to_owned()).or_insert(next)
+    }
+}
 
 /// The link to a node.
 #[derive(Debug, Default)]
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -60,7 +60,7 @@
             self.log(Level::Info, format!("node {node}: still drained by an operator"));
         }
         for (node, times) in &image.cold {
-            let machine = crate::names::machine_id(node);
+            let machine = reedring::names::machine_id(node);
             let cold_offers = times.iter().map(|at| now.saturating_sub(self.at_unix(*at))).collect();
             let belief = Belief { machine, cold_offers, ..Belief::default() };
             self.recall.insert(node.clone(), state::Known { node: node.clone(), life: None, belief });
@@ -217,7 +217,7 @@
         let attempt = Attempt {
             job,
             node,
-            machine: crate::names::machine_id(&row.node),
+            machine: reedring::names::machine_id(&row.node),
             wire: wire::AttemptId { life: row.life, request: row.request, number: row.number },
             sent: self.at_unix(row.sent),
             known,
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -1,8 +1,6 @@
-//! Timers by the time at which they are due.
+//! What the core's timers are for.
 
-use std::collections::BTreeMap;
-
-use reedring::{AttemptId, Micros};
+use reedring::AttemptId;
 
 /// What a timer is for. None is ever withdrawn: what it asks is checked when it comes due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,25 +36,3 @@
     /// A job of a former life is looked at, for the last time or not.
     Recover { job: u64, last: bool },
 }
-
-#[derive(Debug, Default)]
-pub(crate) struct Timers {
-    due: BTreeMap<(Micros, u64), Timer>,
-    made: u64,
-}
-
-impl Timers {
-    pub fn set(&mut self, at: Micros, timer: Timer) {
-        self.made += 1;
-        self.due.insert((at, self.made), timer);
-    }
-
-    pub fn next(&self) -> Option<Micros> {
-        self.due.first_key_value().map(|((at, _), _)| *at)
-    }
-
-    pub fn pop(&mut self, now: Micros) -> Option<Timer> {
-        let first = self.due.first_entry().filter(|first| first.key().0 <= now)?;
-        Some(first.remove())
-    }
-}
--- a/crates/placer/src/clients.rs
+++ b/crates/placer/src/clients.rs
@@ -9,6 +9,7 @@
 use reedring_drmaa::ErrorCode;
 use reedring_drmaa::framing::{Reader, wrap};
 use reedring_drmaa::rpc::{DRMAA_BASE, INVALID_REQUEST, MAX_REQUEST, Response, read_request};
+use reedring_net::accept_failed;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, UnixListener};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
@@ -81,12 +82,6 @@
     }
 }
 
-/// Out of file descriptors, most likely: connections wait until some are closed.
-async fn accept_failed(error: &std::io::Error) {
-    tracing::warn!(%error, "a connection could not be accepted");
-    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-}
-
 fn serve(
     conn: ConnId,
     read: impl AsyncRead + Unpin + Send + 'static,
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -7,6 +7,7 @@
 
 use reedring_audit::Event;
 use reedring_core::Input;
+use reedring_net::Backoff;
 use reedring_nodeproto::{Message, Reader, encode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -19,9 +20,8 @@
 
 /// Messages that wait for a node which does not read; one more, and the link is cut.
 const QUEUE: usize = 65_536;
-/// Between two tries to connect: the first, doubled each time up to the last.
-const FIRST_WAIT: Duration = Duration::from_millis(50);
-const LAST_WAIT: Duration = Duration::from_secs(2);
+/// Between two tries to connect.
+const WAITS: Backoff = Backoff::new(Duration::from_millis(50), Duration::from_secs(2));
 
 struct Link {
     address: SocketAddr,
@@ -101,12 +101,12 @@
 
 impl Keeper {
     async fn keep(mut self, mut messages: mpsc::Receiver<Message>) {
-        let mut wait = FIRST_WAIT;
+        let mut waits = WAITS;
         loop {
             self.number += 1;
             let why = match self.link(&mut messages).await {
                 Ok(why) => {
-                    wait = FIRST_WAIT;
+                    waits.reset();
                     why
                 }
                 Err(why) => why,
@@ -118,8 +118,7 @@
             }
             // What was meant for the link that ended is void.
             while messages.try_recv().is_ok() {}
-            tokio::time::sleep(wait).await;
-            wait = (wait * 2).min(LAST_WAIT);
+            tokio::time::sleep(waits.wait()).await;
         }
     }
 
--- /dev/null
+++ b/crates/platform/src/board.rs
@@ -0,0 +1,130 @@
+//! Polls the notice board: one ask is always out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use reedring_net::Backoff;
+use reedring_platproto::board::{Names, Told};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::io::Input;
+use crate::run::Came;
+
+/// How long the board may wait for news before it answers.
+const LINGER: Duration = Duration::from_millis(1_000);
+/// How much longer an answer may take; a board that stops and stays open is asked again after this.
+const OVER: Duration = Duration::from_millis(300);
+/// What an answer may hold; a list of thousands of hosts stays under it.
+const MOST: usize = 2 * 1024 * 1024;
+/// Between two asks of a board that does not answer.
+const WAITS: Backoff = Backoff::new(Duration::from_millis(20), Duration::from_millis(320));
+
+type Sender = SendRequest<Empty<Bytes>>;
+
+/// Polls until the placer ends. An address that `addresses` names later is asked at once.
+pub(crate) async fn poll(
+    mut addresses: watch::Receiver<SocketAddr>,
+    names: Names,
+    mut rev: u64,
+    came: mpsc::Sender<Came>,
+) {
+    let (mut waits, mut sender, mut lost) = (WAITS, None, false);
+    loop {
+        let address = *addresses.borrow_and_update();
+        let asked = tokio::select! {
+            asked = ask(address, &mut sender, rev, &names) => asked,
+            changed = addresses.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                // The old board tells nothing more; what it was asked goes to the new one.
+                sender = None;
+                continue;
+            }
+        };
+        let input = match asked {
+            Ok(told) => {
+                rev = rev.max(told.rev);
+                waits.reset();
+                lost = false;
+                Some(Input::Board(told))
+            }
+            Err(why) => {
+                sender = None;
+                (!std::mem::replace(&mut lost, true)).then_some(Input::BoardLost(why))
+            }
+        };
+        if let Some(input) = input
+            && came.send(Came::Input(input)).await.is_err()
+        {
+            return;
+        }
+        if lost {
+            tokio::select! {
+                () = sleep(waits.wait()) => {}
+                _ = addresses.changed() => addresses.mark_changed(),
+            }
+        }
+    }
+}
+
+async fn ask(
+    address: SocketAddr,
+    sender: &mut Option<Sender>,
+    rev: u64,
+    names: &Names,
+) -> Result<Told, String> {
+    let most = LINGER + OVER;
+    let asked = timeout(most, async {
+        let mut open = match sender.take().filter(|sender| !sender.is_closed()) {
+            Some(open) => open,
+            None => connect(address).await?,
+        };
+        let (told, whole) = exchange(&mut open, address, rev, names).await?;
+        if whole {
+            *sender = Some(open);
+        }
+        Ok(told)
+    });
+    asked.await.unwrap_or_else(|_| Err(format!("no answer within {} ms", most.as_millis())))
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, String> {
+    let stream = TcpStream::connect(address).await.map_err(|error| format!("{address}: {error}"))?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|error| format!("{address}: {error}"))?;
+    // It ends with the connection, or as soon as nobody holds the sender.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// One ask; whether the connection can take another.
+async fn exchange(
+    sender: &mut Sender,
+    address: SocketAddr,
+    rev: u64,
+    names: &Names,
+) -> Result<(Told, bool), String> {
+    let request = Request::get(format!("/board/poll?watch={rev}&linger={}", LINGER.as_millis()))
+        .header(header::HOST, address.to_string())
+        .body(Empty::new())
+        .map_err(|error| error.to_string())?;
+    sender.ready().await.map_err(|error| error.to_string())?;
+    let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+    if response.status() != StatusCode::OK {
+        return Err(format!("status {}", response.status()));
+    }
+    let body = Limited::new(response.into_body(), MOST).collect().await.map_err(|error| error.to_string())?;
+    let told = Told::read(&body.to_bytes(), names).map_err(|error| error.to_string())?;
+    Ok((told, !sender.is_closed()))
+}
--- /dev/null
+++ b/crates/platform/src/decide.rs
@@ -0,0 +1,153 @@
+//! What the engine decides itself: matters of connections, never where a task goes. Each function has a table
+//! over all its cases.
+
+/// How a connection to a host ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Down {
+    /// Nobody listens there: proof that nothing ran.
+    Refused,
+    /// It did not come up in time, or could not be made at all.
+    Unmade,
+    /// It stood, and broke or was closed.
+    Broke,
+    /// It stood, and carried what can't be read.
+    Spoilt,
+}
+
+/// What is known of an attempt whose connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Not a byte of it left: it may be sent on another connection as the same attempt.
+    Unsent,
+    /// It could not be sent, and the machine does not answer.
+    NeverRan,
+    /// Some of it left, so it may have run.
+    MayHaveRun,
+}
+
+/// Did an attempt run? `begun` says whether a byte of its set-up left.
+pub fn did_it_run(down: Down, begun: bool) -> Fate {
+    match (down, begun) {
+        (Down::Refused | Down::Unmade, _) => Fate::NeverRan,
+        (Down::Broke | Down::Spoilt, false) => Fate::Unsent,
+        (Down::Broke | Down::Spoilt, true) => Fate::MayHaveRun,
+    }
+}
+
+/// A connection to the host that a set-up is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// It stands; else it is being made.
+    pub up: bool,
+    /// Set-ups open on it.
+    pub open: usize,
+    /// Something on it went unanswered: what follows may be read by nobody.
+    pub doubtful: bool,
+}
+
+/// Where a set-up is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// On this one of the candidates.
+    Use(usize),
+    /// On a new connection.
+    Make,
+}
+
+/// Which connection? An empty one where there is one, so that a connection that breaks takes one set-up with it;
+/// then a new one while `room` for it is left; then the least loaded. None is used beyond `streams` set-ups,
+/// and a doubtful one never.
+pub fn which_link(candidates: &[Candidate], room: bool, streams: usize) -> Option<Choice> {
+    let usable = candidates.iter().enumerate().filter(|(_, link)| !link.doubtful && link.open < streams);
+    let best = usable.min_by_key(|(_, link)| (link.open, !link.up));
+    match best {
+        Some((at, link)) if link.open == 0 || !room => Some(Choice::Use(at)),
+        _ if room => Some(Choice::Make),
+        _ => None,
+    }
+}
+
+/// Refused connections in a row after which a host's process counts as gone, with all that it held.
+const REFUSED: u32 = 2;
+
+/// Are the tasks that a host held over? Its process cut them if it is gone: it left the list and no connection
+/// stands any more, or it refuses connections again and again.
+pub fn lost_all(listed: bool, links_up: usize, refused: u32) -> bool {
+    links_up == 0 && (!listed || refused >= REFUSED)
+}
+
+/// An owner's connection on which the end of a task may be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Answers passed on it, and standing tasks handed over on it.
+    pub answered: bool,
+    /// It carried a set-up that could be used.
+    pub good: bool,
+    /// When it last said something.
+    pub heard_at: u64,
+}
+
+/// On which connection is an end told? On that of its set-up (`home`), else on one that carried answers, else on
+/// one that carried a good set-up, the last heard of each; else on the next one that does.
+pub fn which_route(home: Option<usize>, routes: &[Route]) -> Option<usize> {
+    let usable = routes.iter().enumerate().filter(|(_, route)| route.answered || route.good);
+    home.or_else(|| usable.max_by_key(|(_, route)| (route.answered, route.heard_at)).map(|(at, _)| at))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_what_left_on_a_connection_that_stood_may_have_run() {
+        for down in [Down::Refused, Down::Unmade, Down::Broke, Down::Spoilt] {
+            for begun in [false, true] {
+                let stood = matches!(down, Down::Broke | Down::Spoilt);
+                let fate = did_it_run(down, begun);
+                assert_eq!(fate == Fate::MayHaveRun, stood && begun, "{down:?} {begun}");
+                assert_eq!(fate == Fate::Unsent, stood && !begun, "{down:?} {begun}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_set_up_goes_alone_where_it_can() {
+        let link = |up, open, doubtful| Candidate { up, open, doubtful };
+        let (idle, coming, busy) = (link(true, 0, false), link(false, 0, false), link(true, 2, false));
+        let cases = [
+            (vec![], true, Some(Choice::Make)),
+            (vec![], false, None),
+            (vec![busy, coming, idle], true, Some(Choice::Use(2))),
+            (vec![busy, coming], true, Some(Choice::Use(1))),
+            (vec![busy], true, Some(Choice::Make)),
+            (vec![busy, link(true, 1, false)], false, Some(Choice::Use(1))),
+            (vec![link(true, 0, true)], true, Some(Choice::Make)),
+            (vec![link(true, 0, true)], false, None),
+            (vec![link(true, 3, false)], false, None),
+        ];
+        for (candidates, room, choice) in cases {
+            assert_eq!(which_link(&candidates, room, 3), choice, "{candidates:?} {room}");
+        }
+    }
+
+    #[test]
+    fn tasks_are_over_only_where_no_connection_stands() {
+        for listed in [false, true] {
+            for refused in 0..4 {
+                assert!(!lost_all(listed, 1, refused));
+                assert_eq!(lost_all(listed, 0, refused), !listed || refused >= 2);
+            }
+        }
+    }
+
+    #[test]
+    fn an_end_goes_home_or_to_who_was_answered_last() {
+        let route = |answered, good, heard_at| Route { answered, good, heard_at };
+        let routes =
+            [route(false, true, 9), route(true, true, 5), route(true, true, 7), route(false, false, 99)];
+        assert_eq!(which_route(Some(3), &routes), Some(3));
+        assert_eq!(which_route(None, &routes), Some(2));
+        assert_eq!(which_route(None, &routes[..1]), Some(0));
+        assert_eq!(which_route(None, &routes[3..]), None);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine.rs
@@ -0,0 +1,525 @@
+//! The engine: inputs to the module's events, the module's actions to outputs.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use reedring::timers::Timers;
+use reedring::told::Told;
+use reedring::{Action, AttemptId, Ended, Event, MachineId, Micros, Outcome, Placer, RequestId};
+use reedring_platproto::board::{self, Names};
+use reedring_platproto::config::Limits;
+use reedring_platproto::host::{Figures, ToHost};
+use reedring_platproto::owner::{Setup, ToOwner};
+use reedring_platproto::{CANCELLED, CUT, ERROR};
+
+use crate::hosts::{Host, Link};
+use crate::io::{ConnId, Input, LinkId, Output};
+use crate::owners::{Conn, Owed};
+
+/// Between two looks at idle connections and old records.
+const SWEEP_US: Micros = 250_000;
+/// For this long after it was asked to end a placer still takes new connections, and for this long requests on
+/// those that it has: as long as the platform says that they come, and a little.
+const LISTEN_US: Micros = 700_000;
+const ASKED_US: Micros = 1_000_000;
+/// Kept in hand of an owner's time, for the way of the last answer.
+const ANSWER_US: Micros = 10_000;
+
+/// What bounds the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections of owners.
+    pub owners: usize,
+    /// Connections to hosts.
+    pub links: usize,
+    /// Connections to one host.
+    pub links_each: usize,
+}
+
+impl Bounds {
+    /// What the descriptors allow: half for owners, a few for the placer's own, the rest for hosts.
+    pub fn of(limits: &Limits) -> Self {
+        let owners = limits.sockets / 2;
+        Self { owners, links: limits.sockets - owners - OWN_SOCKETS, links_each: LINKS_EACH }
+    }
+}
+
+/// Descriptors of the placer itself: standard streams, the runtime's, signals, listener, board, and a few
+/// connections that are just being closed.
+const OWN_SOCKETS: usize = 24;
+/// Connections to one host: more set-ups than this wait there at once only in a jam.
+const LINKS_EACH: usize = 6;
+
+/// What an engine is told at its start.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Microseconds since 1970 on a clock that never goes back.
+    pub now: Micros,
+    /// Seed of the module's random numbers.
+    pub seed: u64,
+    /// The settings.
+    pub told: Told,
+    /// Events of the notice board up to now.
+    pub known: board::Told,
+    /// What bounds it.
+    pub bounds: Bounds,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Out {
+    pub number: u16,
+    pub machine: MachineId,
+    pub link: LinkId,
+    /// Which message of its link it is.
+    pub position: u64,
+    pub sent: Micros,
+    pub until: Micros,
+    /// Times that it was sent again, as no byte of it had left.
+    pub resent: u8,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Phase {
+    /// Its owner waits.
+    Open,
+    /// Nothing is owed any more, and an attempt may still be out.
+    Closed,
+    /// It was accepted there by this attempt.
+    Standing { machine: MachineId, number: u16, since: Micros },
+    /// It stands there still, and was told to end.
+    Ending { machine: MachineId, number: u16 },
+}
+
+pub(crate) struct Request {
+    pub setup: Setup,
+    /// The owner's connection that it came on.
+    pub conn: ConnId,
+    pub deadline: Micros,
+    pub attempts: u16,
+    pub out: Option<Out>,
+    pub phase: Phase,
+}
+
+/// What a timer is for. None is ever withdrawn: what it asks is checked when it comes due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Timer {
+    /// One of the module's own.
+    Module(u64),
+    /// The time of an attempt is over.
+    Attempt(AttemptId),
+    /// The time of a probe is over.
+    Probe(u64),
+    /// A host that holds tasks is to be connected to again.
+    Reconnect(MachineId),
+    /// Idle connections and old records are looked through.
+    Sweep,
+}
+
+pub(crate) struct Probe {
+    pub machine: MachineId,
+    pub link: LinkId,
+    pub sent: Micros,
+}
+
+/// Sizes of all that an engine keeps, for tests and the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sizes {
+    /// Requests that are open, stand, or have an attempt out.
+    pub requests: usize,
+    /// Owners' connections.
+    pub conns: usize,
+    /// Connections to hosts.
+    pub links: usize,
+    /// Hosts.
+    pub hosts: usize,
+    /// Ends that are owed to owners, or were told just now.
+    pub ends: usize,
+    /// Probes that are out.
+    pub probes: usize,
+    /// Timers that are set.
+    pub timers: usize,
+}
+
+/// One placer on the platform. The crate's page shows the loop around it.
+pub struct Engine {
+    pub(crate) told: Told,
+    pub(crate) names: Names,
+    pub(crate) bounds: Bounds,
+    pub(crate) conns: BTreeMap<ConnId, Conn>,
+    pub(crate) hosts: BTreeMap<MachineId, Host>,
+    pub(crate) links: BTreeMap<LinkId, Link>,
+    pub(crate) last_link: LinkId,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    /// Requests by the id on the wire.
+    pub(crate) by_id: BTreeMap<u64, RequestId>,
+    pub(crate) probes: BTreeMap<u64, Probe>,
+    pub(crate) ends: Owed,
+    pub(crate) rev: u64,
+    /// The module waits for word of the list.
+    pub(crate) asked_list: bool,
+    pub(crate) timers: Timers<Timer>,
+    pub(crate) events: Vec<Event>,
+    pub(crate) outputs: VecDeque<Output>,
+    placer: Placer,
+    last_request: u64,
+    last_probe: u64,
+    /// Since when it is to end.
+    pub(crate) ending: Option<Micros>,
+    stopped_listening: bool,
+    finished: bool,
+}
+
+impl Engine {
+    /// A placer that knows its settings and the list as it was told.
+    pub fn new(start: Start) -> Self {
+        let names = Names { zones: start.told.zones.clone(), kinds: start.told.kinds.clone() };
+        let placer = Placer::new(start.told.settings.clone(), start.seed);
+        let mut engine = Self {
+            told: start.told,
+            names,
+            bounds: start.bounds,
+            conns: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            links: BTreeMap::new(),
+            last_link: 0,
+            requests: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            ends: Owed::default(),
+            rev: 0,
+            asked_list: false,
+            timers: Timers::default(),
+            events: Vec::new(),
+            outputs: VecDeque::new(),
+            placer,
+            last_request: 0,
+            last_probe: 0,
+            ending: None,
+            stopped_listening: false,
+            finished: false,
+        };
+        engine.known(start.now, start.known);
+        engine.timers.set(start.now + SWEEP_US, Timer::Sweep);
+        engine
+    }
+
+    /// When [`Engine::flush`] must be called at the latest, if no input comes before.
+    pub fn next_wake(&self) -> Option<Micros> {
+        if self.events.is_empty() { self.timers.next() } else { Some(0) }
+    }
+
+    /// The next thing to do.
+    pub fn poll(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// Sizes of all that it keeps.
+    pub fn sizes(&self) -> Sizes {
+        Sizes {
+            requests: self.requests.len().max(self.by_id.len()),
+            conns: self.conns.len(),
+            links: self.links.len(),
+            hosts: self.hosts.len(),
+            ends: self.ends.len(),
+            probes: self.probes.len(),
+            timers: self.timers.len(),
+        }
+    }
+
+    /// Takes an input in. What the module has to say to it comes with the next [`Engine::flush`].
+    pub fn handle(&mut self, now: Micros, input: Input) {
+        match input {
+            Input::OwnerCame(conn) => self.owner_came(now, conn),
+            Input::Owner(conn, message) => self.owner_says(now, conn, message),
+            Input::OwnerGone(conn) => self.owner_gone(now, conn),
+            Input::LinkUp(link) => self.link_up(now, link),
+            Input::Host(link, message) => self.host_says(now, link, message),
+            Input::LinkDown { link, down, begun } => self.link_down(now, link, down, begun),
+            Input::Board(told) => self.board_told(now, told),
+            Input::BoardLost(why) => self.board_lost(&why),
+            Input::Terminate => {
+                self.ending.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Lets the module decide, once, on all that came since.
+    pub fn flush(&mut self, now: Micros) {
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Module(token) => self.events.push(Event::Woken(token)),
+                Timer::Attempt(attempt) => self.attempt_due(now, attempt),
+                Timer::Probe(id) => self.probe_over(now, id, false, &Figures::new()),
+                Timer::Reconnect(machine) => self.reconnect(machine),
+                Timer::Sweep => {
+                    self.sweep_owners(now);
+                    self.sweep_hosts(now);
+                    self.timers.set(now + SWEEP_US, Timer::Sweep);
+                }
+            }
+        }
+        if !self.events.is_empty() {
+            let (events, mut actions) = (std::mem::take(&mut self.events), Vec::new());
+            self.placer.step(now, &events, &mut actions);
+            for action in actions {
+                self.carry_out(now, action);
+            }
+        }
+        self.end(now);
+    }
+
+    /// A placer that was asked to end does so once nothing is owed and nothing more comes.
+    fn end(&mut self, now: Micros) {
+        let Some(asked) = self.ending else { return };
+        if now >= asked + LISTEN_US && !self.stopped_listening {
+            self.stopped_listening = true;
+            self.outputs.push_back(Output::StopListening);
+        }
+        let owes = self.requests.values().any(|request| request.phase == Phase::Open);
+        if now >= asked + ASKED_US && !owes && !self.finished {
+            self.finished = true;
+            self.outputs.push_back(Output::Finished);
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Offer { request, machine, within_us } => self.offer(now, request, machine, within_us),
+            Action::Stop(attempt) => self.stop(now, attempt),
+            Action::Refuse { request, stay_away_us } => {
+                self.answer(request, |id| ToOwner::refusal(id, stay_away_us.map(|us| us.div_ceil(1_000))));
+            }
+            Action::Fail(request) => self.answer(request, |id| failure(id, CUT)),
+            Action::Move(request) => self.move_away(request),
+            Action::Probe(machine) => self.probe(now, machine),
+            Action::CloseIdle(machine) => self.close_idle(machine),
+            Action::Tell { .. } => self.log("the platform carries no messages between placers".to_owned()),
+            Action::Watch(on) => self.asked_list = on,
+            Action::Fetch => self.fetch(),
+            Action::Timer { token, after_us } => self.timers.set(now + after_us, Timer::Module(token)),
+            Action::Log(line) => self.log(line),
+        }
+    }
+
+    pub(crate) fn log(&mut self, line: String) {
+        self.outputs.push_back(Output::Log(line));
+    }
+
+    pub(crate) fn new_request(&mut self, now: Micros, setup: Setup, conn: ConnId, phase: Phase) -> RequestId {
+        self.last_request += 1;
+        let (request, id) = (RequestId(self.last_request), setup.id);
+        let deadline = now + (setup.left_ms * 1_000).saturating_sub(ANSWER_US);
+        let attempts = u16::from(phase != Phase::Open);
+        self.by_id.insert(id, request);
+        self.requests.insert(request, Request { setup, conn, deadline, attempts, out: None, phase });
+        request
+    }
+
+    /// Forgets a request of which nothing is left.
+    pub(crate) fn forget(&mut self, request: RequestId) {
+        if let Some(gone) = self.requests.remove(&request)
+            && self.by_id.get(&gone.setup.id) == Some(&request)
+        {
+            self.by_id.remove(&gone.setup.id);
+        }
+    }
+
+    /// The final answer to a set-up, at once.
+    fn answer(&mut self, request: RequestId, answer: impl FnOnce(u64) -> ToOwner) {
+        let Some(entry) = self.requests.get_mut(&request).filter(|entry| entry.phase == Phase::Open) else {
+            return;
+        };
+        let (conn, id) = (entry.conn, entry.setup.id);
+        entry.phase = Phase::Closed;
+        let out = entry.out.is_some();
+        if !out {
+            self.forget(request);
+        }
+        self.send_owner(conn, answer(id));
+        self.closed_on(conn, id);
+    }
+
+    /// Ends the placed task, so that its owner comes again.
+    fn move_away(&mut self, request: RequestId) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let (Phase::Standing { .. }, id, conn) = (entry.phase, entry.setup.id, entry.conn) else { return };
+        self.cut(request, CANCELLED);
+        if let Some(conn) = self.route(Some(conn)) {
+            self.send_owner(conn, ToOwner::Moved(id));
+        }
+    }
+
+    /// Tells a host to end what stands there.
+    pub(crate) fn cut(&mut self, request: RequestId, cause: u8) {
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        let Phase::Standing { machine, number, .. } = entry.phase else { return };
+        entry.phase = Phase::Ending { machine, number };
+        let id = entry.setup.id;
+        if let Some(link) = self.any_link(machine) {
+            self.send_host(link, ToHost::Release { id, cause });
+        }
+    }
+
+    fn offer(&mut self, now: Micros, request: RequestId, machine: MachineId, within_us: Option<Micros>) {
+        let most = self.told.settings.rules.max_attempts;
+        let Some(entry) = self.requests.get_mut(&request) else {
+            // Its owner went in this very batch; the module's number for the attempt is the next one.
+            return;
+        };
+        let number = entry.attempts;
+        entry.attempts += 1;
+        let spent = most.is_some_and(|most| u32::from(number) >= most);
+        // A second attempt beside one that is out would be a second live one.
+        if entry.phase != Phase::Open || entry.out.is_some() || spent || entry.deadline <= now {
+            return self.ended(request, number, machine, Outcome::Unsent, None, Vec::new());
+        }
+        let until = within_us.map_or(entry.deadline, |within| (now + within).min(entry.deadline));
+        entry.out = Some(Out { number, machine, link: 0, position: 0, sent: now, until, resent: 0 });
+        self.timers.set(until, Timer::Attempt(AttemptId { request, number }));
+        self.send_setup(now, request);
+    }
+
+    /// Sends the attempt that is out on the connection that suits it.
+    pub(crate) fn send_setup(&mut self, now: Micros, request: RequestId) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let Some(out) = entry.out else { return };
+        let (number, machine, id) = (out.number, out.machine, entry.setup.id);
+        let Some(link) = self.link_for(machine) else {
+            if let Some(entry) = self.requests.get_mut(&request) {
+                entry.out = None;
+            }
+            return self.ended(request, number, machine, Outcome::Unconnected, None, Vec::new());
+        };
+        let Some(setup) = self.requests.get(&request).map(|entry| &entry.setup) else { return };
+        let message = ToHost::Setup {
+            id,
+            class: setup.class.clone(),
+            key: setup.key,
+            idem: setup.idem.clone(),
+            left_ms: (out.until.saturating_sub(now) / 1_000).max(1),
+            description: setup.description.clone(),
+        };
+        let position = self.send_host(link, message);
+        if let Some(link) = self.links.get_mut(&link) {
+            link.open.insert(id, AttemptId { request, number });
+        }
+        if let Some(out) = self.requests.get_mut(&request).and_then(|entry| entry.out.as_mut()) {
+            (out.link, out.position) = (link, position);
+        }
+    }
+
+    /// Tells the module that an attempt ended.
+    pub(crate) fn ended(
+        &mut self,
+        request: RequestId,
+        number: u16,
+        machine: MachineId,
+        outcome: Outcome,
+        reason: Option<reedring::Reason>,
+        report: Vec<f64>,
+    ) {
+        let closed = self.requests.get(&request).is_none_or(|entry| entry.phase != Phase::Open);
+        let attempt = AttemptId { request, number };
+        self.events.push(Event::Ended(Ended { attempt, machine, outcome, reason, closed, report }));
+    }
+
+    /// Takes the attempt that is out back, and tells the module how it ended. What its host may still say to it
+    /// concerns nobody any more.
+    pub(crate) fn take_back(
+        &mut self,
+        request: RequestId,
+        outcome: Outcome,
+        reason: Option<reedring::Reason>,
+        report: Vec<f64>,
+    ) -> Option<Out> {
+        let entry = self.requests.get_mut(&request)?;
+        let out = entry.out.take()?;
+        let (id, closed) = (entry.setup.id, entry.phase == Phase::Closed);
+        if let Some(link) = self.links.get_mut(&out.link) {
+            link.open.remove(&id);
+        }
+        self.ended(request, out.number, out.machine, outcome, reason, report);
+        if closed {
+            self.forget(request);
+        }
+        Some(out)
+    }
+
+    /// Gives up waiting for the attempt that is out: its host is told, and its connection used no more, as
+    /// whatever kept the answer from coming may hold up the next one too.
+    fn give_up(&mut self, request: RequestId, outcome: Outcome) {
+        let Some(id) = self.requests.get(&request).map(|entry| entry.setup.id) else { return };
+        if let Some(out) = self.take_back(request, outcome, None, Vec::new()) {
+            self.send_host(out.link, ToHost::Release { id, cause: reedring_platproto::GIVEN_UP });
+            self.doubt(out.link);
+        }
+    }
+
+    fn stop(&mut self, _now: Micros, attempt: AttemptId) {
+        let out = self.requests.get(&attempt.request).and_then(|entry| entry.out);
+        if out.is_some_and(|out| out.number == attempt.number) {
+            self.give_up(attempt.request, Outcome::Stopped);
+        }
+    }
+
+    fn attempt_due(&mut self, now: Micros, attempt: AttemptId) {
+        let out = self.requests.get(&attempt.request).and_then(|entry| entry.out);
+        if out.is_some_and(|out| out.number == attempt.number && out.until <= now) {
+            self.give_up(attempt.request, Outcome::TimedOut);
+        }
+    }
+
+    fn probe(&mut self, now: Micros, machine: MachineId) {
+        let Some(link) = self.link_for(machine) else {
+            return self.events.push(Event::Probed {
+                machine,
+                answered: false,
+                took_us: 0,
+                report: Vec::new(),
+            });
+        };
+        self.last_probe += 1;
+        let (id, report) = (self.last_probe, !self.told.report.is_empty());
+        self.probes.insert(id, Probe { machine, link, sent: now });
+        if let Some(link) = self.links.get_mut(&link) {
+            link.probes += 1;
+        }
+        self.send_host(link, ToHost::Test { id, report });
+        let within = self.told.settings.rules.connect_timeout_us.unwrap_or(PROBE_US);
+        self.timers.set(now + within, Timer::Probe(id));
+    }
+
+    pub(crate) fn probe_over(&mut self, now: Micros, id: u64, answered: bool, figures: &Figures) {
+        let Some(probe) = self.probes.remove(&id) else { return };
+        if let Some(link) = self.links.get_mut(&probe.link) {
+            link.probes -= 1;
+        }
+        if !answered {
+            self.doubt(probe.link);
+        }
+        let took_us = now.saturating_sub(probe.sent);
+        let report = self.report(figures);
+        self.events.push(Event::Probed { machine: probe.machine, answered, took_us, report });
+    }
+
+    /// A load report in the order of the settings; none unless all of it was told.
+    pub(crate) fn report(&self, figures: &Figures) -> Vec<f64> {
+        let report: Option<Vec<f64>> =
+            self.told.report.iter().map(|name| figures.get(name).copied()).collect();
+        report.unwrap_or_default()
+    }
+}
+
+/// How long a probe is waited for where no connect time-out is told.
+const PROBE_US: Micros = 250_000;
+
+/// A failure, which promises nothing.
+pub(crate) fn failure(id: u64, cause: u8) -> ToOwner {
+    ToOwner::Release { id, cause, stay_away_ms: None }
+}
+
+/// What a message that can't be used gets.
+pub(crate) fn turned_away(id: u64) -> ToOwner {
+    failure(id, ERROR)
+}
--- /dev/null
+++ b/crates/platform/src/hosts.rs
@@ -0,0 +1,515 @@
+//! Hosts: the list, the connections, and what hosts say.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use reedring::names::machine_id;
+use reedring::{AttemptId, Event, Health, Listing, Machine, MachineId, Micros, Outcome, RequestId};
+use reedring_platproto::board::{Entry, Notice, Pool, State, Told};
+use reedring_platproto::host::{FromHost, ToHost};
+use reedring_platproto::owner::ToOwner;
+use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
+
+use crate::decide::{self, Candidate, Choice, Down, Fate};
+use crate::engine::{Engine, Phase, Timer};
+use crate::io::{LinkId, Output};
+
+/// Waits between two tries to reach a host that holds tasks: the first, doubled each time up to the last.
+const FIRST_WAIT_US: Micros = 50_000;
+const LAST_WAIT_US: Micros = 1_000_000;
+/// Times that a set-up of which no byte left is sent again as the same attempt.
+const MOST_RESENT: u8 = 3;
+/// A host that left the list and still has a connection may wrap up for so long.
+const LEFT_US: Micros = 3_000_000;
+
+/// A host, for as long as the list has it or anything of ours is there.
+#[derive(Debug)]
+pub(crate) struct Host {
+    /// Its line; none where only a task handed over names it so far.
+    entry: Option<Entry>,
+    /// Since when the list does not have it any more.
+    left_at: Option<Micros>,
+    links: BTreeSet<LinkId>,
+    /// Tasks that stand there, by their names.
+    standing: BTreeSet<(u64, RequestId)>,
+    /// Refused connections in a row, since one last stood.
+    refused: u32,
+    wait: Micros,
+    /// A timer for the next try is set.
+    waiting: bool,
+}
+
+impl Host {
+    fn new() -> Self {
+        Self {
+            entry: None,
+            left_at: None,
+            links: BTreeSet::new(),
+            standing: BTreeSet::new(),
+            refused: 0,
+            wait: FIRST_WAIT_US,
+            waiting: false,
+        }
+    }
+
+    fn is_listed(&self) -> bool {
+        self.entry.as_ref().is_some_and(|entry| entry.health != State::Left)
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        self.entry.as_ref().filter(|_| self.is_listed()).map(|entry| entry.dial)
+    }
+}
+
+/// A connection to a host.
+#[derive(Debug)]
+pub(crate) struct Link {
+    machine: MachineId,
+    address: SocketAddr,
+    up: bool,
+    /// Messages written to it.
+    sent: u64,
+    /// Set-ups open on it, by id.
+    pub open: BTreeMap<u64, AttemptId>,
+    pub probes: u32,
+    doubtful: bool,
+    /// When it was last of use.
+    used: u64,
+}
+
+impl Engine {
+    // ---- The list ----
+
+    /// Takes in what was told before the start.
+    pub(crate) fn known(&mut self, now: Micros, known: Told) {
+        let (rev, notices) = (known.rev, known.notices);
+        for notice in notices {
+            self.notice(now, notice);
+        }
+        self.rev = self.rev.max(rev);
+        let entries = self.hosts.values().filter_map(|host| host.entry.as_ref());
+        let listed = entries.filter_map(|entry| self.line(entry)).collect();
+        self.events.clear();
+        self.events.push(Event::Listed(Listing::Cached(listed)));
+    }
+
+    pub(crate) fn board_told(&mut self, now: Micros, told: Told) {
+        let answered = self.asked_list;
+        let before = self.events.len();
+        for notice in told.notices {
+            self.notice(now, notice);
+        }
+        self.rev = self.rev.max(told.rev);
+        if std::mem::take(&mut self.asked_list) && answered && self.events.len() == before {
+            self.events.push(Event::Listed(Listing::Changes(Vec::new())));
+        }
+    }
+
+    pub(crate) fn board_lost(&mut self, why: &str) {
+        self.log(format!("the notice board: {why}"));
+        self.events.push(Event::Listed(Listing::Failed));
+    }
+
+    /// The number of the last event that was taken in.
+    pub fn rev(&self) -> u64 {
+        self.rev
+    }
+
+    pub(crate) fn fetch(&mut self) {
+        let entries = self.hosts.values().filter_map(|host| host.entry.as_ref());
+        let lines = entries.filter_map(|entry| self.line(entry)).collect();
+        self.events.push(Event::Listed(Listing::Whole(lines)));
+    }
+
+    fn notice(&mut self, now: Micros, Notice { rev, pool }: Notice) {
+        // What was told once is not told again, whatever a board that was moved repeats.
+        if rev <= self.rev {
+            return;
+        }
+        self.rev = rev;
+        let Some(Pool { whole, hosts }) = pool else { return };
+        let lines: Vec<Machine> = hosts.iter().filter_map(|entry| self.line(entry)).collect();
+        if whole {
+            let named: BTreeSet<MachineId> = lines.iter().map(|line| line.id).collect();
+            let gone: Vec<MachineId> = self.hosts.keys().filter(|id| !named.contains(id)).copied().collect();
+            for machine in gone {
+                if let Some(entry) = self.hosts.get(&machine).and_then(|host| host.entry.clone()) {
+                    self.listed(now, Entry { health: State::Left, ..entry });
+                }
+            }
+        }
+        for entry in hosts {
+            self.listed(now, entry);
+        }
+        let listing = if whole { Listing::Whole(lines) } else { Listing::Changes(lines) };
+        self.events.push(Event::Listed(listing));
+    }
+
+    /// The module's line for a host.
+    fn line(&self, entry: &Entry) -> Option<Machine> {
+        let room = entry.room.filter(|_| self.told.lists_free);
+        Some(Machine {
+            id: machine_id(&entry.host),
+            zone: self.names.zone(&entry.site)?,
+            kind: self.names.kind(&entry.class)?,
+            cell: entry.block,
+            health: match entry.health {
+                State::Active => Health::Ready,
+                State::Leaving => Health::Draining,
+                State::Left => Health::Gone,
+            },
+            ready_at: Some(entry.born_ms * 1_000).filter(|at| *at != 0),
+            free_cores: room.map(|room| room[0]),
+            free_memory: room.map(|room| room[1]),
+        })
+    }
+
+    fn listed(&mut self, now: Micros, entry: Entry) {
+        let machine = machine_id(&entry.host);
+        let host = self.hosts.entry(machine).or_insert_with(Host::new);
+        let before = host.entry.replace(entry.clone());
+        host.left_at = (entry.health == State::Left).then(|| host.left_at.unwrap_or(now));
+        let moved = before.as_ref().is_some_and(|before| before.dial != entry.dial);
+        // A process that started later than a task was placed is another one than that which held it.
+        let born = entry.born_ms * 1_000;
+        let reborn = before.is_some_and(|before| before.born_ms != entry.born_ms);
+        let standing: Vec<RequestId> = host.standing.iter().map(|(_, request)| *request).collect();
+        for request in standing.into_iter().filter(|_| reborn) {
+            let phase = self.requests.get(&request).map(|entry| entry.phase);
+            if matches!(phase, Some(Phase::Standing { since, .. }) if since < born) {
+                self.over(now, request, Outcome::Reset, None, CUT, Vec::new());
+            }
+        }
+        if moved {
+            self.close_idle(machine);
+        }
+        self.look_at(now, machine);
+    }
+
+    fn links_of(&self, machine: MachineId) -> impl Iterator<Item = (LinkId, &Link)> {
+        let links = self.hosts.get(&machine).into_iter().flat_map(|host| &host.links);
+        links.filter_map(|id| Some((*id, self.links.get(id)?)))
+    }
+
+    /// Keeps a connection to a host for as long as tasks stand there, and finds out whether they still do.
+    fn look_at(&mut self, now: Micros, machine: MachineId) {
+        let up = self.links_of(machine).filter(|(_, link)| link.up).count();
+        let Some(host) = self.hosts.get(&machine) else { return };
+        if host.entry.is_some()
+            && !host.standing.is_empty()
+            && decide::lost_all(host.is_listed(), up, host.refused)
+        {
+            let standing: Vec<RequestId> = host.standing.iter().map(|(_, request)| *request).collect();
+            self.log(format!("host {}: {} tasks are lost with it", self.name(machine), standing.len()));
+            for request in standing {
+                self.over(now, request, Outcome::Reset, None, CUT, Vec::new());
+            }
+        }
+        let Some(host) = self.hosts.get_mut(&machine) else { return };
+        if host.links.is_empty() && !host.standing.is_empty() && !host.waiting && host.address().is_some() {
+            let wait = if host.refused == 0 && host.wait == FIRST_WAIT_US { 0 } else { host.wait };
+            host.wait = (host.wait * 2).min(LAST_WAIT_US);
+            host.waiting = true;
+            self.timers.set(now + wait, Timer::Reconnect(machine));
+        }
+        let host = &self.hosts[&machine];
+        if host.links.is_empty() && host.standing.is_empty() && !host.waiting && !host.is_listed() {
+            self.hosts.remove(&machine);
+        }
+    }
+
+    fn name(&self, machine: MachineId) -> &str {
+        let entry = self.hosts.get(&machine).and_then(|host| host.entry.as_ref());
+        entry.map_or("of no line", |entry| entry.host.as_str())
+    }
+
+    pub(crate) fn reconnect(&mut self, machine: MachineId) {
+        let Some(host) = self.hosts.get_mut(&machine) else { return };
+        host.waiting = false;
+        if host.links.is_empty() && !host.standing.is_empty() {
+            self.make_link(machine);
+        }
+    }
+
+    // ---- Connections ----
+
+    /// The connection for a set-up or probe.
+    pub(crate) fn link_for(&mut self, machine: MachineId) -> Option<LinkId> {
+        let room = self.links.len() < self.bounds.links
+            && self.hosts.get(&machine).is_some_and(|host| host.links.len() < self.bounds.links_each);
+        let address = self.hosts.get(&machine).and_then(Host::address);
+        let (ids, candidates): (Vec<LinkId>, Vec<Candidate>) = self
+            .links_of(machine)
+            .map(|(id, link)| {
+                let open = link.open.len() + link.probes as usize;
+                let doubtful = link.doubtful || Some(link.address) != address;
+                (id, Candidate { up: link.up, open, doubtful })
+            })
+            .unzip();
+        let streams = self.told.per_connection.unwrap_or(usize::MAX).max(1);
+        match decide::which_link(&candidates, room, streams) {
+            Some(Choice::Use(at)) => Some(ids[at]),
+            Some(Choice::Make) => self.make_link(machine),
+            None => {
+                // The oldest idle connection to another host makes room.
+                let idle = self.links.iter().filter(|(_, link)| link.open.is_empty() && link.probes == 0);
+                let oldest = idle.min_by_key(|(_, link)| link.used).map(|(id, _)| *id)?;
+                self.close_link(oldest);
+                self.make_link(machine)
+            }
+        }
+    }
+
+    /// Any connection that reaches a host, for what concerns standing tasks.
+    pub(crate) fn any_link(&mut self, machine: MachineId) -> Option<LinkId> {
+        let up = self.links_of(machine).filter(|(_, link)| !link.doubtful).max_by_key(|(_, link)| link.up);
+        up.map(|(id, _)| id).or_else(|| self.make_link(machine))
+    }
+
+    fn make_link(&mut self, machine: MachineId) -> Option<LinkId> {
+        let host = self.hosts.get_mut(&machine)?;
+        let address = host.address()?;
+        self.last_link += 1;
+        let id = self.last_link;
+        host.links.insert(id);
+        let link = Link {
+            machine,
+            address,
+            up: false,
+            sent: 0,
+            open: BTreeMap::new(),
+            probes: 0,
+            doubtful: false,
+            used: id,
+        };
+        self.links.insert(id, link);
+        self.outputs.push_back(Output::Connect(id, address));
+        Some(id)
+    }
+
+    /// Writes to a connection, if it still is one; answers which message of it this is.
+    pub(crate) fn send_host(&mut self, id: LinkId, message: ToHost) -> u64 {
+        let Some(link) = self.links.get_mut(&id) else { return 0 };
+        self.outputs.push_back(Output::ToHost(id, message));
+        link.sent += 1;
+        link.sent - 1
+    }
+
+    /// Uses a connection no more: it is closed once nothing is open on it.
+    pub(crate) fn doubt(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.doubtful = true;
+        if link.open.is_empty() && link.probes == 0 {
+            self.close_link(id);
+        }
+    }
+
+    fn close_link(&mut self, id: LinkId) {
+        if let Some(link) = self.links.remove(&id) {
+            if let Some(host) = self.hosts.get_mut(&link.machine) {
+                host.links.remove(&id);
+            }
+            self.outputs.push_back(Output::CloseLink(id));
+        }
+    }
+
+    pub(crate) fn close_idle(&mut self, machine: MachineId) {
+        let idle = self.links_of(machine).filter(|(_, link)| link.open.is_empty() && link.probes == 0);
+        let idle: Vec<LinkId> = idle.map(|(id, _)| id).collect();
+        idle.into_iter().for_each(|link| self.close_link(link));
+    }
+
+    pub(crate) fn link_up(&mut self, _now: Micros, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.up = true;
+        let machine = link.machine;
+        let Some(host) = self.hosts.get_mut(&machine) else { return };
+        (host.refused, host.wait) = (0, FIRST_WAIT_US);
+        // An end that was told on a connection that broke may not have been heard.
+        let ending: Vec<u64> = host
+            .standing
+            .iter()
+            .filter_map(|(_, request)| self.requests.get(request))
+            .filter(|entry| matches!(entry.phase, Phase::Ending { .. }))
+            .map(|entry| entry.setup.id)
+            .collect();
+        for id_of_task in ending {
+            self.send_host(id, ToHost::Release { id: id_of_task, cause: CANCELLED });
+        }
+    }
+
+    pub(crate) fn link_down(&mut self, now: Micros, id: LinkId, down: Down, begun: u64) {
+        let Some(link) = self.links.remove(&id) else { return };
+        let machine = link.machine;
+        if let Some(host) = self.hosts.get_mut(&machine) {
+            host.links.remove(&id);
+            match down {
+                Down::Refused => host.refused += 1,
+                Down::Unmade | Down::Broke | Down::Spoilt => {}
+            }
+        }
+        let probes = self.probes.iter().filter(|(_, probe)| probe.link == id).map(|(id, _)| *id);
+        for probe in probes.collect::<Vec<_>>() {
+            self.probe_over(now, probe, false, &Default::default());
+        }
+        for attempt in link.open.into_values() {
+            self.broken(now, attempt, down, begun);
+        }
+        self.look_at(now, machine);
+    }
+
+    /// The connection of an attempt that is out ended.
+    fn broken(&mut self, now: Micros, attempt: AttemptId, down: Down, begun: u64) {
+        let request = attempt.request;
+        let out = self.requests.get_mut(&request).and_then(|entry| entry.out.as_mut());
+        let Some(out) = out.filter(|out| out.number == attempt.number) else { return };
+        let fate = decide::did_it_run(down, out.position < begun);
+        if fate == Fate::Unsent && out.resent < MOST_RESENT && now < out.until {
+            out.resent += 1;
+            return self.send_setup(now, request);
+        }
+        let outcome = if fate == Fate::MayHaveRun { Outcome::Reset } else { Outcome::Unconnected };
+        self.take_back(request, outcome, None, Vec::new());
+    }
+
+    // ---- What hosts say ----
+
+    pub(crate) fn host_says(&mut self, now: Micros, id: LinkId, message: FromHost) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.used = now;
+        let machine = link.machine;
+        match message {
+            FromHost::Answer { id: task, description } => {
+                if let Some(attempt) = link.open.remove(&task) {
+                    self.placed(now, id, attempt, description);
+                }
+            }
+            FromHost::Release { id: task, cause, reason, figures } => {
+                let report = self.report(&figures);
+                if let Some(attempt) = self.links.get(&id).and_then(|link| link.open.get(&task)).copied() {
+                    let outcome = match cause {
+                        FULL => Outcome::Refused,
+                        ERROR => Outcome::Error,
+                        MOOT => Outcome::Unsent,
+                        _ => Outcome::Reset,
+                    };
+                    self.take_back(attempt.request, outcome, reason, report);
+                } else if let Some(request) = self.standing_at(machine, task) {
+                    let outcome = match cause {
+                        GIVEN_UP => Outcome::Finished,
+                        CANCELLED => Outcome::Stopped,
+                        _ => Outcome::Reset,
+                    };
+                    self.over(now, request, outcome, reason, cause, report);
+                    self.look_at(now, machine);
+                }
+            }
+            FromHost::Note { id: task, note } => {
+                let request = self.standing_at(machine, task);
+                let entry = request.and_then(|request| Some((request, self.requests.get(&request)?)));
+                if let Some((request, Phase::Standing { number, .. })) =
+                    entry.map(|(r, entry)| (r, entry.phase))
+                {
+                    let attempt = AttemptId { request, number };
+                    self.events.push(Event::Noted { attempt, machine, note });
+                }
+            }
+            FromHost::Tested { id, passed, figures } => self.probe_over(now, id, passed, &figures),
+            FromHost::Free => {}
+        }
+    }
+
+    /// The task that stands at a host under this id.
+    fn standing_at(&self, machine: MachineId, id: u64) -> Option<RequestId> {
+        let request = *self.by_id.get(&id)?;
+        let entry = self.requests.get(&request)?;
+        let at = match entry.phase {
+            Phase::Standing { machine, .. } | Phase::Ending { machine, .. } => machine,
+            Phase::Open | Phase::Closed => return None,
+        };
+        (at == machine).then_some(request)
+    }
+
+    /// Whether a task of this name stands at a host.
+    pub(crate) fn by_key(&self, machine: MachineId, key: u64) -> bool {
+        let range = (key, RequestId(0))..=(key, RequestId(u64::MAX));
+        self.hosts.get(&machine).is_some_and(|host| host.standing.range(range).next().is_some())
+    }
+
+    /// A task that an owner handed over stands at a host: its end is to be heard.
+    pub(crate) fn stands(&mut self, now: Micros, machine: MachineId, request: RequestId) {
+        let key = self.requests.get(&request).map(|entry| entry.setup.key);
+        let host = self.hosts.entry(machine).or_insert_with(Host::new);
+        host.standing.extend(key.map(|key| (key, request)));
+        self.look_at(now, machine);
+    }
+
+    fn placed(&mut self, now: Micros, link: LinkId, attempt: AttemptId, description: String) {
+        let AttemptId { request, number } = attempt;
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        let Some(out) = entry.out.filter(|out| out.number == number) else { return };
+        let (machine, id, conn) = (out.machine, entry.setup.id, entry.conn);
+        if entry.phase != Phase::Open {
+            // Nobody wants it any more: it is cut, and its end belongs to the attempt.
+            self.send_host(link, ToHost::Release { id, cause: GIVEN_UP });
+            self.take_back(request, Outcome::Stopped, None, Vec::new());
+            return;
+        }
+        entry.out = None;
+        entry.phase = Phase::Standing { machine, number, since: now };
+        // A standing task needs no description any more.
+        entry.setup.description = String::new();
+        let took_us = now.saturating_sub(out.sent);
+        self.events.push(Event::Placed { attempt, machine, took_us });
+        self.send_owner(conn, ToOwner::Answer { id, description });
+        self.closed_on(conn, id);
+        if let Some(conn) = self.conns.get_mut(&conn) {
+            conn.answered = true;
+            conn.heard_at = now;
+        }
+        self.stands(now, machine, request);
+    }
+
+    /// What stood is over.
+    fn over(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        outcome: Outcome,
+        reason: Option<reedring::Reason>,
+        cause: u8,
+        report: Vec<f64>,
+    ) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let (id, key, home) = (entry.setup.id, entry.setup.key, entry.conn);
+        let (machine, number, owed) = match entry.phase {
+            Phase::Standing { machine, number, .. } => (machine, number, true),
+            Phase::Ending { machine, number } => (machine, number, false),
+            Phase::Open | Phase::Closed => return,
+        };
+        if let Some(host) = self.hosts.get_mut(&machine) {
+            host.standing.remove(&(key, request));
+        }
+        self.ended(request, number, machine, outcome, reason, report);
+        self.forget(request);
+        // Whom its owner ended, or who was told that it moved, is owed nothing more.
+        if owed {
+            self.end_task(now, home, id, cause);
+        }
+    }
+
+    pub(crate) fn sweep_hosts(&mut self, now: Micros) {
+        let left = |host: &Host| host.left_at.is_some_and(|at| at + LEFT_US <= now);
+        let left: Vec<MachineId> =
+            self.hosts.iter().filter(|(_, host)| left(host)).map(|(id, _)| *id).collect();
+        for machine in left {
+            // Whatever its connections say, there is no such host any more, and its address may be another's.
+            let links: Vec<LinkId> = self.links_of(machine).map(|(id, _)| id).collect();
+            links.into_iter().for_each(|link| {
+                self.outputs.push_back(Output::CloseLink(link));
+                self.link_down(now, link, Down::Broke, u64::MAX);
+            });
+            self.look_at(now, machine);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/io.rs
@@ -0,0 +1,65 @@
+//! What the engine is told and what it answers.
+
+use std::net::SocketAddr;
+
+use reedring_platproto::board::Told;
+use reedring_platproto::host::{FromHost, ToHost};
+use reedring_platproto::owner::{FromOwner, ToOwner, Unusable};
+
+use crate::decide::Down;
+
+/// An owner's connection, as the shell numbers it.
+pub type ConnId = u64;
+/// A connection to a host, as the engine numbers it.
+pub type LinkId = u64;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// An owner connected.
+    OwnerCame(ConnId),
+    /// An owner's message, or one that can't be used.
+    Owner(ConnId, Result<FromOwner, Unusable>),
+    /// An owner's connection ended.
+    OwnerGone(ConnId),
+    /// A connection to a host stands.
+    LinkUp(LinkId),
+    /// A host's message.
+    Host(LinkId, FromHost),
+    /// A connection to a host ended, or could not be made.
+    LinkDown {
+        /// The connection.
+        link: LinkId,
+        /// How.
+        down: Down,
+        /// Messages of which at least a byte left.
+        begun: u64,
+    },
+    /// The notice board answered.
+    Board(Told),
+    /// The notice board can't be reached or understood.
+    BoardLost(String),
+    /// The placer is to end.
+    Terminate,
+}
+
+/// Something to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Write to an owner.
+    ToOwner(ConnId, ToOwner),
+    /// Close an owner's connection once all is written.
+    CloseOwner(ConnId),
+    /// Connect to a host.
+    Connect(LinkId, SocketAddr),
+    /// Write to a host, as soon as the connection stands.
+    ToHost(LinkId, ToHost),
+    /// Close a connection to a host.
+    CloseLink(LinkId),
+    /// Take no new connections any more.
+    StopListening,
+    /// All is answered; the placer may end.
+    Finished,
+    /// A line for the staff.
+    Log(String),
+}
--- /dev/null
+++ b/crates/platform/src/owners.rs
@@ -0,0 +1,296 @@
+//! Owners: their connections, what they ask, and the ends that are owed to them.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use reedring::names::machine_id;
+use reedring::{Event, Micros, RequestId, ServiceId, Task, TaskKey};
+use reedring_platproto::board::number;
+use reedring_platproto::owner::{FromOwner, Setup, ToOwner, Unusable};
+
+use crate::decide::{self, Route};
+use crate::engine::{Engine, Phase, failure, turned_away};
+use crate::io::{ConnId, Output};
+
+/// An owner that says nothing of use for so long is closed on.
+const SILENCE_US: Micros = 2_400_000;
+/// One that was answered, and on which nothing is open, for so long; owners close such connections earlier.
+const IDLE_US: Micros = 6_000_000;
+/// Messages that can't be used, one after the other, after which a connection is closed.
+const MOST_UNUSABLE: u32 = 16;
+/// Ends are told again if their connection ends this soon after.
+const TOLD_US: Micros = 1_000_000;
+/// An end that no owner came to hear of in this time concerns nobody.
+const OWED_US: Micros = 30_000_000;
+
+#[derive(Debug, Default)]
+pub(crate) struct Conn {
+    /// Ids of open set-ups.
+    pub open: BTreeSet<u64>,
+    /// When it last said something of use, or came.
+    pub heard_at: Micros,
+    /// Answers passed on it, and standing tasks handed over on it.
+    pub answered: bool,
+    /// It carried a set-up that could be used.
+    pub good: bool,
+    /// Messages that could not be used, since the last one that could.
+    unusable: u32,
+    closing: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct End {
+    at: Micros,
+    /// On which connection it was told; none yet.
+    told: Option<ConnId>,
+    home: ConnId,
+    id: u64,
+    cause: u8,
+}
+
+/// Ends of tasks that owners are to hear of.
+#[derive(Debug, Default)]
+pub(crate) struct Owed(VecDeque<End>);
+
+impl Owed {
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
+impl Engine {
+    pub(crate) fn send_owner(&mut self, conn: ConnId, message: ToOwner) {
+        if self.conns.get(&conn).is_some_and(|conn| !conn.closing) {
+            self.outputs.push_back(Output::ToOwner(conn, message));
+        }
+    }
+
+    /// Nothing is open under this id on the connection any more.
+    pub(crate) fn closed_on(&mut self, conn: ConnId, id: u64) {
+        if let Some(conn) = self.conns.get_mut(&conn) {
+            conn.open.remove(&id);
+        }
+    }
+
+    pub(crate) fn owner_came(&mut self, now: Micros, conn: ConnId) {
+        if self.conns.len() >= self.bounds.owners {
+            let idle = self.conns.iter().filter(|(_, conn)| conn.open.is_empty() && !conn.closing);
+            let oldest = idle.min_by_key(|(_, conn)| (conn.answered, conn.heard_at)).map(|(id, _)| *id);
+            let Some(oldest) = oldest else {
+                self.outputs.push_back(Output::CloseOwner(conn));
+                return;
+            };
+            self.close_owner(oldest);
+        }
+        self.conns.insert(conn, Conn { heard_at: now, ..Conn::default() });
+    }
+
+    fn close_owner(&mut self, conn: ConnId) {
+        if let Some(entry) = self.conns.get_mut(&conn).filter(|entry| !entry.closing) {
+            entry.closing = true;
+            self.outputs.push_back(Output::CloseOwner(conn));
+        }
+    }
+
+    pub(crate) fn owner_gone(&mut self, now: Micros, conn: ConnId) {
+        let Some(gone) = self.conns.remove(&conn) else { return };
+        for id in gone.open {
+            if let Some(request) = self.by_id.get(&id).copied() {
+                self.withdraw(request);
+            }
+        }
+        // An end that was just written may have crossed the close.
+        let lost = |end: &End| end.told == Some(conn);
+        let (again, kept) = self.ends.0.drain(..).partition(lost);
+        self.ends.0 = kept;
+        let again: VecDeque<End> = again;
+        for end in again {
+            self.tell_end(now, End { told: None, ..end });
+        }
+    }
+
+    /// The owner waits no more.
+    fn withdraw(&mut self, request: RequestId) {
+        let Some(entry) = self.requests.get_mut(&request).filter(|entry| entry.phase == Phase::Open) else {
+            return;
+        };
+        entry.phase = Phase::Closed;
+        self.events.push(Event::Withdrawn(request));
+        if entry.out.is_none() {
+            self.forget(request);
+        }
+    }
+
+    pub(crate) fn owner_says(&mut self, now: Micros, conn: ConnId, message: Result<FromOwner, Unusable>) {
+        let Some(entry) = self.conns.get_mut(&conn).filter(|entry| !entry.closing) else { return };
+        match message {
+            Ok(FromOwner::Setup(setup)) => self.setup(now, conn, *setup),
+            Ok(FromOwner::Release { id, .. }) => self.owner_releases(now, conn, id),
+            Ok(FromOwner::Test(id)) => {
+                entry.heard_at = now;
+                let passed = self.ending.is_none();
+                self.send_owner(conn, ToOwner::Tested { id, passed });
+            }
+            Ok(FromOwner::Released(id)) => self.ends.0.retain(|end| end.id != id || end.told.is_none()),
+            Ok(FromOwner::Free) => {}
+            Err(Unusable { id, why }) => self.unusable(conn, id, &why),
+        }
+    }
+
+    fn unusable(&mut self, conn: ConnId, id: u64, why: &str) {
+        self.log(format!("owner {conn}: turned away: message on {id:016x}: {why}"));
+        // One whole answer at most for one id on one connection: what is open under it ends with this.
+        let open = self.conns.get_mut(&conn).is_some_and(|entry| entry.open.remove(&id));
+        if let Some(request) = self.by_id.get(&id).copied().filter(|_| open) {
+            self.withdraw(request);
+        }
+        self.send_owner(conn, turned_away(id));
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
+        entry.unusable += 1;
+        if entry.unusable >= MOST_UNUSABLE {
+            self.close_owner(conn);
+        }
+    }
+
+    fn owner_releases(&mut self, now: Micros, conn: ConnId, id: u64) {
+        let request = self.by_id.get(&id).copied();
+        let phase =
+            request.and_then(|request| self.requests.get(&request)).map(|entry| (entry.phase, entry.conn));
+        let (Some(request), Some((phase, home))) = (request, phase) else { return };
+        match phase {
+            // Only who asked may take it back.
+            Phase::Open if home == conn => {
+                self.closed_on(conn, id);
+                self.withdraw(request);
+            }
+            Phase::Standing { .. } => {
+                if let Some(entry) = self.conns.get_mut(&conn) {
+                    entry.heard_at = now;
+                }
+                self.cut(request, reedring_platproto::CANCELLED);
+            }
+            _ => {}
+        }
+    }
+
+    fn setup(&mut self, now: Micros, conn: ConnId, setup: Setup) {
+        let id = setup.id;
+        let task = match self.task(&setup) {
+            Ok(task) => task,
+            Err(why) => return self.unusable(conn, id, &why),
+        };
+        let known = self.by_id.get(&id).and_then(|request| self.requests.get(request)).map(|r| r.phase);
+        if let Some(host) = &setup.at {
+            let machine = machine_id(host);
+            if let Some(conn) = self.conns.get_mut(&conn) {
+                (conn.heard_at, conn.answered, conn.good, conn.unusable) = (now, true, true, 0);
+            }
+            // It may name what is held already, under this id or the one that it stands under.
+            let held = self.by_key(machine, setup.key);
+            if known.is_some_and(|phase| phase != Phase::Closed) || held {
+                return self.tell_owed(now);
+            }
+            let phase = Phase::Standing { machine, number: 0, since: now };
+            let request = self.new_request(now, setup, conn, phase);
+            self.events.push(Event::Adopted { task: Task { request, ..task }, machine });
+            self.stands(now, machine, request);
+            return self.tell_owed(now);
+        }
+        match known {
+            None => {}
+            Some(Phase::Standing { .. } | Phase::Ending { .. })
+                if self.by_id.get(&id).and_then(|r| self.requests.get(r)).is_some_and(|r| r.conn == conn) =>
+            {
+                // A release here would say that the standing task is over.
+                return self.close_owner(conn);
+            }
+            Some(_) => return self.unusable(conn, id, "this id is open"),
+        }
+        if let Some(conn) = self.conns.get_mut(&conn) {
+            conn.open.insert(id);
+            (conn.heard_at, conn.good, conn.unusable) = (now, true, 0);
+        }
+        let grace = setup.left_ms * 1_000;
+        let request = self.new_request(now, setup, conn, Phase::Open);
+        let grace_us = grace.min(self.requests[&request].deadline - now);
+        self.events.push(Event::Arrived { task: Task { request, ..task }, grace_us });
+        self.tell_owed(now);
+    }
+
+    /// The task of a set-up, as the module knows it; why it can't be one.
+    fn task(&self, setup: &Setup) -> Result<Task, String> {
+        let class = number(&self.told.classes, &setup.class);
+        let class = class.ok_or_else(|| format!("no class {:?}", setup.class))?;
+        let tenant = match &setup.tenant {
+            None if self.told.tenants.is_empty() => 0,
+            None => return Err("no tenant".to_owned()),
+            Some(name) => number(&self.told.tenants, name).ok_or_else(|| format!("no tenant {name:?}"))?,
+        };
+        let kinds = &self.told.settings.kinds;
+        let most = |size: fn(&reedring::Kind) -> Option<f64>, times: Option<f64>| {
+            let largest = kinds.iter().filter_map(size).fold(0.0, f64::max);
+            if largest > 0.0 { largest * times.unwrap_or(1.0).max(1.0) } else { f64::INFINITY }
+        };
+        // No machine could ever take more.
+        if setup.cores > most(|kind| kind.cores, self.told.settings.accepts_cores)
+            || setup.memory > most(|kind| kind.memory, self.told.settings.accepts_memory)
+            || setup.cores + setup.memory <= 0.0
+        {
+            return Err(format!("no machine has {} cores and {} of memory", setup.cores, setup.memory));
+        }
+        Ok(Task {
+            request: RequestId(0),
+            class,
+            tenant,
+            key: TaskKey(setup.key),
+            service: ServiceId(setup.service),
+            cores: setup.cores,
+            memory: setup.memory,
+            life_us: None,
+            again: setup.retry,
+        })
+    }
+
+    /// Tells an owner that a task is over.
+    pub(crate) fn end_task(&mut self, now: Micros, home: ConnId, id: u64, cause: u8) {
+        self.tell_end(now, End { at: now, told: None, home, id, cause });
+    }
+
+    fn tell_end(&mut self, now: Micros, mut end: End) {
+        if let Some(conn) = self.route(Some(end.home)) {
+            self.send_owner(conn, failure(end.id, end.cause));
+            (end.told, end.at) = (Some(conn), now);
+        }
+        self.ends.0.push_back(end);
+    }
+
+    /// The connection on which an end is told.
+    pub(crate) fn route(&self, home: Option<ConnId>) -> Option<ConnId> {
+        let conns: Vec<_> = self.conns.iter().filter(|(_, conn)| !conn.closing).collect();
+        let home = home.and_then(|home| conns.iter().position(|(id, _)| **id == home));
+        let routes: Vec<Route> = conns
+            .iter()
+            .map(|(_, conn)| Route { answered: conn.answered, good: conn.good, heard_at: conn.heard_at })
+            .collect();
+        decide::which_route(home, &routes).map(|at| *conns[at].0)
+    }
+
+    /// Ends that found no connection go out on the first that will do.
+    fn tell_owed(&mut self, now: Micros) {
+        let untold = |end: &End| end.told.is_none();
+        if self.ends.0.iter().any(untold) {
+            let (owed, told): (VecDeque<End>, VecDeque<End>) = self.ends.0.drain(..).partition(untold);
+            self.ends.0 = told;
+            owed.into_iter().for_each(|end| self.tell_end(now, end));
+        }
+    }
+
+    pub(crate) fn sweep_owners(&mut self, now: Micros) {
+        let over = |(_, conn): &(&ConnId, &Conn)| {
+            let most = if conn.answered { IDLE_US } else { SILENCE_US };
+            conn.open.is_empty() && !conn.closing && conn.heard_at + most <= now
+        };
+        let idle: Vec<ConnId> = self.conns.iter().filter(over).map(|(id, _)| *id).collect();
+        idle.into_iter().for_each(|conn| self.close_owner(conn));
+        self.ends.0.retain(|end| now < end.at + if end.told.is_some() { TOLD_US } else { OWED_US });
+    }
+}
--- /dev/null
+++ b/crates/platform/src/run.rs
@@ -0,0 +1,255 @@
+//! The shell: sockets, signals, the clock and the configuration file around [`Engine`], in one thread.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use reedring_net::{Asked, Signals};
+use reedring_platproto::config::{self, Config};
+use reedring_platproto::host::ToHost;
+use reedring_platproto::owner::ToOwner;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use crate::engine::{Bounds, Engine, Start};
+use crate::io::{ConnId, Input, LinkId, Output};
+use crate::{board, sockets};
+
+/// Inputs taken into the engine before the module decides on them.
+const BATCH: usize = 256;
+/// Inputs that wait for the engine; whoever brings one more waits.
+const INPUTS: usize = 512;
+/// Between two tries to read a configuration that could not be read.
+const READ_AGAIN: Duration = Duration::from_millis(200);
+/// How long the last answers may take to be written at the end.
+const FAREWELL: Duration = Duration::from_millis(300);
+/// Lines logged in a second, at most.
+const LINES: u32 = 50;
+
+/// Why a placer did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// Its configuration can't be opened.
+    #[error("{path}: {error}; name a file that can be read")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        error: io::Error,
+    },
+    /// Its configuration can't be used.
+    #[error("{path}: {error}")]
+    Config {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        error: config::Error,
+    },
+    /// Its address can't be listened on.
+    #[error("can't listen on {address}: {error}; give it an address of this machine that is free")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// Its runtime can't be made.
+    #[error("can't start: {0}")]
+    Runtime(#[from] io::Error),
+}
+
+/// News for the engine's task.
+pub(crate) enum Came {
+    Owner(ConnId, mpsc::Sender<ToOwner>),
+    Input(Input),
+}
+
+fn read(path: &Path) -> Result<Config, RunError> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|error| RunError::Read { path: path.to_owned(), error })?;
+    Config::read(&text).map_err(|error| RunError::Config { path: path.to_owned(), error })
+}
+
+/// Serves until it is asked to end.
+///
+/// # Errors
+/// See [`RunError`].
+pub fn run(path: &Path, listen: Option<SocketAddr>) -> Result<(), RunError> {
+    let mut config = read(path)?;
+    config.listen = listen.unwrap_or(config.listen);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let served = runtime.block_on(serve(path, config));
+    runtime.shutdown_background();
+    served
+}
+
+async fn serve(path: &Path, config: Config) -> Result<(), RunError> {
+    let signals = Signals::new()?;
+    let address = config.listen;
+    let listener = TcpListener::bind(address).await.map_err(|error| RunError::Listen { address, error })?;
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let (began, unix_us) = (Instant::now(), unix.as_micros() as u64);
+    let now = || unix_us + began.elapsed().as_micros() as u64;
+    let (names, rev) = (config.names(), config.known.rev);
+    let connect = config.settings.settings.rules.connect_timeout_us.unwrap_or(CONNECT_US);
+    let start = Start {
+        now: unix_us,
+        seed: config.seed,
+        told: config.settings,
+        known: config.known,
+        bounds: Bounds::of(&config.limits),
+    };
+    let mut engine = Engine::new(start);
+    let (came, mut coming) = mpsc::channel(INPUTS);
+    let (move_board, boards) = watch::channel(config.board);
+    tokio::spawn(board::poll(boards, names, rev, came.clone()));
+    tokio::spawn(answer_signals(signals, path.to_owned(), move_board, came.clone()));
+    let accepting = tokio::spawn(sockets::accept(listener, came.clone()));
+    let mut shell = Shell {
+        owners: BTreeMap::new(),
+        links: BTreeMap::new(),
+        connect: Duration::from_micros(connect),
+        accepting,
+        came,
+        second: (0, 0),
+    };
+    let mut batch = Vec::with_capacity(BATCH);
+    loop {
+        engine.flush(now());
+        while let Some(output) = engine.poll() {
+            if output == Output::Finished {
+                shell.farewell().await;
+                return Ok(());
+            }
+            shell.carry_out(&mut engine, now(), output);
+        }
+        let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
+        tokio::select! {
+            _ = coming.recv_many(&mut batch, BATCH) => {}
+            () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => {}
+        }
+        for news in batch.drain(..) {
+            let input = match news {
+                Came::Owner(conn, out) => {
+                    shell.owners.insert(conn, out);
+                    Input::OwnerCame(conn)
+                }
+                Came::Input(input) => input,
+            };
+            match &input {
+                Input::OwnerGone(conn) => drop(shell.owners.remove(conn)),
+                Input::LinkDown { link, .. } => drop(shell.links.remove(link)),
+                _ => {}
+            }
+            engine.handle(now(), input);
+        }
+    }
+}
+
+/// How long a connection may take where no time-out is told.
+const CONNECT_US: u64 = 250_000;
+
+/// Answers signals; a configuration that can't be used leaves the old one in force and is read again.
+async fn answer_signals(
+    mut signals: Signals,
+    path: PathBuf,
+    board: watch::Sender<SocketAddr>,
+    came: mpsc::Sender<Came>,
+) {
+    let mut reading = false;
+    loop {
+        let asked = tokio::select! {
+            asked = signals.next() => asked,
+            () = tokio::time::sleep(READ_AGAIN), if reading => Asked::Reload,
+        };
+        match asked {
+            Asked::End => {
+                if came.send(Came::Input(Input::Terminate)).await.is_err() {
+                    return;
+                }
+            }
+            Asked::Reload => match read(&path) {
+                Ok(config) => {
+                    reading = false;
+                    tracing::warn!("configuration read again; the notice board is at {}", config.board);
+                    board.send_replace(config.board);
+                }
+                Err(error) => {
+                    reading = true;
+                    tracing::warn!("the old configuration holds: {error}");
+                }
+            },
+        }
+    }
+}
+
+struct Shell {
+    owners: BTreeMap<ConnId, mpsc::Sender<ToOwner>>,
+    links: BTreeMap<LinkId, (mpsc::Sender<ToHost>, JoinHandle<()>)>,
+    connect: Duration,
+    accepting: JoinHandle<()>,
+    came: mpsc::Sender<Came>,
+    /// The second in which lines were logged last, and how many.
+    second: (u64, u32),
+}
+
+impl Shell {
+    fn carry_out(&mut self, engine: &mut Engine, now: u64, output: Output) {
+        match output {
+            Output::ToOwner(conn, message) => {
+                let full = self.owners.get(&conn).is_some_and(|out| out.try_send(message).is_err());
+                if full {
+                    // It does not read: it is cut, and nothing of it is waited for.
+                    self.owners.remove(&conn);
+                }
+            }
+            Output::CloseOwner(conn) => drop(self.owners.remove(&conn)),
+            Output::Connect(link, address) => {
+                let (out, messages) = mpsc::channel(sockets::QUEUE);
+                let task = sockets::link(link, address, self.connect, messages, self.came.clone());
+                self.links.insert(link, (out, tokio::spawn(task)));
+            }
+            Output::ToHost(link, message) => {
+                let full = self.links.get(&link).is_some_and(|(out, _)| out.try_send(message).is_err());
+                if full && let Some((_, task)) = self.links.remove(&link) {
+                    task.abort();
+                    let down = crate::decide::Down::Broke;
+                    engine.handle(now, Input::LinkDown { link, down, begun: u64::MAX });
+                }
+            }
+            Output::CloseLink(link) => drop(self.links.remove(&link)),
+            Output::StopListening => self.accepting.abort(),
+            Output::Log(line) => self.log(now, &line),
+            Output::Finished => {}
+        }
+    }
+
+    /// A bounded number of lines: a flood of bad input is no flood of lines.
+    fn log(&mut self, now: u64, line: &str) {
+        let second = now / 1_000_000;
+        if self.second.0 != second {
+            self.second = (second, 0);
+        }
+        self.second.1 += 1;
+        if self.second.1 <= LINES {
+            tracing::info!("{line}");
+        }
+    }
+
+    /// Lets the last messages be written.
+    async fn farewell(&mut self) {
+        let owners = std::mem::take(&mut self.owners);
+        let written = async {
+            for out in owners.into_values() {
+                while out.capacity() < sockets::QUEUE && !out.is_closed() {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(FAREWELL, written).await;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/src/bin/reedring-drill/main.rs
+++ b/src/bin/reedring-drill/main.rs
@@ -2,7 +2,6 @@
 //! on standard output. Every instance is a [`Placer`] of its own.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -10,7 +9,7 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use reedring::{Action, Event, Listing, Machine, Micros, Placer};
+use reedring::{Action, Event, Listing, Machine, Micros, Placer, told};
 use wire::{HEADER, How, Record, Reply};
 
 struct Instance {
@@ -93,11 +92,10 @@
                 }
                 Record::Init(seed, text) => {
                     let at = current.ok_or_else(|| format!("record {n}: placer: Init before At"))?;
-                    let (settings, lists_free) =
-                        settings::read(&text).map_err(|error| format!("record {n}: settings: {error}"))?;
-                    let placer = Placer::new(settings, seed);
+                    let told = told::read(&text).map_err(|error| format!("record {n}: settings: {error}"))?;
+                    let placer = Placer::new(told.settings, seed);
                     waiting.remove(&at);
-                    self.instances.insert(at, Instance { placer, lists_free });
+                    self.instances.insert(at, Instance { placer, lists_free: told.lists_free });
                 }
                 Record::Exit => {
                     let at = started(current, &self.instances)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,9 @@
 pub mod api;
 mod load;
 pub mod logic;
+pub mod names;
+pub mod timers;
+pub mod told;
 
 pub use api::*;
 pub use logic::Placer;
--- a/crates/core/src/names.rs
+++ b/src/names.rs
@@ -1,8 +1,6 @@
-//! Names to the numbers of the decision module.
+//! Names to the numbers of the decision module, the same at every placer.
 
-use std::collections::BTreeMap;
-
-use reedring::{MachineId, ServiceId, TaskKey};
+use crate::api::{MachineId, ServiceId, TaskKey};
 
 /// A value-stable hash of a name (FNV-1a, finished by SplitMix64): the same at every placer, as the
 /// module's shared orders need it.
@@ -25,21 +23,10 @@
 }
 
 /// The number of a keyed task's key, the same for every submission of that key.
-pub(crate) fn task_key(class: &str, key: &str) -> TaskKey {
+pub fn task_key(class: &str, key: &str) -> TaskKey {
     TaskKey(stable(&format!("{class}\n{key}")))
 }
 
-/// Numbers for racks and halls, in the order in which they are first named.
-#[derive(Debug, Default)]
-pub(crate) struct Places(BTreeMap<String, u16>);
-
-impl Places {
-    pub fn number(&mut self, name: &str) -> u16 {
-        let next = self.0.len() as u16;
-        *self.0.entry(name.to_owned()).or_insert(next)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bin/reedring-drill/settings.rs
+++ b/src/told.rs
@@ -1,9 +1,34 @@
-//! The settings text of the wire, as the library's settings.
+//! The settings that a placer is told as JSON, by the simulator's first message and by the platform's
+//! configuration alike.
 
-use reedring::{
+use serde::Deserialize;
+
+use crate::api::{
     Class, Effect, Group, Kind, Micros, Place, Prices, ReportField, ReportStyle, Rules, Settings,
 };
-use serde::Deserialize;
+
+/// What a placer is told: the module's settings, and what concerns only those who speak for it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// The settings of the module.
+    pub settings: Settings,
+    /// List lines tell what is free.
+    pub lists_free: bool,
+    /// Names of the classes, by number.
+    pub classes: Vec<String>,
+    /// Names of the tenants, by number; some sites have none.
+    pub tenants: Vec<String>,
+    /// Names of the zones, by number.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds, by number.
+    pub kinds: Vec<String>,
+    /// Names of the figures of a load report, in order.
+    pub report: Vec<String>,
+    /// Idle connections to machines are closed after this time.
+    pub idle_close_us: Option<Micros>,
+    /// Most set-ups on one connection to a machine.
+    pub per_connection: Option<usize>,
+}
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -12,6 +37,10 @@
     zone: Option<u16>,
     classes: Vec<WireClass>,
     kinds: Vec<String>,
+    #[serde(default)]
+    tenants: Vec<Named>,
+    #[serde(default)]
+    failure_domains: Vec<String>,
     discovery: Discovery,
     report: Option<WireReport>,
     specifics: Specifics,
@@ -20,9 +49,16 @@
     rules: WireRules,
 }
 
+#[derive(Deserialize)]
+struct Named {
+    name: String,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireClass {
+    #[serde(default)]
+    name: String,
     effect: WireEffect,
     group: Option<WireGroup>,
     dedup_window_us: Option<Micros>,
@@ -123,6 +159,8 @@
     cancelling: Option<bool>,
     probing: Option<bool>,
     connect_timeout_us: Option<Micros>,
+    idle_close_us: Option<Micros>,
+    per_conn: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -133,8 +171,11 @@
     must_ask_in_us: Option<Micros>,
 }
 
-/// The library's settings, and whether list lines tell what is free.
-pub fn read(text: &str) -> Result<(Settings, bool), serde_json::Error> {
+/// Reads what is told.
+///
+/// # Errors
+/// Where the text is no JSON or lacks what every site tells.
+pub fn read(text: &str) -> Result<Told, serde_json::Error> {
     let wire: Wire = serde_json::from_str(text)?;
     let (facts, limits) = (wire.specifics, wire.policy_limits);
     let nth = |list: &Option<Vec<f64>>, n: usize| list.as_ref().and_then(|l| l.get(n).copied());
@@ -208,5 +249,15 @@
             cross_zone: prices.cross_zone,
         }),
     };
-    Ok((settings, facts.lists_free == Some(true)))
+    Ok(Told {
+        settings,
+        lists_free: facts.lists_free == Some(true),
+        classes: wire.classes.into_iter().map(|class| class.name).collect(),
+        tenants: wire.tenants.into_iter().map(|tenant| tenant.name).collect(),
+        zones: wire.failure_domains,
+        kinds: wire.kinds,
+        report: wire.report.map(|report| report.names).unwrap_or_default(),
+        idle_close_us: limits.idle_close_us,
+        per_connection: limits.per_conn,
+    })
 }
