An error blames a machine only once another takes the task; answered owners stay connected

Ruled out: hosts' releases all came, owners had closed none.

Logged what hosts called an error: well formed requests of bad clients under keys that no host knows. The module shut each (tenant, class) out of each machine for 12 s on one such error (logic.rs, ended). An error now tells of the machine only once another takes the task; an unsafe task, sent once, is taken at its word. Ruled out: connections shared with bad set-ups (none broke), and a difference that could be told at the door (there is none). Machines that are gone for 12 s and hold nothing are forgotten by the module.

--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -11,10 +11,9 @@
 use crate::engine::{Engine, Phase, failure, turned_away};
 use crate::io::{ConnId, Output};
 
-/// An owner that says nothing of use for so long is closed on.
+/// An owner that says nothing of use for so long is closed on. One that was answered is not: it may be the only
+/// way to tell the ends of its tasks, and goes when its place is needed.
 const SILENCE_US: Micros = 2_400_000;
-/// One that was answered, and on which nothing is open, for so long; owners close such connections earlier.
-const IDLE_US: Micros = 6_000_000;
 /// Messages that can't be used, one after the other, after which a connection is closed.
 const MOST_UNUSABLE: u32 = 16;
 /// Ends are told again if their connection ends this soon after.
@@ -286,8 +285,7 @@
 
     pub(crate) fn sweep_owners(&mut self, now: Micros) {
         let over = |(_, conn): &(&ConnId, &Conn)| {
-            let most = if conn.answered { IDLE_US } else { SILENCE_US };
-            conn.open.is_empty() && !conn.closing && conn.heard_at + most <= now
+            conn.open.is_empty() && !conn.closing && !conn.answered && conn.heard_at + SILENCE_US <= now
         };
         let idle: Vec<ConnId> = self.conns.iter().filter(over).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|conn| self.close_owner(conn));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -141,6 +141,8 @@
     asked_for: bool,
     /// Tenants and classes that it turns away without a named shortage, and until when.
     shut: BTreeMap<(u16, u16), Micros>,
+    /// Since when the list says that it is gone.
+    gone_at: Option<Micros>,
 }
 
 impl Seat {
@@ -323,6 +325,8 @@
     machine: MachineId,
     sent: Micros,
     run: Run,
+    /// The machine called it an error.
+    erred: bool,
 }
 
 /// A request that owes an answer.
@@ -338,6 +342,11 @@
     fn is_out(&self) -> bool {
         self.attempts.iter().any(|attempt| matches!(attempt.run, Run::Out | Run::Stopping))
     }
+    /// The machines that erred on it, and whose it is.
+    fn erred(&self) -> impl Iterator<Item = (MachineId, (u16, u16))> {
+        let erred = self.attempts.iter().filter(|attempt| attempt.erred);
+        erred.map(|attempt| (attempt.machine, (self.task.tenant, self.task.class)))
+    }
     /// The first attempt that may have run.
     fn first_perhaps(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|attempt| attempt.run != Run::Never)
@@ -481,7 +490,11 @@
                         seat.starting.remove(attempt);
                     }
                 }
-                self.entries.remove(&attempt.request);
+                // Machines that erred on a task which another one takes turn its tenant or class away.
+                for (erred, whose) in self.entries.remove(&attempt.request).iter().flat_map(Entry::erred) {
+                    let seat = self.seats.get_mut(&erred);
+                    seat.map(|seat| seat.shut.insert(whose, now + SHUT_US));
+                }
             }
             Event::Noted { attempt, note, .. } => self.noted(now, *attempt, *note),
             Event::Ended(end) => {
@@ -522,6 +535,11 @@
         }
     }
 
+    /// How many machines, requests and attempts it keeps in mind.
+    pub fn sizes(&self) -> [usize; 3] {
+        [self.seats.len(), self.entries.len(), self.standing.len()]
+    }
+
     /// What it has learned so far.
     pub fn beliefs(&self, now: Micros) -> Beliefs {
         let ago = |at: Micros| now.saturating_sub(at);
@@ -602,6 +620,12 @@
             }
             self.seats.entry(line.id).and_modify(|seat| seat.tell(now, line));
         }
+        // A machine that is gone for good is forgotten, once nothing it did matters any more.
+        self.seats.retain(|_, seat| {
+            let gone = seat.line.health == Health::Gone;
+            seat.gone_at = gone.then(|| seat.gone_at.unwrap_or(now));
+            !seat.services.is_empty() || seat.gone_at.is_none_or(|at| now < at + SHUT_US)
+        });
         if !matches!(listing, Listing::Cached(_)) {
             self.watch_failures = 0;
             let most = self.settings.rules.must_ask_us;
@@ -708,6 +732,9 @@
             return;
         };
         let entry = self.entries.get(&end.attempt.request);
+        let classes = &self.settings.classes;
+        let effect =
+            |entry: &Entry| classes.get(usize::from(entry.task.class)).map_or(Effect::Unsafe, |c| c.effect);
         if let Some(seat) = self.seats.get_mut(&standing.machine) {
             seat.change(now, standing.load.times(Load::both(-1.0)));
             seat.starting.remove(&end.attempt);
@@ -716,12 +743,14 @@
             seat.services.retain(|_, held| *held > 0);
             let sent = seat.waiting.get(&end.attempt);
             let passed = sent.is_some_and(|at| seat.passed_over(*at, &self.settings));
-            // A task that is turned down, failed or passed over with no word of a shortage tells of its
-            // tenant or class, not of the machine, which may have room for all others.
+            // A task that is turned down or passed over with no word of a shortage tells of its tenant or
+            // class, not of the machine, which may have room for all others. An error may be the task's own
+            // fault: it tells so once another machine takes the task, or where no other one can be asked.
             let shut = match end.outcome {
                 Outcome::TimedOut | Outcome::Stopped => passed,
                 Outcome::Refused => end.reason.is_none(),
-                outcome => outcome == Outcome::Error,
+                Outcome::Error => entry.is_some_and(|entry| effect(entry) == Effect::Unsafe),
+                _ => false,
             };
             if let Some(Entry { task, .. }) = entry.filter(|_| shut) {
                 seat.shut.insert((task.tenant, task.class), now + SHUT_US);
@@ -753,6 +782,7 @@
         } else if let Some(entry) = self.entries.get_mut(&request) {
             if let Some(attempt) = entry.attempts.get_mut(usize::from(end.attempt.number)) {
                 attempt.run = if never { Run::Never } else { Run::Perhaps };
+                attempt.erred = end.outcome == Outcome::Error;
             }
             self.due.push(request);
         }
@@ -848,6 +878,7 @@
             self.may_offer(now, entry, &class, seat, &full)
                 && seat.barred_until <= now
                 && seat.shut.get(&whose).is_none_or(|until| *until <= now)
+                && entry.erred().all(|(machine, _)| machine != seat.line.id)
                 && seat.has_room(now, ask, self.ratio)
         };
         let seats: Vec<&Seat> = self.seats.values().filter(open).collect();
@@ -950,7 +981,7 @@
         let within_us = Some(entry.deadline - now);
         let number = entry.attempts.len() as u16;
         let attempt = AttemptId { request, number };
-        entry.attempts.push(Attempt { machine, sent: now, run: Run::Out });
+        entry.attempts.push(Attempt { machine, sent: now, run: Run::Out, erred: false });
         let (service, load) = (entry.task.service, Load::of(&entry.task));
         self.stand(now, attempt, Standing { machine, service, load });
         if let Some(seat) = self.seats.get_mut(&machine) {
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -172,3 +172,56 @@
     let (quiet, busy) = (lowest(9 * SECOND), lowest(SECOND / 10));
     assert!(quiet > busy, "{quiet} of 200 when quiet, {busy} when busy");
 }
+
+/// Answers each offer of a request with an error; how many machines were asked.
+fn errs_everywhere(bed: &mut Bed, request: u64) -> u16 {
+    let mut asked = offers(&bed.step(&[arrived(request, 0)]));
+    let mut number = 0;
+    while let Some((_, machine)) = asked.pop() {
+        asked = offers(&bed.after(1_000, &[ended(request, number, machine, Outcome::Error)]));
+        number += 1;
+    }
+    number
+}
+
+#[test]
+fn a_task_that_errs_everywhere_keeps_no_other_out() {
+    let mut bed = Bed::new(settings(), (1..=3).map(|id| machine(id, 0)).collect());
+    for bad in 0..4 {
+        assert_eq!(errs_everywhere(&mut bed, bad), 3, "each attempt goes to another machine");
+    }
+    assert_eq!(offers(&bed.step(&[arrived(10, 0)])).len(), 1);
+}
+
+#[test]
+fn a_machine_that_errs_on_what_another_takes_is_avoided() {
+    let mut bed = Bed::new(settings(), vec![machine(1, 0), machine(2, 0)]);
+    let first = offers(&bed.step(&[arrived(1, 0)]))[0].1;
+    let second = offers(&bed.after(1_000, &[ended(1, 0, first, Outcome::Error)]))[0].1;
+    assert_ne!(first, second);
+    bed.after(1_000, &[placed(1, 1, second)]);
+    for request in 2..8 {
+        let sent = offers(&bed.after(SECOND, &[arrived(request, 0)]));
+        assert_eq!(sent, [(request, second)]);
+        bed.after(1_000, &[placed(request, 0, second)]);
+    }
+}
+
+#[test]
+fn an_error_on_a_task_that_is_sent_once_is_taken_at_its_word() {
+    let mut bed = Bed::new(settings(), vec![machine(1, 0)]);
+    bed.step(&[arrived(1, 2)]);
+    assert!(failed(&bed.after(1_000, &[ended(1, 0, MachineId(1), Outcome::Error)]), 1));
+    assert!(offers(&bed.after(SECOND, &[arrived(2, 2)])).is_empty());
+}
+
+#[test]
+fn machines_that_came_and_went_are_forgotten() {
+    let mut bed = Bed::new(settings(), vec![machine(1, 0)]);
+    for id in 2..200 {
+        bed.after(SECOND, &[Event::Listed(Listing::Changes(vec![machine(id, 0)]))]);
+        let gone = with(machine(id, 0), Health::Gone);
+        bed.after(SECOND, &[Event::Listed(Listing::Changes(vec![gone]))]);
+    }
+    assert!(bed.placer.sizes()[0] < 10, "{:?}", bed.placer.sizes());
+}
