Tasks handed over are not counted beside the list that holds them

Checked: a line for each held task with each machine's state. Every machine looked full: told 73.5 cores asked for, of which 53.5 were the placer's own tasks of before its start, and these were added once more as young binds (logic.rs, stand and change) until lines 2.5 s later. Ruled out: refusals, bars, cold machines. A task that is adopted now changes only what is its own there.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -191,7 +191,6 @@
     }
 
     fn change(&mut self, now: Micros, load: Load) {
-        self.own = self.own.plus(load);
         self.changes.retain(|(at, _)| now < at + 2 * LIST_LAG_US);
         self.changes.push_back((now, load));
     }
@@ -477,7 +476,7 @@
             Event::Adopted { task, machine } => {
                 let attempt = AttemptId { request: task.request, number: 0 };
                 let (machine, service, load) = (*machine, task.service, Load::of(task));
-                self.stand(now, attempt, Standing { machine, service, load });
+                self.stand(attempt, Standing { machine, service, load });
             }
             Event::Placed { attempt, machine, took_us } => {
                 self.answers.push_back(*took_us);
@@ -616,7 +615,7 @@
                 self.seats.insert(line.id, Seat::new(line, &self.settings));
                 // Tasks may have been adopted on it before the list named it.
                 let there = self.standing.clone().into_iter().filter(|(_, s)| s.machine == line.id);
-                there.for_each(|(attempt, standing)| self.stand(now, attempt, standing));
+                there.for_each(|(attempt, standing)| self.stand(attempt, standing));
             }
             self.seats.entry(line.id).and_modify(|seat| seat.tell(now, line));
         }
@@ -719,9 +718,10 @@
         }
     }
 
-    fn stand(&mut self, now: Micros, attempt: AttemptId, standing: Standing) {
+    /// A task stands there. No change of the seat: what was told of it holds a task that was adopted.
+    fn stand(&mut self, attempt: AttemptId, standing: Standing) {
         if let Some(seat) = self.seats.get_mut(&standing.machine) {
-            seat.change(now, standing.load);
+            seat.own = seat.own.plus(standing.load);
             *seat.services.entry(standing.service).or_default() += 1;
         }
         self.standing.insert(attempt, standing);
@@ -736,7 +736,9 @@
         let effect =
             |entry: &Entry| classes.get(usize::from(entry.task.class)).map_or(Effect::Unsafe, |c| c.effect);
         if let Some(seat) = self.seats.get_mut(&standing.machine) {
-            seat.change(now, standing.load.times(Load::both(-1.0)));
+            let less = standing.load.times(Load::both(-1.0));
+            seat.own = seat.own.plus(less);
+            seat.change(now, less);
             seat.starting.remove(&end.attempt);
             let held = seat.services.entry(standing.service).or_default();
             *held = held.saturating_sub(1);
@@ -983,8 +985,9 @@
         let attempt = AttemptId { request, number };
         entry.attempts.push(Attempt { machine, sent: now, run: Run::Out, erred: false });
         let (service, load) = (entry.task.service, Load::of(&entry.task));
-        self.stand(now, attempt, Standing { machine, service, load });
+        self.stand(attempt, Standing { machine, service, load });
         if let Some(seat) = self.seats.get_mut(&machine) {
+            seat.change(now, load);
             seat.waiting.insert(attempt, now);
             seat.starting.insert(attempt);
             if seat.is_cold(now, &self.settings.rules) {
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -225,3 +225,14 @@
     }
     assert!(bed.placer.sizes()[0] < 10, "{:?}", bed.placer.sizes());
 }
+
+#[test]
+fn a_task_that_is_handed_over_is_in_what_the_list_tells_already() {
+    // Six of ten cores are asked for there, and these are the placer's own tasks of its former life.
+    let line = Machine { free_cores: Some(4.0), free_memory: Some(16.0), ..machine(1, 0) };
+    let mut bed = Bed::new(settings(), vec![line]);
+    let adopted = (0..6).map(|n| Event::Adopted { task: task(n, 0), machine: MachineId(1) });
+    bed.after(SECOND / 10, &adopted.collect::<Vec<_>>());
+    let batch: Vec<Event> = (10..20).map(|request| arrived(request, 0)).collect();
+    assert_eq!(offers(&bed.after(SECOND / 10, &batch)).len(), 4);
+}
