--- a/crates/platform/src/decide.rs
+++ b/crates/platform/src/decide.rs
@@ -70,10 +70,33 @@
 /// Refused connections in a row after which a host's process counts as gone, with all that it held.
 const REFUSED: u32 = 2;
 
+/// Connections in a row that did not come up, and microseconds without a word, after which a machine counts as
+/// gone: within the time that owners are to be told in, and longer than most cuts and pauses last.
+const UNREACHABLE: u32 = 3;
+const QUIET_US: u64 = 6_000_000;
+
+/// What is seen of a host that holds tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// The list has it.
+    pub listed: bool,
+    /// Connections that stand.
+    pub links_up: usize,
+    /// Refused connections in a row.
+    pub refused: u32,
+    /// Connections in a row that did not come up.
+    pub unreachable: u32,
+    /// For how long nothing was heard of it.
+    pub quiet_us: u64,
+}
+
 /// Are the tasks that a host held over? Its process cut them if it is gone: it left the list and no connection
-/// stands any more, or it refuses connections again and again.
-pub fn lost_all(listed: bool, links_up: usize, refused: u32) -> bool {
-    links_up == 0 && (!listed || refused >= REFUSED)
+/// stands any more, or it refuses connections again and again. A machine that vanished says nothing on the
+/// connections that stand, and no new one comes up.
+pub fn lost_all(seen: Seen) -> bool {
+    let process_gone = seen.links_up == 0 && (!seen.listed || seen.refused >= REFUSED);
+    let machine_gone = seen.unreachable >= UNREACHABLE && seen.quiet_us >= QUIET_US;
+    process_gone || machine_gone
 }
 
 /// An owner's connection on which the end of a task may be told.
@@ -131,11 +154,15 @@
     }
 
     #[test]
-    fn tasks_are_over_only_where_no_connection_stands() {
-        for listed in [false, true] {
-            for refused in 0..4 {
-                assert!(!lost_all(listed, 1, refused));
-                assert_eq!(lost_all(listed, 0, refused), !listed || refused >= 2);
+    fn tasks_are_over_where_nothing_stands_or_nothing_comes_up_or_is_heard() {
+        for (listed, links_up) in [(false, 0), (false, 1), (true, 0), (true, 1)] {
+            for (refused, unreachable) in [(0, 0), (1, 2), (2, 0), (0, 3), (3, 4)] {
+                for quiet_us in [0, 5_900_000, 6_000_000] {
+                    let seen = Seen { listed, links_up, refused, unreachable, quiet_us };
+                    let process = links_up == 0 && (!listed || refused >= 2);
+                    let machine = unreachable >= 3 && quiet_us >= 6_000_000;
+                    assert_eq!(lost_all(seen), process || machine, "{seen:?}");
+                }
             }
         }
     }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -139,6 +139,8 @@
     pub probes: usize,
     /// Timers that are set.
     pub timers: usize,
+    /// Machines, requests and attempts that the module keeps in mind.
+    pub module: [usize; 3],
 }
 
 /// One placer on the platform. The crate's page shows the loop around it.
@@ -224,6 +226,7 @@
             ends: self.ends.len(),
             probes: self.probes.len(),
             timers: self.timers.len(),
+            module: self.placer.sizes(),
         }
     }
 
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -10,7 +10,7 @@
 use reedring_platproto::owner::ToOwner;
 use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
 
-use crate::decide::{self, Candidate, Choice, Down, Fate};
+use crate::decide::{self, Candidate, Choice, Down, Fate, Seen};
 use crate::engine::{Engine, Phase, Timer};
 use crate::io::{LinkId, Output};
 
@@ -19,6 +19,10 @@
 const LAST_WAIT_US: Micros = 1_000_000;
 /// Times that a set-up of which no byte left is sent again as the same attempt.
 const MOST_RESENT: u8 = 3;
+/// A host that holds tasks and says nothing for so long is connected to once more, and again after that: whether
+/// it still is there can't be told otherwise, as to probe is the module's to decide.
+const QUIET_US: Micros = 2_500_000;
+const CHECK_US: Micros = 1_000_000;
 /// A host that left the list and still has a connection may wrap up for so long.
 const LEFT_US: Micros = 3_000_000;
 
@@ -34,6 +38,10 @@
     standing: BTreeSet<(u64, RequestId)>,
     /// Refused connections in a row, since one last stood.
     refused: u32,
+    /// Connections in a row that did not come up, since it was last heard of.
+    unreachable: u32,
+    heard_at: Micros,
+    checked_at: Micros,
     wait: Micros,
     /// A timer for the next try is set.
     waiting: bool,
@@ -47,11 +55,18 @@
             links: BTreeSet::new(),
             standing: BTreeSet::new(),
             refused: 0,
+            unreachable: 0,
+            heard_at: 0,
+            checked_at: 0,
             wait: FIRST_WAIT_US,
             waiting: false,
         }
     }
 
+    fn heard(&mut self, now: Micros) {
+        (self.heard_at, self.unreachable) = (now, 0);
+    }
+
     fn is_listed(&self) -> bool {
         self.entry.as_ref().is_some_and(|entry| entry.health != State::Left)
     }
@@ -73,6 +88,8 @@
     pub open: BTreeMap<u64, AttemptId>,
     pub probes: u32,
     doubtful: bool,
+    /// It was made to see whether the host is there.
+    check: bool,
     /// When it was last of use.
     used: u64,
 }
@@ -195,10 +212,14 @@
     fn look_at(&mut self, now: Micros, machine: MachineId) {
         let up = self.links_of(machine).filter(|(_, link)| link.up).count();
         let Some(host) = self.hosts.get(&machine) else { return };
-        if host.entry.is_some()
-            && !host.standing.is_empty()
-            && decide::lost_all(host.is_listed(), up, host.refused)
-        {
+        let seen = Seen {
+            listed: host.is_listed(),
+            links_up: up,
+            refused: host.refused,
+            unreachable: host.unreachable,
+            quiet_us: now.saturating_sub(host.heard_at),
+        };
+        if host.entry.is_some() && !host.standing.is_empty() && decide::lost_all(seen) {
             let standing: Vec<RequestId> = host.standing.iter().map(|(_, request)| *request).collect();
             self.log(format!("host {}: {} tasks are lost with it", self.name(machine), standing.len()));
             for request in standing {
@@ -280,6 +301,7 @@
             open: BTreeMap::new(),
             probes: 0,
             doubtful: false,
+            check: false,
             used: id,
         };
         self.links.insert(id, link);
@@ -319,12 +341,18 @@
         idle.into_iter().for_each(|link| self.close_link(link));
     }
 
-    pub(crate) fn link_up(&mut self, _now: Micros, id: LinkId) {
+    pub(crate) fn link_up(&mut self, now: Micros, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else { return };
         link.up = true;
-        let machine = link.machine;
+        let (machine, check) = (link.machine, link.check);
         let Some(host) = self.hosts.get_mut(&machine) else { return };
         (host.refused, host.wait) = (0, FIRST_WAIT_US);
+        host.heard(now);
+        if check && self.links_of(machine).any(|(other, link)| other != id && link.up && !link.doubtful) {
+            // It is there, and what stands is enough.
+            return self.doubt(id);
+        }
+        let Some(host) = self.hosts.get(&machine) else { return };
         // An end that was told on a connection that broke may not have been heard.
         let ending: Vec<u64> = host
             .standing
@@ -345,7 +373,8 @@
             host.links.remove(&id);
             match down {
                 Down::Refused => host.refused += 1,
-                Down::Unmade | Down::Broke | Down::Spoilt => {}
+                Down::Unmade => host.unreachable += 1,
+                Down::Broke | Down::Spoilt => {}
             }
         }
         let probes = self.probes.iter().filter(|(_, probe)| probe.link == id).map(|(id, _)| *id);
@@ -378,6 +407,9 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         link.used = now;
         let machine = link.machine;
+        if let Some(host) = self.hosts.get_mut(&machine) {
+            host.heard(now);
+        }
         match message {
             FromHost::Answer { id: task, description } => {
                 if let Some(attempt) = link.open.remove(&task) {
@@ -440,6 +472,10 @@
     pub(crate) fn stands(&mut self, now: Micros, machine: MachineId, request: RequestId) {
         let key = self.requests.get(&request).map(|entry| entry.setup.key);
         let host = self.hosts.entry(machine).or_insert_with(Host::new);
+        if host.standing.is_empty() {
+            // Silence counts from when there is something to be heard of.
+            host.heard_at = host.heard_at.max(now);
+        }
         host.standing.extend(key.map(|key| (key, request)));
         self.look_at(now, machine);
     }
@@ -499,6 +535,22 @@
     }
 
     pub(crate) fn sweep_hosts(&mut self, now: Micros) {
+        let quiet = |host: &Host| {
+            !host.standing.is_empty() && host.heard_at + QUIET_US <= now && host.checked_at + CHECK_US <= now
+        };
+        let quiet: Vec<MachineId> =
+            self.hosts.iter().filter(|(_, host)| quiet(host)).map(|(id, _)| *id).collect();
+        for machine in quiet {
+            self.look_at(now, machine);
+            if self.links.len() < self.bounds.links
+                && let Some(link) = self.make_link(machine).and_then(|link| self.links.get_mut(&link))
+            {
+                link.check = true;
+            }
+            if let Some(host) = self.hosts.get_mut(&machine) {
+                host.checked_at = now;
+            }
+        }
         let left = |host: &Host| host.left_at.is_some_and(|at| at + LEFT_US <= now);
         let left: Vec<MachineId> =
             self.hosts.iter().filter(|(_, host)| left(host)).map(|(id, _)| *id).collect();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -27,4 +27,4 @@
 
 pub use engine::{Bounds, Engine, Sizes, Start};
 pub use io::{ConnId, Input, LinkId, Output};
-pub use run::{RunError, run};
+pub use run::{RunError, run, serve};
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -81,15 +81,23 @@
     let mut config = read(path)?;
     config.listen = listen.unwrap_or(config.listen);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let served = runtime.block_on(serve(path, config));
+    let served = runtime.block_on(async {
+        // They stand before the listener does: who can connect can also ask for the end.
+        let mut signals = Signals::new()?;
+        let (ask, asked) = mpsc::channel(4);
+        tokio::spawn(async move { while ask.send(signals.next().await).await.is_ok() {} });
+        let address = config.listen;
+        let listener =
+            TcpListener::bind(address).await.map_err(|error| RunError::Listen { address, error })?;
+        serve(path, config, listener, asked).await;
+        Ok(())
+    });
     runtime.shutdown_background();
     served
 }
 
-async fn serve(path: &Path, config: Config) -> Result<(), RunError> {
-    let signals = Signals::new()?;
-    let address = config.listen;
-    let listener = TcpListener::bind(address).await.map_err(|error| RunError::Listen { address, error })?;
+/// Serves on a listener until it is asked to end, by `asked` in place of signals.
+pub async fn serve(path: &Path, config: Config, listener: TcpListener, asked: mpsc::Receiver<Asked>) {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let (began, unix_us) = (Instant::now(), unix.as_micros() as u64);
     let now = || unix_us + began.elapsed().as_micros() as u64;
@@ -106,7 +114,7 @@
     let (came, mut coming) = mpsc::channel(INPUTS);
     let (move_board, boards) = watch::channel(config.board);
     tokio::spawn(board::poll(boards, names, rev, came.clone()));
-    tokio::spawn(answer_signals(signals, path.to_owned(), move_board, came.clone()));
+    tokio::spawn(answer(asked, path.to_owned(), move_board, came.clone()));
     let accepting = tokio::spawn(sockets::accept(listener, came.clone()));
     let mut shell = Shell {
         owners: BTreeMap::new(),
@@ -121,8 +129,7 @@
         engine.flush(now());
         while let Some(output) = engine.poll() {
             if output == Output::Finished {
-                shell.farewell().await;
-                return Ok(());
+                return shell.farewell().await;
             }
             shell.carry_out(&mut engine, now(), output);
         }
@@ -152,20 +159,21 @@
 /// How long a connection may take where no time-out is told.
 const CONNECT_US: u64 = 250_000;
 
-/// Answers signals; a configuration that can't be used leaves the old one in force and is read again.
-async fn answer_signals(
-    mut signals: Signals,
+/// Does what is asked; a configuration that can't be used leaves the old one in force and is read again.
+async fn answer(
+    mut asked: mpsc::Receiver<Asked>,
     path: PathBuf,
     board: watch::Sender<SocketAddr>,
     came: mpsc::Sender<Came>,
 ) {
     let mut reading = false;
     loop {
-        let asked = tokio::select! {
-            asked = signals.next() => asked,
-            () = tokio::time::sleep(READ_AGAIN), if reading => Asked::Reload,
+        let next = tokio::select! {
+            next = asked.recv() => next,
+            () = tokio::time::sleep(READ_AGAIN), if reading => Some(Asked::Reload),
         };
-        match asked {
+        let Some(next) = next else { return };
+        match next {
             Asked::End => {
                 if came.send(Came::Input(Input::Terminate)).await.is_err() {
                     return;
--- /dev/null
+++ b/crates/platform/tests/engine.rs
@@ -0,0 +1,330 @@
+//! The engine in simulated time: one final answer, one live attempt, and nothing that grows.
+
+mod world;
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use reedring_platform::Input;
+use reedring_platproto::host::{FromHost, ToHost};
+use reedring_platproto::owner::{FromOwner, ToOwner, Unusable};
+use reedring_platproto::{CUT, FULL, GIVEN_UP};
+use world::{MS, SECOND, World, line, setup, told};
+
+const CLASSES: [&str; 3] = ["play", "take", "print"];
+
+fn hosts(count: u16) -> Vec<String> {
+    (1..=count)
+        .map(|n| line(&format!("h-{n}"), n, if n % 2 == 0 { "east" } else { "west" }, "active", 0))
+        .collect()
+}
+
+/// Everybody does as they please: owners come and go, hosts answer, refuse, err, say nothing or break.
+fn play(seed: u64, steps: u32) -> World {
+    let mut world = World::new(seed, &hosts(4));
+    world.unruly = true;
+    let (mut id, mut rev) = (0, 1);
+    for _ in 0..steps {
+        let conns: Vec<u64> = world.owners.iter().copied().collect();
+        let at = world.below(conns.len().max(1) as u32) as usize;
+        match world.below(20) {
+            0..2 => drop(world.connect()),
+            2 if !conns.is_empty() => {
+                let conn = conns[at];
+                world.close(conn);
+            }
+            3 => {
+                rev += 1;
+                let n = 1 + world.below(4) as u16;
+                let health = ["active", "leaving"][world.below(2) as usize];
+                let site = if n.is_multiple_of(2) { "east" } else { "west" };
+                world.tell(Input::Board(told(rev, false, &[line(&format!("h-{n}"), n, site, health, 0)])));
+            }
+            4 if !conns.is_empty() && id > 0 => {
+                // Somebody's id, taken back by whoever: only who asked may.
+                let id = 1 + u64::from(world.below(id as u32));
+                world.tell(Input::Owner(conns[at], Ok(FromOwner::Release { id, cause: GIVEN_UP })));
+            }
+            _ if !conns.is_empty() => {
+                id += 1;
+                let class = CLASSES[world.below(3) as usize];
+                let left = 500 + u64::from(world.below(4_000));
+                world.ask(conns[at], setup(id, class, left));
+            }
+            _ => {}
+        }
+        let pause = u64::from(world.below(60)) * MS;
+        world.run(pause);
+    }
+    world.run(30 * SECOND);
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+    #[test]
+    fn every_set_up_gets_one_final_answer_whatever_happens(seed in any::<u64>()) {
+        // That no attempt is out twice, and nothing unsafe sent again, is checked at each message.
+        let world = play(seed, 150);
+        for (id, heard) in &world.heard {
+            let finals = heard.answers + heard.refusals + heard.failures;
+            prop_assert!(finals <= 1, "{id}: {heard:?}");
+        }
+        let sizes = world.engine.sizes();
+        prop_assert_eq!(sizes.probes, 0);
+        prop_assert!(sizes.conns <= 16 && sizes.links <= 24, "{:?}", sizes);
+    }
+
+    #[test]
+    fn equal_inputs_give_equal_outputs(seed in any::<u64>()) {
+        let [first, second] = [0, 1].map(|_| play(seed, 60));
+        prop_assert_eq!(first.to_owners, second.to_owners);
+        prop_assert_eq!(first.to_hosts, second.to_hosts);
+    }
+}
+
+#[test]
+fn owners_that_stay_are_all_answered_before_they_give_up() {
+    for seed in 0..24 {
+        let mut world = World::new(seed, &hosts(4));
+        world.unruly = true;
+        let conn = world.connect();
+        for id in 1..=60 {
+            world.ask(conn, setup(id, CLASSES[id as usize % 3], 1_500));
+            world.run(20 * MS);
+        }
+        world.run(1_500 * MS);
+        for (id, heard) in &world.heard {
+            assert_eq!(heard.answers + heard.refusals + heard.failures, 1, "{seed}: {id}: {heard:?}");
+        }
+    }
+}
+
+/// Who asks on the one connection that stands is told the end on it, also long after.
+#[test]
+fn an_answered_connection_stays_for_the_end() {
+    let mut world = World::new(1, &hosts(2));
+    let conn = world.connect();
+    world.ask(conn, setup(1, "play", 1_000));
+    world.run(30 * SECOND);
+    let end = FromHost::Release { id: 1, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
+    world.tell(Input::Host(world.to_hosts[0].0, end));
+    assert!(world.owners.contains(&conn));
+    assert_eq!((world.heard[&1].answers, world.heard[&1].ends), (1, 1));
+}
+
+#[test]
+fn an_end_goes_to_another_connection_or_waits_for_the_next() {
+    let mut world = World::new(2, &hosts(1));
+    let conn = world.connect();
+    world.ask(conn, setup(1, "play", 1_000));
+    world.ask(conn, setup(2, "play", 1_000));
+    world.run(50 * MS);
+    let (other, stranger) = (world.connect(), world.connect());
+    world.ask(other, setup(3, "play", 1_000));
+    world.run(50 * MS);
+    world.close(conn);
+    let end = |id| FromHost::Release { id, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
+    let link = world.to_hosts[0].0;
+    world.tell(Input::Host(link, end(1)));
+    let told = |world: &World, id: u64| {
+        let tells = |m: &ToOwner| matches!(m, ToOwner::Release { id: told, .. } if *told == id);
+        world.to_owners.iter().filter(|(_, m)| tells(m)).map(|(conn, _)| *conn).collect::<Vec<_>>()
+    };
+    assert_eq!(told(&world, 1), [other], "and not to who never asked");
+    // It crossed the close: it is told again, to the next that shows itself an owner.
+    world.close(other);
+    world.close(stranger);
+    world.tell(Input::Host(link, end(2)));
+    assert!(told(&world, 2).is_empty());
+    let next = world.connect();
+    world.ask(next, setup(4, "play", 1_000));
+    assert_eq!((told(&world, 1), told(&world, 2)), (vec![other, next], vec![next]));
+}
+
+#[test]
+fn a_task_handed_over_is_adopted_once_and_its_host_connected_to() {
+    let mut world = World::new(3, &hosts(2));
+    let conn = world.connect();
+    let mut at = setup(9, "print", 4_294_967);
+    at.at = Some("h-1".to_owned());
+    world.ask(conn, at.clone());
+    at.id = 10;
+    world.ask(conn, at);
+    world.run(100 * MS);
+    assert!(world.to_owners.is_empty(), "it expects no answer");
+    assert_eq!(world.engine.sizes().requests, 1);
+    assert_eq!(world.engine.sizes().links, 1, "its end is to be heard");
+}
+
+#[test]
+fn an_id_that_is_open_is_turned_away_on_the_offenders_connection() {
+    let mut world = World::new(4, &hosts(2));
+    let (owner, offender) = (world.connect(), world.connect());
+    world.ask(owner, setup(1, "play", 1_000));
+    world.tell(Input::Owner(offender, Ok(FromOwner::Setup(Box::new(setup(1, "print", 1_000))))));
+    world.run(SECOND);
+    let got =
+        |conn| world.to_owners.iter().filter(move |(to, _)| *to == conn).map(|(_, m)| m).collect::<Vec<_>>();
+    assert!(matches!(got(owner)[0], ToOwner::Answer { id: 1, .. }), "{:?}", got(owner));
+    assert!(matches!(got(offender)[..], [ToOwner::Release { id: 1, cause, .. }] if *cause != FULL));
+}
+
+#[test]
+fn two_set_ups_under_one_id_leave_one_answer() {
+    let mut world = World::new(5, &hosts(2));
+    let conn = world.connect();
+    for _ in 0..2 {
+        let twice = Ok(FromOwner::Setup(Box::new(setup(1, "play", 1_000))));
+        world.engine.handle(world.now, Input::Owner(conn, twice));
+    }
+    world.run(SECOND);
+    let finals = world.to_owners.iter().filter(|(to, _)| *to == conn).count();
+    assert_eq!(finals, 1, "{:?}", world.to_owners);
+}
+
+#[test]
+fn bad_messages_are_turned_away_and_their_sender_closed_on() {
+    let mut world = World::new(6, &hosts(2));
+    let (bad, good) = (world.connect(), world.connect());
+    let wrong = || Err(Unusable { id: 77, why: "no such type".to_owned() });
+    world.tell(Input::Owner(bad, wrong()));
+    assert!(
+        matches!(world.to_owners[..], [(to, ToOwner::Release { id: 77, cause, .. })] if to == bad && cause != FULL)
+    );
+    for mut odd in [setup(78, "sing", 1_000), setup(79, "play", 1_000), setup(80, "play", 1_000)] {
+        match odd.id {
+            79 => odd.tenant = Some("nobody".to_owned()),
+            80 => odd.cores = 1e12,
+            _ => {}
+        }
+        world.ask(bad, odd);
+    }
+    assert_eq!(world.to_owners.len(), 4);
+    for _ in 0..20 {
+        world.tell(Input::Owner(bad, wrong()));
+    }
+    assert!(!world.owners.contains(&bad) && world.owners.contains(&good));
+    world.ask(good, setup(1, "play", 1_000));
+    world.run(SECOND);
+    assert!(
+        world.to_hosts.iter().all(|(_, m)| matches!(m, ToHost::Setup { id: 1, .. })),
+        "{:?}",
+        world.to_hosts
+    );
+    assert_eq!(world.heard[&1].answers, 1);
+}
+
+#[test]
+fn silence_is_closed_on_in_time_and_the_oldest_idle_makes_room() {
+    let mut world = World::new(7, &hosts(2));
+    let silent = world.connect();
+    world.run(2_700 * MS);
+    assert!(!world.owners.contains(&silent));
+    let answered = world.connect();
+    world.ask(answered, setup(1, "play", 1_000));
+    world.run(100 * MS);
+    let mut idle = Vec::new();
+    for _ in 0..40 {
+        idle.push(world.connect());
+        world.run(MS);
+    }
+    assert!(world.engine.sizes().conns <= 16);
+    assert!(world.owners.contains(&answered), "who said nothing goes first");
+    assert!(world.owners.contains(&idle[39]));
+}
+
+#[test]
+fn a_host_that_says_nothing_loses_no_task() {
+    let mut world = World::new(8, &hosts(1));
+    let conn = world.connect();
+    world.ask(conn, setup(1, "print", 900));
+    // Its answer never comes: the attempt ends by its own time, and the connection is used no more.
+    let link = world.to_hosts[0].0;
+    world.tell(Input::LinkUp(link));
+    world.tell(Input::Host(link, FromHost::Free));
+    world.unruly = true;
+    let before = world.engine.sizes().links;
+    assert_eq!(before, 1);
+    world.run(SECOND);
+    assert_eq!(world.heard[&1].answers + world.heard[&1].failures, 1);
+}
+
+#[test]
+fn the_address_of_a_host_that_left_is_not_connected_to_for_it() {
+    let mut world = World::new(9, &[line("h-1", 1, "east", "active", 0)]);
+    let conn = world.connect();
+    world.ask(conn, setup(1, "play", 1_000));
+    world.run(50 * MS);
+    let link = world.to_hosts[0].0;
+    // Another host takes its address.
+    world.tell(Input::Board(told(
+        2,
+        false,
+        &[line("h-1", 1, "east", "left", 0), line("h-2", 1, "east", "active", 5)],
+    )));
+    let down = reedring_platform::decide::Down::Broke;
+    world.tell(Input::LinkDown { link, down, begun: 1 });
+    assert_eq!(world.heard[&1].ends, 1, "its tasks are over with it");
+    let made = world.engine.sizes().links;
+    assert_eq!(made, 0, "nothing is at h-1's address that concerns it");
+    world.ask(conn, setup(2, "play", 1_000));
+    world.run(50 * MS);
+    assert_eq!(world.heard[&2].answers, 1);
+}
+
+#[test]
+fn a_process_that_started_anew_has_lost_what_the_old_one_held() {
+    let mut world = World::new(10, &[line("h-1", 1, "east", "active", 0)]);
+    let conn = world.connect();
+    world.ask(conn, setup(1, "print", 1_000));
+    world.run(50 * MS);
+    let born = world.now / 1_000 + 5;
+    world.run(20 * MS);
+    world.tell(Input::Board(told(2, false, &[line("h-1", 1, "east", "active", born)])));
+    assert_eq!(world.heard[&1].ends, 1);
+    assert!(matches!(world.to_owners.last(), Some((_, ToOwner::Release { id: 1, cause: CUT, .. }))));
+}
+
+#[test]
+fn a_placer_that_is_asked_to_end_answers_all_and_fails_its_test() {
+    let mut world = World::new(11, &hosts(2));
+    let conn = world.connect();
+    world.ask(conn, setup(1, "play", 1_000));
+    world.tell(Input::Terminate);
+    world.tell(Input::Owner(conn, Ok(FromOwner::Test(5))));
+    assert!(world.to_owners.contains(&(conn, ToOwner::Tested { id: 5, passed: false })));
+    world.run(600 * MS);
+    // Requests keep coming for a while, on new connections too.
+    let late = world.connect();
+    world.ask(late, setup(2, "play", 1_000));
+    assert!(!world.finished);
+    world.run(SECOND);
+    assert!(world.finished);
+    assert_eq!((world.heard[&1].answers, world.heard[&2].answers), (1, 1));
+}
+
+#[test]
+fn nothing_grows_with_what_came_and_went() {
+    let mut world = World::new(12, &[line("h-0", 1, "east", "active", 0)]);
+    let mut largest = world.engine.sizes();
+    for n in 1..600_u64 {
+        let (old, new) = (format!("h-{}", n - 1), format!("h-{n}"));
+        let address = |n: u64| 1 + (n % 7) as u16;
+        world.tell(Input::Board(told(2 * n, false, &[line(&new, address(n), "east", "active", 1)])));
+        world.tell(Input::Board(told(2 * n + 1, false, &[line(&old, address(n - 1), "east", "left", 1)])));
+        let conn = world.connect();
+        world.ask(conn, setup(n, CLASSES[n as usize % 3], 1_000));
+        world.run(SECOND);
+        world.close(conn);
+        if n == 300 {
+            largest = world.engine.sizes();
+        }
+    }
+    world.run(60 * SECOND);
+    let sizes = world.engine.sizes();
+    assert!(sizes.hosts <= 3 && sizes.requests <= 3 && sizes.ends == 0, "{sizes:?}");
+    assert!(sizes.module.iter().all(|size| *size < 20), "{sizes:?}");
+    assert!(sizes.timers <= largest.timers + 4, "{sizes:?}, {largest:?} before");
+    assert!(world.engine.poll().is_none());
+}
--- /dev/null
+++ b/crates/platform/tests/world/mod.rs
@@ -0,0 +1,395 @@
+//! An engine in simulated time: owners, hosts and connections that do anything that sockets allow.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand_core::Rng;
+use rand_pcg::Pcg32;
+use reedring_platform::decide::Down;
+use reedring_platform::{Bounds, ConnId, Engine, Input, LinkId, Output, Start};
+use reedring_platproto::board::{Names, Told};
+use reedring_platproto::host::{FromHost, ToHost};
+use reedring_platproto::owner::{FromOwner, Setup, ToOwner};
+use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP};
+
+pub const MS: u64 = 1_000;
+pub const SECOND: u64 = 1_000 * MS;
+
+/// Class 0 is safe, 1 keyed by zone, 2 unsafe.
+pub const SETTINGS: &str = r#"{"nInstances":1,"zone":0,"failureDomains":["east","west"],"kinds":["std"],
+    "tenants":[{"name":"radio"}],"discovery":"ask",
+    "classes":[{"name":"play","effect":"free","aimUs":700000},
+        {"name":"take","effect":"guarded","group":"zone","dedupWindowUs":5000000,"aimUs":700000},
+        {"name":"print","effect":"single_shot","aimUs":2000000}],
+    "specifics":{"acceptsCores":2.0,"memBooking":2.0,"yesAt":"accepted","cpuOfKind":[64],"memOfKind":[256.0],
+        "unitCores":1.0,"unitMemory":2.0,"listsFree":true},
+    "policyLimits":{"maxAttempts":4,"cancelling":true,"probing":true,"connectTimeoutUs":250000,"perConn":100},
+    "rules":{"mustAskInUs":10000000}}"#;
+
+pub fn line(id: &str, port: u16, site: &str, health: &str, born_ms: u64) -> String {
+    format!(
+        r#"{{"host":"{id}","dial":"127.0.0.1:{port}","site":"{site}","class":"std","block":1,"health":"{health}","born_ms":{born_ms},"room":[64,256]}}"#
+    )
+}
+
+pub fn told(rev: u64, whole: bool, lines: &[String]) -> Told {
+    let names = Names { zones: vec!["east".into(), "west".into()], kinds: vec!["std".into()] };
+    let lines = lines.join(",");
+    let text = format!(
+        r#"{{"rev":{rev},"notices":[{{"rev":{rev},"pool":{{"whole":{whole},"hosts":[{lines}]}}}}]}}"#
+    );
+    Told::read(text.as_bytes(), &names).expect("the world words it well")
+}
+
+pub fn setup(id: u64, class: &str, left_ms: u64) -> Setup {
+    Setup {
+        id,
+        class: class.to_owned(),
+        left_ms,
+        tenant: Some("radio".to_owned()),
+        retry: false,
+        key: id ^ 0xabc,
+        idem: (class == "take").then(|| format!("{id:032x}")),
+        cores: 0.5,
+        memory: 1.0,
+        service: 7,
+        at: None,
+        description: format!("for {id}"),
+    }
+}
+
+/// An attempt as its host sees it.
+#[derive(Clone, Copy, Debug)]
+struct Live {
+    link: LinkId,
+    port: u16,
+}
+
+/// What an owner has heard of one set-up.
+#[derive(Clone, Debug, Default)]
+pub struct Heard {
+    pub class: String,
+    pub answers: u32,
+    pub refusals: u32,
+    pub failures: u32,
+    /// Releases after the answer.
+    pub ends: u32,
+    /// Its owner went, or took it back.
+    pub withdrawn: bool,
+    /// An attempt may have run.
+    pub ran: bool,
+}
+
+pub struct World {
+    pub engine: Engine,
+    pub now: u64,
+    pub rng: Pcg32,
+    pub heard: BTreeMap<u64, Heard>,
+    pub owners: BTreeSet<ConnId>,
+    links: BTreeMap<LinkId, (u16, bool)>,
+    /// Attempts that are out at a host, by id.
+    live: BTreeMap<u64, Live>,
+    /// Tasks that stand, and at which port.
+    pub standing: BTreeMap<u64, u16>,
+    /// Messages written on each connection.
+    written: BTreeMap<LinkId, u64>,
+    later: BTreeMap<(u64, u64), Input>,
+    planned: u64,
+    pub finished: bool,
+    pub to_hosts: Vec<(LinkId, ToHost)>,
+    pub to_owners: Vec<(ConnId, ToOwner)>,
+    /// Hosts do as they please; else they answer each set-up.
+    pub unruly: bool,
+    next_conn: ConnId,
+}
+
+impl World {
+    pub fn new(seed: u64, hosts: &[String]) -> Self {
+        let settings = reedring::told::read(SETTINGS).expect("the settings are whole");
+        let bounds = Bounds { owners: 16, links: 24, links_each: 4 };
+        let now = 1_700_000_000 * SECOND;
+        let known = told(1, true, hosts);
+        let engine = Engine::new(Start { now, seed, told: settings, known, bounds });
+        let mut world = Self {
+            engine,
+            now,
+            rng: Pcg32::new(seed, 3),
+            heard: BTreeMap::new(),
+            owners: BTreeSet::new(),
+            links: BTreeMap::new(),
+            live: BTreeMap::new(),
+            standing: BTreeMap::new(),
+            written: BTreeMap::new(),
+            later: BTreeMap::new(),
+            planned: 0,
+            finished: false,
+            to_hosts: Vec::new(),
+            to_owners: Vec::new(),
+            unruly: false,
+            next_conn: 0,
+        };
+        world.turn();
+        world
+    }
+
+    pub fn below(&mut self, most: u32) -> u32 {
+        self.rng.next_u32() % most
+    }
+
+    fn later(&mut self, after: u64, input: Input) {
+        self.planned += 1;
+        self.later.insert((self.now + after, self.planned), input);
+    }
+
+    pub fn connect(&mut self) -> ConnId {
+        self.next_conn += 1;
+        let conn = self.next_conn;
+        self.owners.insert(conn);
+        self.tell(Input::OwnerCame(conn));
+        conn
+    }
+
+    pub fn ask(&mut self, conn: ConnId, setup: Setup) {
+        if setup.at.is_none() {
+            let heard = self.heard.entry(setup.id).or_default();
+            heard.class = setup.class.clone();
+        }
+        self.tell(Input::Owner(conn, Ok(FromOwner::Setup(Box::new(setup)))));
+    }
+
+    /// The owner closes.
+    pub fn close(&mut self, conn: ConnId) {
+        if self.owners.remove(&conn) {
+            self.tell(Input::OwnerGone(conn));
+        }
+    }
+
+    /// Takes one input in, and lets the engine act on it.
+    pub fn tell(&mut self, input: Input) {
+        let passes = match &input {
+            Input::LinkUp(link) => {
+                let known = self.links.get_mut(link);
+                known.map(|link| link.1 = true).is_some()
+            }
+            Input::Host(link, message) => {
+                let stands = self.links.get(link).is_some_and(|link| link.1);
+                if stands {
+                    self.said(*link, message);
+                }
+                stands
+            }
+            Input::LinkDown { link, .. } => {
+                let link = *link;
+                // Attempts open on a connection that ends are given up; whether they ran nobody knows.
+                let gone: Vec<u64> =
+                    self.live.iter().filter(|(_, live)| live.link == link).map(|(id, _)| *id).collect();
+                self.live.retain(|id, _| !gone.contains(id));
+                if let Input::LinkDown { down: Down::Broke | Down::Spoilt, begun, .. } = &input {
+                    let begun = *begun;
+                    for id in gone {
+                        // The world breaks connections only before or after all that was written.
+                        self.heard.entry(id).or_default().ran |= begun > 0;
+                    }
+                }
+                self.links.remove(&link).is_some()
+            }
+            _ => true,
+        };
+        if passes {
+            self.engine.handle(self.now, input);
+        }
+        self.turn();
+    }
+
+    fn said(&mut self, link: LinkId, message: &FromHost) {
+        match message {
+            FromHost::Answer { id, .. } => {
+                if let Some(live) = self.live.get(id).copied().filter(|live| live.link == link) {
+                    self.live.remove(id);
+                    self.standing.insert(*id, live.port);
+                }
+            }
+            FromHost::Release { id, cause, .. } => {
+                if self.live.get(id).is_some_and(|live| live.link == link) {
+                    self.live.remove(id);
+                    self.heard.entry(*id).or_default().ran |= *cause != FULL;
+                } else {
+                    self.standing.remove(id);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The module decides, and the world carries out what follows.
+    fn turn(&mut self) {
+        for _ in 0..64 {
+            self.engine.flush(self.now);
+            let mut quiet = true;
+            while let Some(output) = self.engine.poll() {
+                quiet = false;
+                self.carry_out(output);
+            }
+            if quiet && self.engine.next_wake().is_none_or(|at| at > self.now) {
+                return;
+            }
+        }
+        panic!("the engine never comes to rest");
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::ToOwner(conn, message) => {
+                self.hear(conn, &message);
+                self.to_owners.push((conn, message));
+            }
+            Output::CloseOwner(conn) => {
+                self.owners.remove(&conn);
+                self.later(0, Input::OwnerGone(conn));
+            }
+            Output::Connect(link, address) => {
+                self.links.insert(link, (address.port(), false));
+                let after = u64::from(self.below(3)) * MS;
+                let chance = self.below(100);
+                let down = match chance {
+                    0..4 if self.unruly => Some((Down::Refused, after)),
+                    4..8 if self.unruly => Some((Down::Unmade, 250 * MS)),
+                    _ => None,
+                };
+                match down {
+                    Some((down, after)) => self.later(after, Input::LinkDown { link, down, begun: 0 }),
+                    None => self.later(after, Input::LinkUp(link)),
+                }
+            }
+            Output::ToHost(link, message) => {
+                *self.written.entry(link).or_default() += 1;
+                self.host(link, &message);
+                self.to_hosts.push((link, message));
+            }
+            Output::CloseLink(link) => {
+                // Closing gives up what is open on it.
+                self.live.retain(|_, live| live.link != link);
+                self.links.remove(&link);
+            }
+            Output::Finished => self.finished = true,
+            Output::StopListening | Output::Log(_) => {}
+        }
+    }
+
+    fn hear(&mut self, conn: ConnId, message: &ToOwner) {
+        assert!(self.owners.contains(&conn), "written to a connection that was closed");
+        match message {
+            ToOwner::Answer { id, description } => {
+                let heard = self.heard.entry(*id).or_default();
+                heard.answers += 1;
+                assert_eq!(description, &format!("host's for {id}"), "not what the host gave");
+            }
+            ToOwner::Release { id, cause, .. } => {
+                let Some(heard) = self.heard.get_mut(id) else { return };
+                match (heard.answers, *cause) {
+                    (0, FULL) => heard.refusals += 1,
+                    (0, _) => heard.failures += 1,
+                    _ => heard.ends += 1,
+                }
+                if heard.answers == 0 && *cause == FULL {
+                    // A refusal promises that asking again is harmless.
+                    assert!(heard.class == "play" || !heard.ran, "refused {id}, which may have run");
+                }
+            }
+            ToOwner::Moved(_) | ToOwner::Tested { .. } => {}
+        }
+    }
+
+    /// What a host does with a message.
+    fn host(&mut self, link: LinkId, message: &ToHost) {
+        let Some((port, _)) = self.links.get(&link).copied() else { return };
+        match message {
+            ToHost::Setup { id, class, .. } => {
+                let id = *id;
+                let heard = self.heard.entry(id).or_default();
+                assert!(!heard.ran || class != "print", "{id} may have run and is sent again");
+                assert!(
+                    heard.answers + heard.refusals + heard.failures == 0,
+                    "{id} is sent after its answer"
+                );
+                assert!(!heard.withdrawn, "{id} is sent after its owner went");
+                let other = self.live.insert(id, Live { link, port });
+                assert!(other.is_none(), "{id} is out twice");
+                self.answer(link, id);
+            }
+            ToHost::Release { id, .. } => {
+                if self.live.remove(id).is_some() {
+                    self.heard.entry(*id).or_default().ran = true;
+                }
+                if self.standing.remove(id).is_some() {
+                    let over = FromHost::Release {
+                        id: *id,
+                        cause: CANCELLED,
+                        reason: None,
+                        figures: BTreeMap::new(),
+                    };
+                    self.later(MS, Input::Host(link, over));
+                }
+            }
+            ToHost::Test { id, .. } => {
+                let passed = FromHost::Tested { id: *id, passed: true, figures: BTreeMap::new() };
+                if !self.unruly || self.below(3) > 0 {
+                    self.later(MS, Input::Host(link, passed));
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, link: LinkId, id: u64) {
+        let release = |cause| FromHost::Release { id, cause, reason: None, figures: BTreeMap::new() };
+        let answer = FromHost::Answer { id, description: format!("host's for {id}") };
+        let after = u64::from(1 + self.below(40)) * MS;
+        let chance = if self.unruly { self.below(100) } else { 0 };
+        match chance {
+            0..45 => {
+                self.later(after, Input::Host(link, answer.clone()));
+                if chance > 35 {
+                    // A second copy, and one under an id that nobody knows.
+                    self.later(after, Input::Host(link, answer));
+                    let unknown = FromHost::Answer { id: id ^ 1 << 60, description: "?".to_owned() };
+                    self.later(after, Input::Host(link, unknown));
+                }
+                let life = u64::from(1 + self.below(5_000)) * MS;
+                if chance % 3 > 0 {
+                    self.later(after + life, Input::Host(link, release(GIVEN_UP)));
+                }
+            }
+            45..60 => self.later(after, Input::Host(link, release(FULL))),
+            60..67 => self.later(after, Input::Host(link, release(ERROR))),
+            67..74 => self.later(after, Input::Host(link, release(CUT))),
+            74..84 => {
+                let down = if chance % 2 == 0 { Down::Broke } else { Down::Spoilt };
+                self.later(after, Input::LinkDown { link, down, begun: u64::MAX });
+            }
+            84..90 => self.later(0, Input::LinkDown { link, down: Down::Broke, begun: 0 }),
+            // It says nothing.
+            _ => {}
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: u64) {
+        let until = self.now + time;
+        loop {
+            let planned = self.later.keys().next().map(|(at, _)| *at);
+            let wake = self.engine.next_wake().map(|at| at.max(self.now));
+            let next = planned.into_iter().chain(wake).min().filter(|at| *at <= until);
+            let Some(next) = next else { break };
+            self.now = next;
+            match self.later.first_entry().filter(|first| first.key().0 <= next) {
+                Some(first) => {
+                    let input = first.remove();
+                    self.tell(input);
+                }
+                None => self.turn(),
+            }
+        }
+        self.now = until;
+        self.turn();
+    }
+}
