Ends at hosts that leave or fall silent are told in time; an ending placer stays to tell them

Ruled out: lost releases towards owners. Now: left is the end whatever stands; a broken connection and two refusals are; refusals alone, of a leaving host, only with 6 s of silence. A connection that breaks is followed by a new one at once, to see.

Need: a placer that is asked to end was gone 2.5 s before its time, and heard no end of its tasks. It stays for the longest wait, 3 s at most, while tasks stand.

Tests: the four cases in tests/engine.rs, the table of lost_all.

--- a/crates/platform/src/decide.rs
+++ b/crates/platform/src/decide.rs
@@ -80,6 +80,10 @@
 pub struct Seen {
     /// The list has it.
     pub listed: bool,
+    /// It wraps up: it takes no new connections, and its tasks may still stand.
+    pub leaving: bool,
+    /// A connection to it broke, and nothing was heard of it since.
+    pub broke: bool,
     /// Connections that stand.
     pub links_up: usize,
     /// Refused connections in a row.
@@ -90,13 +94,14 @@
     pub quiet_us: u64,
 }
 
-/// Are the tasks that a host held over? Its process cut them if it is gone: it left the list and no connection
-/// stands any more, or it refuses connections again and again. A machine that vanished says nothing on the
-/// connections that stand, and no new one comes up.
+/// Are the tasks that a host held over? Its process cut them if it is gone: it left the list, or it refuses
+/// connections again and again. Some that stood may stay open and silent then, but one that breaks shows it. One
+/// that leaves refuses connections while its tasks stand, so with it that alone is no sign. Of a machine that
+/// vanished nothing is heard, and no new connection comes up.
 pub fn lost_all(seen: Seen) -> bool {
-    let process_gone = seen.links_up == 0 && (!seen.listed || seen.refused >= REFUSED);
-    let machine_gone = seen.unreachable >= UNREACHABLE && seen.quiet_us >= QUIET_US;
-    process_gone || machine_gone
+    let refuses = seen.refused >= REFUSED && (seen.broke || seen.links_up == 0 && !seen.leaving);
+    let silent = seen.unreachable.max(seen.refused) >= UNREACHABLE && seen.quiet_us >= QUIET_US;
+    !seen.listed || refuses || silent
 }
 
 /// An owner's connection on which the end of a task may be told.
@@ -158,10 +163,20 @@
         for (listed, links_up) in [(false, 0), (false, 1), (true, 0), (true, 1)] {
             for (refused, unreachable) in [(0, 0), (1, 2), (2, 0), (0, 3), (3, 4)] {
                 for quiet_us in [0, 5_900_000, 6_000_000] {
-                    let seen = Seen { listed, links_up, refused, unreachable, quiet_us };
-                    let process = links_up == 0 && (!listed || refused >= 2);
-                    let machine = unreachable >= 3 && quiet_us >= 6_000_000;
-                    assert_eq!(lost_all(seen), process || machine, "{seen:?}");
+                    for (leaving, broke) in [(false, false), (false, true), (true, true), (true, false)] {
+                        let seen = Seen { listed, leaving, broke, links_up, refused, unreachable, quiet_us };
+                        let quiet = quiet_us >= 6_000_000;
+                        let want = match (listed, leaving, broke) {
+                            (false, _, _) => true,
+                            (true, _, true) => refused >= 2 || quiet && unreachable >= 3,
+                            // It refuses whoever is new, and holds its tasks.
+                            (true, true, false) => quiet && (refused >= 3 || unreachable >= 3),
+                            (true, false, false) => {
+                                refused >= 2 && links_up == 0 || quiet && (refused >= 3 || unreachable >= 3)
+                            }
+                        };
+                        assert_eq!(lost_all(seen), want, "{seen:?}");
+                    }
                 }
             }
         }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -21,6 +21,10 @@
 /// those that it has: as long as the platform says that they come, and a little.
 const LISTEN_US: Micros = 700_000;
 const ASKED_US: Micros = 1_000_000;
+/// It stays for as long as the platform lets it, which is the longest that an owner waits, this at most, and a
+/// little: what stands goes on, and its ends are told until it goes.
+const STAY_US: Micros = 3_000_000;
+const STAY_MORE_US: Micros = 400_000;
 /// Kept in hand of an owner's time, for the way of the last answer.
 const ANSWER_US: Micros = 10_000;
 
@@ -279,8 +283,11 @@
             self.stopped_listening = true;
             self.outputs.push_back(Output::StopListening);
         }
+        let longest = self.told.longest_wait_us.unwrap_or(0).min(STAY_US);
+        let standing = self.requests.values().any(|request| matches!(request.phase, Phase::Standing { .. }));
+        let stays = if standing { ASKED_US.max(longest + STAY_MORE_US) } else { ASKED_US };
         let owes = self.requests.values().any(|request| request.phase == Phase::Open);
-        if now >= asked + ASKED_US && !owes && !self.finished {
+        if now >= asked + stays && !owes && !self.finished {
             self.finished = true;
             self.outputs.push_back(Output::Finished);
         }
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -34,6 +34,8 @@
     /// Since when the list does not have it any more.
     left_at: Option<Micros>,
     links: BTreeSet<LinkId>,
+    /// A connection to it broke, and nothing was heard of it since.
+    broke: bool,
     /// Tasks that stand there, by their names.
     standing: BTreeSet<(u64, RequestId)>,
     /// Refused connections in a row, since one last stood.
@@ -53,6 +55,7 @@
             entry: None,
             left_at: None,
             links: BTreeSet::new(),
+            broke: false,
             standing: BTreeSet::new(),
             refused: 0,
             unreachable: 0,
@@ -64,7 +67,7 @@
     }
 
     fn heard(&mut self, now: Micros) {
-        (self.heard_at, self.unreachable) = (now, 0);
+        (self.heard_at, self.unreachable, self.broke) = (now, 0, false);
     }
 
     fn is_listed(&self) -> bool {
@@ -214,6 +217,8 @@
         let Some(host) = self.hosts.get(&machine) else { return };
         let seen = Seen {
             listed: host.is_listed(),
+            leaving: host.entry.as_ref().is_some_and(|entry| entry.health == State::Leaving),
+            broke: host.broke,
             links_up: up,
             refused: host.refused,
             unreachable: host.unreachable,
@@ -227,7 +232,9 @@
             }
         }
         let Some(host) = self.hosts.get_mut(&machine) else { return };
-        if host.links.is_empty() && !host.standing.is_empty() && !host.waiting && host.address().is_some() {
+        // A connection that broke may be the first sign of an end: whether it is, a new one shows.
+        let asks = host.links.is_empty() || host.broke;
+        if asks && !host.standing.is_empty() && !host.waiting && host.address().is_some() {
             let wait = if host.refused == 0 && host.wait == FIRST_WAIT_US { 0 } else { host.wait };
             host.wait = (host.wait * 2).min(LAST_WAIT_US);
             host.waiting = true;
@@ -247,8 +254,9 @@
     pub(crate) fn reconnect(&mut self, machine: MachineId) {
         let Some(host) = self.hosts.get_mut(&machine) else { return };
         host.waiting = false;
-        if host.links.is_empty() && !host.standing.is_empty() {
-            self.make_link(machine);
+        let asks = host.links.is_empty() || host.broke;
+        if asks && !host.standing.is_empty() {
+            self.check(machine);
         }
     }
 
@@ -309,6 +317,15 @@
         Some(id)
     }
 
+    /// Connects once more to a host that holds tasks: it is closed again if others stand.
+    fn check(&mut self, machine: MachineId) {
+        if self.links.len() < self.bounds.links
+            && let Some(link) = self.make_link(machine).and_then(|link| self.links.get_mut(&link))
+        {
+            link.check = true;
+        }
+    }
+
     /// Writes to a connection, if it still is one; answers which message of it this is.
     pub(crate) fn send_host(&mut self, id: LinkId, message: ToHost) -> u64 {
         let Some(link) = self.links.get_mut(&id) else { return 0 };
@@ -374,7 +391,8 @@
             match down {
                 Down::Refused => host.refused += 1,
                 Down::Unmade => host.unreachable += 1,
-                Down::Broke | Down::Spoilt => {}
+                Down::Broke => host.broke = true,
+                Down::Spoilt => {}
             }
         }
         let probes = self.probes.iter().filter(|(_, probe)| probe.link == id).map(|(id, _)| *id);
@@ -542,11 +560,7 @@
             self.hosts.iter().filter(|(_, host)| quiet(host)).map(|(id, _)| *id).collect();
         for machine in quiet {
             self.look_at(now, machine);
-            if self.links.len() < self.bounds.links
-                && let Some(link) = self.make_link(machine).and_then(|link| self.links.get_mut(&link))
-            {
-                link.check = true;
-            }
+            self.check(machine);
             if let Some(host) = self.hosts.get_mut(&machine) {
                 host.checked_at = now;
             }
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -6,6 +6,7 @@
 
 use proptest::prelude::*;
 use reedring_platform::Input;
+use reedring_platform::decide::Down;
 use reedring_platproto::host::{FromHost, ToHost};
 use reedring_platproto::owner::{FromOwner, ToOwner, Unusable};
 use reedring_platproto::{CUT, FULL, GIVEN_UP};
@@ -263,7 +264,7 @@
         false,
         &[line("h-1", 1, "east", "left", 0), line("h-2", 1, "east", "active", 5)],
     )));
-    let down = reedring_platform::decide::Down::Broke;
+    let down = Down::Broke;
     world.tell(Input::LinkDown { link, down, begun: 1 });
     assert_eq!(world.heard[&1].ends, 1, "its tasks are over with it");
     let made = world.engine.sizes().links;
@@ -328,3 +329,72 @@
     assert!(sizes.timers <= largest.timers + 4, "{sizes:?}, {largest:?} before");
     assert!(world.engine.poll().is_none());
 }
+
+/// A world in which two tasks stand at h-1, whose connections are `links`.
+fn standing() -> (World, Vec<u64>) {
+    let mut world = World::new(20, &[line("h-1", 1, "east", "active", 0)]);
+    let conn = world.connect();
+    world.ask(conn, setup(1, "play", 1_000));
+    world.ask(conn, setup(2, "print", 1_000));
+    world.run(60 * MS);
+    assert_eq!(world.engine.sizes().requests, 2);
+    let links: Vec<u64> = world.to_hosts.iter().map(|(link, _)| *link).collect();
+    (world, links)
+}
+
+fn ends(world: &World) -> u32 {
+    world.heard.values().map(|heard| heard.ends).sum()
+}
+
+#[test]
+fn a_host_that_leaves_refuses_connections_and_holds_its_tasks() {
+    let (mut world, links) = standing();
+    world.connects = Some(Down::Refused);
+    world.tell(Input::Board(told(2, false, &[line("h-1", 1, "east", "leaving", 0)])));
+    world.run(5 * SECOND);
+    assert_eq!(ends(&world), 0, "refusals alone are no sign");
+    let end = FromHost::Release { id: 1, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
+    world.tell(Input::Host(links[0], end));
+    assert_eq!(ends(&world), 1);
+    // Once a connection that stood is broken too, its process is gone; others may stay open and silent.
+    world.tell(Input::LinkDown { link: links[0], down: Down::Broke, begun: 1 });
+    world.run(SECOND);
+    assert_eq!(ends(&world), 2);
+}
+
+/// Found on a recorded day: ends at a leaving host could not be heard on its open connections.
+#[test]
+fn tasks_of_a_host_that_left_or_fell_silent_are_over_within_eight_seconds() {
+    for left in [false, true] {
+        let (mut world, _) = standing();
+        world.connects = Some(Down::Refused);
+        world.tell(Input::Board(told(2, false, &[line("h-1", 1, "east", "leaving", 0)])));
+        if left {
+            world.tell(Input::Board(told(3, false, &[line("h-1", 1, "east", "left", 0)])));
+        } else {
+            world.run(7_500 * MS);
+        }
+        assert_eq!(ends(&world), 2, "{left}");
+    }
+}
+
+#[test]
+fn tasks_of_a_machine_that_vanished_are_over_within_eight_seconds() {
+    let (mut world, _) = standing();
+    world.connects = Some(Down::Unmade);
+    world.run(5 * SECOND);
+    assert_eq!(ends(&world), 0, "a cut may be short");
+    world.run(2_800 * MS);
+    assert_eq!(ends(&world), 2);
+}
+
+#[test]
+fn a_connection_that_broke_is_no_end_where_the_host_answers() {
+    let (mut world, links) = standing();
+    for link in links {
+        world.tell(Input::LinkDown { link, down: Down::Broke, begun: 1 });
+    }
+    world.run(20 * SECOND);
+    assert_eq!(ends(&world), 0);
+    assert!(world.engine.sizes().links > 0, "its ends are to be heard");
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -100,6 +100,8 @@
     pub to_owners: Vec<(ConnId, ToOwner)>,
     /// Hosts do as they please; else they answer each set-up.
     pub unruly: bool,
+    /// How every new connection to a host ends; `None`: it stands.
+    pub connects: Option<Down>,
     next_conn: ConnId,
 }
 
@@ -126,6 +128,7 @@
             to_hosts: Vec::new(),
             to_owners: Vec::new(),
             unruly: false,
+            connects: None,
             next_conn: 0,
         };
         world.turn();
@@ -252,6 +255,7 @@
                 let after = u64::from(self.below(3)) * MS;
                 let chance = self.below(100);
                 let down = match chance {
+                    _ if self.connects.is_some() => self.connects.map(|down| (down, 250 * MS)),
                     0..4 if self.unruly => Some((Down::Refused, after)),
                     4..8 if self.unruly => Some((Down::Unmade, 250 * MS)),
                     _ => None,
--- a/src/told.rs
+++ b/src/told.rs
@@ -26,6 +26,8 @@
     pub report: Vec<String>,
     /// Idle connections to machines are closed after this time.
     pub idle_close_us: Option<Micros>,
+    /// How long an owner waits for an answer, in the class that waits longest.
+    pub longest_wait_us: Option<Micros>,
     /// Most set-ups on one connection to a machine.
     pub per_connection: Option<usize>,
 }
@@ -63,6 +65,7 @@
     group: Option<WireGroup>,
     dedup_window_us: Option<Micros>,
     aim_us: Micros,
+    hard_limit_us: Option<Micros>,
 }
 
 #[derive(Deserialize)]
@@ -249,6 +252,7 @@
             cross_zone: prices.cross_zone,
         }),
     };
+    let longest_wait_us = wire.classes.iter().filter_map(|class| class.hard_limit_us).max();
     Ok(Told {
         settings,
         lists_free: facts.lists_free == Some(true),
@@ -257,6 +261,7 @@
         zones: wire.failure_domains,
         kinds: wire.kinds,
         report: wire.report.map(|report| report.names).unwrap_or_default(),
+        longest_wait_us,
         idle_close_us: limits.idle_close_us,
         per_connection: limits.per_conn,
     })
