One missing answer is a doubt, not a shut class; connections to hosts are made ahead

Logged each machine's reason and each failed attempt: 59 offers of all machines alike were stopped as passed over, and each shut its tenant and class out of the machine for 12 s (logic.rs, ended) until most were shut. The answers had been lost on their way, one at a time; others of the same class were answered between. Ruled out: connects that failed (none), drains, cold machines.

Only a reset is a sign (decide.rs, Down::Closed). Connections: a set-up uses one that stands, and one is made ahead, so that none waits for a connect at a host that pauses.

--- a/crates/platform/src/decide.rs
+++ b/crates/platform/src/decide.rs
@@ -8,7 +8,9 @@
     Refused,
     /// It did not come up in time, or could not be made at all.
     Unmade,
-    /// It stood, and broke or was closed.
+    /// It stood, and its other end closed it in good order, as one that is idle.
+    Closed,
+    /// It stood, and was reset.
     Broke,
     /// It stood, and carried what can't be read.
     Spoilt,
@@ -29,8 +31,8 @@
 pub fn did_it_run(down: Down, begun: bool) -> Fate {
     match (down, begun) {
         (Down::Refused | Down::Unmade, _) => Fate::NeverRan,
-        (Down::Broke | Down::Spoilt, false) => Fate::Unsent,
-        (Down::Broke | Down::Spoilt, true) => Fate::MayHaveRun,
+        (Down::Closed | Down::Broke | Down::Spoilt, false) => Fate::Unsent,
+        (Down::Closed | Down::Broke | Down::Spoilt, true) => Fate::MayHaveRun,
     }
 }
 
@@ -54,19 +56,26 @@
     Make,
 }
 
-/// Which connection? An empty one where there is one, so that a connection that breaks takes one set-up with it;
-/// then a new one while `room` for it is left; then the least loaded. None is used beyond `streams` set-ups,
-/// and a doubtful one never.
+/// Which connection? An empty one that stands, so that a connection that breaks takes one set-up with it; else the
+/// least loaded that stands, as a host that pauses for a moment takes no new connection but answers on those that it
+/// has; else one that is being made for nobody, or a new one while `room` for it is left. None is used beyond
+/// `streams` set-ups, and a doubtful one never.
 pub fn which_link(candidates: &[Candidate], room: bool, streams: usize) -> Option<Choice> {
     let usable = candidates.iter().enumerate().filter(|(_, link)| !link.doubtful && link.open < streams);
-    let best = usable.min_by_key(|(_, link)| (link.open, !link.up));
-    match best {
-        Some((at, link)) if link.open == 0 || !room => Some(Choice::Use(at)),
+    match usable.min_by_key(|(_, link)| (!link.up, link.open)) {
+        Some((at, link)) if link.up || link.open == 0 || !room => Some(Choice::Use(at)),
         _ if room => Some(Choice::Make),
         _ => None,
     }
 }
 
+/// Is a connection to be made ahead? One that is empty, or will be, is kept beside those in use, so that no set-up
+/// waits for a connection to be made.
+pub fn wants_spare(candidates: &[Candidate], chosen: usize, room: bool) -> bool {
+    let spare = |(at, link): (usize, &Candidate)| at != chosen && !link.doubtful && link.open == 0;
+    room && !candidates.iter().enumerate().any(spare)
+}
+
 /// Refused connections in a row after which a host's process counts as gone, with all that it held.
 const REFUSED: u32 = 2;
 
@@ -82,7 +91,7 @@
     pub listed: bool,
     /// It wraps up: it takes no new connections, and its tasks may still stand.
     pub leaving: bool,
-    /// A connection to it broke, and nothing was heard of it since.
+    /// A connection to it was reset, and nothing was heard of it since.
     pub broke: bool,
     /// Connections that stand.
     pub links_up: usize,
@@ -95,7 +104,7 @@
 }
 
 /// Are the tasks that a host held over? Its process cut them if it is gone: it left the list, or it refuses
-/// connections again and again. Some that stood may stay open and silent then, but one that breaks shows it. One
+/// connections again and again. Some that stood may stay open and silent then, but one that is reset shows it. One
 /// that leaves refuses connections while its tasks stand, so with it that alone is no sign. Of a machine that
 /// vanished nothing is heard, and no new connection comes up.
 pub fn lost_all(seen: Seen) -> bool {
@@ -128,9 +137,9 @@
 
     #[test]
     fn only_what_left_on_a_connection_that_stood_may_have_run() {
-        for down in [Down::Refused, Down::Unmade, Down::Broke, Down::Spoilt] {
+        for down in [Down::Refused, Down::Unmade, Down::Closed, Down::Broke, Down::Spoilt] {
             for begun in [false, true] {
-                let stood = matches!(down, Down::Broke | Down::Spoilt);
+                let stood = matches!(down, Down::Closed | Down::Broke | Down::Spoilt);
                 let fate = did_it_run(down, begun);
                 assert_eq!(fate == Fate::MayHaveRun, stood && begun, "{down:?} {begun}");
                 assert_eq!(fate == Fate::Unsent, stood && !begun, "{down:?} {begun}");
@@ -146,8 +155,11 @@
             (vec![], true, Some(Choice::Make)),
             (vec![], false, None),
             (vec![busy, coming, idle], true, Some(Choice::Use(2))),
-            (vec![busy, coming], true, Some(Choice::Use(1))),
-            (vec![busy], true, Some(Choice::Make)),
+            (vec![busy, coming], true, Some(Choice::Use(0))),
+            (vec![busy], true, Some(Choice::Use(0))),
+            (vec![coming], true, Some(Choice::Use(0))),
+            (vec![link(false, 1, false)], true, Some(Choice::Make)),
+            (vec![link(false, 1, false)], false, Some(Choice::Use(0))),
             (vec![busy, link(true, 1, false)], false, Some(Choice::Use(1))),
             (vec![link(true, 0, true)], true, Some(Choice::Make)),
             (vec![link(true, 0, true)], false, None),
@@ -158,6 +170,20 @@
         }
     }
 
+    #[test]
+    fn one_connection_is_kept_ahead() {
+        let link = |open, doubtful| Candidate { up: true, open, doubtful };
+        for (candidates, spare) in [
+            (vec![link(0, false)], true),
+            (vec![link(0, false), link(1, false)], true),
+            (vec![link(0, false), link(0, true)], true),
+            (vec![link(0, false), link(0, false)], false),
+        ] {
+            assert_eq!(wants_spare(&candidates, 0, true), spare, "{candidates:?}");
+            assert!(!wants_spare(&candidates, 0, false));
+        }
+    }
+
     #[test]
     fn tasks_are_over_where_nothing_stands_or_nothing_comes_up_or_is_heard() {
         for (listed, links_up) in [(false, 0), (false, 1), (true, 0), (true, 1)] {
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -34,7 +34,7 @@
     /// Since when the list does not have it any more.
     left_at: Option<Micros>,
     links: BTreeSet<LinkId>,
-    /// A connection to it broke, and nothing was heard of it since.
+    /// A connection to it was reset, and nothing was heard of it since.
     broke: bool,
     /// Tasks that stand there, by their names.
     standing: BTreeSet<(u64, RequestId)>,
@@ -232,7 +232,7 @@
             }
         }
         let Some(host) = self.hosts.get_mut(&machine) else { return };
-        // A connection that broke may be the first sign of an end: whether it is, a new one shows.
+        // A connection that was reset may be the first sign of an end: whether it is, a new one shows.
         let asks = host.links.is_empty() || host.broke;
         if asks && !host.standing.is_empty() && !host.waiting && host.address().is_some() {
             let wait = if host.refused == 0 && host.wait == FIRST_WAIT_US { 0 } else { host.wait };
@@ -277,7 +277,12 @@
             .unzip();
         let streams = self.told.per_connection.unwrap_or(usize::MAX).max(1);
         match decide::which_link(&candidates, room, streams) {
-            Some(Choice::Use(at)) => Some(ids[at]),
+            Some(Choice::Use(at)) => {
+                if candidates[at].up && decide::wants_spare(&candidates, at, room) {
+                    self.make_link(machine);
+                }
+                Some(ids[at])
+            }
             Some(Choice::Make) => self.make_link(machine),
             None => {
                 // The oldest idle connection to another host makes room.
@@ -392,7 +397,7 @@
                 Down::Refused => host.refused += 1,
                 Down::Unmade => host.unreachable += 1,
                 Down::Broke => host.broke = true,
-                Down::Spoilt => {}
+                Down::Closed | Down::Spoilt => {}
             }
         }
         let probes = self.probes.iter().filter(|(_, probe)| probe.link == id).map(|(id, _)| *id);
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -171,7 +171,8 @@
                 }
                 match read(stream, |bytes| reader.push(bytes)) {
                     Ok(None) => continue,
-                    Ok(Some(0)) | Err(_) => return Down::Broke,
+                    Ok(Some(0)) => return Down::Closed,
+                    Err(_) => return Down::Broke,
                     Ok(Some(_)) => {}
                 }
                 loop {
@@ -190,7 +191,7 @@
                 }
             }
             message = messages.recv() => {
-                let Some(message) = message else { return Down::Broke };
+                let Some(message) = message else { return Down::Closed };
                 // A reset that came already says that nothing more is read.
                 if !matches!(stream.take_error(), Ok(None)) {
                     return Down::Broke;
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -356,7 +356,11 @@
     let end = FromHost::Release { id: 1, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
     world.tell(Input::Host(links[0], end));
     assert_eq!(ends(&world), 1);
-    // Once a connection that stood is broken too, its process is gone; others may stay open and silent.
+    // It closes those that are idle; that is no sign either.
+    world.tell(Input::LinkDown { link: links[1], down: Down::Closed, begun: 1 });
+    world.run(SECOND);
+    assert_eq!(ends(&world), 1);
+    // Once one is reset, its process is gone; others may stay open and silent.
     world.tell(Input::LinkDown { link: links[0], down: Down::Broke, begun: 1 });
     world.run(SECOND);
     assert_eq!(ends(&world), 2);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -139,7 +139,8 @@
     probed_at: Option<Micros>,
     /// The last probe was for its report, and has not come back.
     asked_for: bool,
-    /// Tenants and classes that it turns away without a named shortage, and until when.
+    /// Tenants and classes that it turns away without a named shortage, and until when. A time that is past is
+    /// a doubt: it passed one over, or turned it away before.
     shut: BTreeMap<(u16, u16), Micros>,
     /// Since when the list says that it is gone.
     gone_at: Option<Micros>,
@@ -485,6 +486,9 @@
                 }
                 if let Some(seat) = self.seats.get_mut(machine) {
                     seat.answer(now, *attempt);
+                    let entry = self.entries.get(&attempt.request);
+                    let whose = entry.map(|entry| (entry.task.tenant, entry.task.class));
+                    seat.shut.retain(|other, until| Some(*other) != whose || *until > now);
                     if self.settings.yes_when_running {
                         seat.starting.remove(attempt);
                     }
@@ -755,7 +759,10 @@
                 _ => false,
             };
             if let Some(Entry { task, .. }) = entry.filter(|_| shut) {
-                seat.shut.insert((task.tenant, task.class), now + SHUT_US);
+                // One answer that is missing may be lost on its way; a second one in a row is not.
+                let whose = (task.tenant, task.class);
+                let doubt = passed && !seat.shut.contains_key(&whose);
+                seat.shut.insert(whose, if doubt { now } else { now + SHUT_US });
             }
             match end.outcome {
                 Outcome::TimedOut | Outcome::Unconnected | Outcome::Stopped if !shut => {
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -236,3 +236,27 @@
     let batch: Vec<Event> = (10..20).map(|request| arrived(request, 0)).collect();
     assert_eq!(offers(&bed.after(SECOND / 10, &batch)).len(), 4);
 }
+
+/// Task 1 is sent, `other` after it is placed, and then the answer to task 1 is given up.
+fn passed_over(bed: &mut Bed, number: u16, other: u64, class: u16) -> Vec<Action> {
+    bed.after(SECOND / 100, &[arrived(other, class)]);
+    bed.after(SECOND / 100, &[placed(other, 0, MachineId(1))]);
+    bed.after(SECOND / 100, &[ended(1, number, MachineId(1), Outcome::TimedOut)])
+}
+
+#[test]
+fn one_answer_that_is_lost_shuts_nobody_out() {
+    let mut bed = Bed::new(settings(), vec![machine(1, 0)]);
+    bed.step(&[arrived(1, 0)]);
+    // Its own class is served, so every time is the first again.
+    assert_eq!(offers(&passed_over(&mut bed, 0, 2, 0)).len(), 1);
+    assert_eq!(offers(&passed_over(&mut bed, 1, 3, 0)).len(), 1);
+}
+
+#[test]
+fn a_class_that_is_passed_over_twice_in_a_row_is_shut_out() {
+    let mut bed = Bed::new(settings(), vec![machine(1, 0)]);
+    bed.step(&[arrived(1, 0)]);
+    assert_eq!(offers(&passed_over(&mut bed, 0, 2, 1)).len(), 1);
+    assert!(offers(&passed_over(&mut bed, 1, 3, 1)).is_empty());
+}
