--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -164,3 +164,51 @@
     let nodes = text(&reedring(&["nodes", "--contact", &local.1]).stdout);
     assert!(nodes.contains("ready, by hand"), "{nodes}");
 }
+
+/// Reads a program's standard error until a line holds these words.
+fn told(lines: &mut impl Iterator<Item = std::io::Result<String>>, words: &str) {
+    assert!(lines.any(|line| line.unwrap().contains(words)), "{words}");
+}
+
+#[test]
+fn the_platforms_placer_says_what_is_wrong_reads_again_and_ends_when_asked() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let config = path.to_str().unwrap();
+    for (content, words) in
+        [(None, "name a file"), (Some("{"), "line 1"), (Some("{}"), "missing field `name`")]
+    {
+        if let Some(content) = content {
+            std::fs::write(&path, content).unwrap();
+        }
+        let wrong = reedring(&["platform", "--config", config]);
+        assert_eq!(wrong.status.code(), Some(2));
+        let said = text(&wrong.stderr);
+        assert!(said.contains(words) && said.contains("config.json") && said.lines().count() == 1, "{said}");
+    }
+    // A port that is free now.
+    let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let good = serde_json::json!({"name": "n1", "listen": listen, "seed": "00000000000000aa",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": "127.0.0.1:1",
+        "known": {"rev": 0, "notices": []},
+        "settings": {"nInstances": 1, "classes": [], "kinds": [], "discovery": "ask", "specifics": {},
+            "policyLimits": {}, "rules": {}}});
+    std::fs::write(&path, good.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_reedring"));
+    let child = command.args(["platform", "--config", config]).stderr(Stdio::piped()).spawn().unwrap();
+    let mut placer = Running(child, String::new());
+    let mut lines = BufReader::new(placer.0.stderr.take().unwrap()).lines();
+    // Signals are answered from before it listens, and it polls the board from after that.
+    told(&mut lines, "the notice board");
+    let ask = |signal: &str| {
+        let id = placer.0.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    };
+    std::fs::write(&path, "{").unwrap();
+    ask("-HUP");
+    told(&mut lines, "the old configuration holds");
+    std::fs::write(&path, good.to_string()).unwrap();
+    told(&mut lines, "configuration read again");
+    ask("-TERM");
+    assert_eq!(placer.0.wait().unwrap().code(), Some(0));
+}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -92,7 +92,7 @@
     /// It was accepted there by this attempt.
     Standing { machine: MachineId, number: u16, since: Micros },
     /// It stands there still, and was told to end.
-    Ending { machine: MachineId, number: u16 },
+    Ending { machine: MachineId, number: u16, since: Micros },
 }
 
 pub(crate) struct Request {
@@ -296,12 +296,12 @@
     fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
             Action::Offer { request, machine, within_us } => self.offer(now, request, machine, within_us),
-            Action::Stop(attempt) => self.stop(now, attempt),
+            Action::Stop(attempt) => self.stop(attempt),
             Action::Refuse { request, stay_away_us } => {
                 self.answer(request, |id| ToOwner::refusal(id, stay_away_us.map(|us| us.div_ceil(1_000))));
             }
             Action::Fail(request) => self.answer(request, |id| failure(id, CUT)),
-            Action::Move(request) => self.move_away(request),
+            Action::Move(request) => self.move_away(now, request),
             Action::Probe(machine) => self.probe(now, machine),
             Action::CloseIdle(machine) => self.close_idle(machine),
             Action::Tell { .. } => self.log("the platform carries no messages between placers".to_owned()),
@@ -351,20 +351,20 @@
     }
 
     /// Ends the placed task, so that its owner comes again.
-    fn move_away(&mut self, request: RequestId) {
+    fn move_away(&mut self, now: Micros, request: RequestId) {
         let Some(entry) = self.requests.get(&request) else { return };
         let (Phase::Standing { .. }, id, conn) = (entry.phase, entry.setup.id, entry.conn) else { return };
-        self.cut(request, CANCELLED);
+        self.cut(now, request, CANCELLED);
         if let Some(conn) = self.route(Some(conn)) {
             self.send_owner(conn, ToOwner::Moved(id));
         }
     }
 
     /// Tells a host to end what stands there.
-    pub(crate) fn cut(&mut self, request: RequestId, cause: u8) {
+    pub(crate) fn cut(&mut self, now: Micros, request: RequestId, cause: u8) {
         let Some(entry) = self.requests.get_mut(&request) else { return };
         let Phase::Standing { machine, number, .. } = entry.phase else { return };
-        entry.phase = Phase::Ending { machine, number };
+        entry.phase = Phase::Ending { machine, number, since: now };
         let id = entry.setup.id;
         if let Some(link) = self.any_link(machine) {
             self.send_host(link, ToHost::Release { id, cause });
@@ -466,7 +466,7 @@
         }
     }
 
-    fn stop(&mut self, _now: Micros, attempt: AttemptId) {
+    fn stop(&mut self, attempt: AttemptId) {
         let out = self.requests.get(&attempt.request).and_then(|entry| entry.out);
         if out.is_some_and(|out| out.number == attempt.number) {
             self.give_up(attempt.request, Outcome::Stopped);
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -11,7 +11,7 @@
 use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
 
 use crate::decide::{self, Candidate, Choice, Down, Fate, Seen};
-use crate::engine::{Engine, Phase, Timer};
+use crate::engine::{Engine, Phase, Request, Timer};
 use crate::io::{LinkId, Output};
 
 /// Waits between two tries to reach a host that holds tasks: the first, doubled each time up to the last.
@@ -23,6 +23,8 @@
 /// it still is there can't be told otherwise, as to probe is the module's to decide.
 const QUIET_US: Micros = 2_500_000;
 const CHECK_US: Micros = 1_000_000;
+/// A host that was told to end a task and does not say that it did has no such task any more.
+const ENDING_US: Micros = 5_000_000;
 /// A host that left the list and still has a connection may wrap up for so long.
 const LEFT_US: Micros = 3_000_000;
 
@@ -216,15 +218,16 @@
         let up = self.links_of(machine).filter(|(_, link)| link.up).count();
         let Some(host) = self.hosts.get(&machine) else { return };
         let seen = Seen {
-            listed: host.is_listed(),
+            // One that no line ever named can't be connected to.
+            listed: host.entry.is_none() || host.is_listed(),
             leaving: host.entry.as_ref().is_some_and(|entry| entry.health == State::Leaving),
             broke: host.broke,
             links_up: up,
             refused: host.refused,
-            unreachable: host.unreachable,
+            unreachable: if host.entry.is_some() { host.unreachable } else { u32::MAX },
             quiet_us: now.saturating_sub(host.heard_at),
         };
-        if host.entry.is_some() && !host.standing.is_empty() && decide::lost_all(seen) {
+        if !host.standing.is_empty() && decide::lost_all(seen) {
             let standing: Vec<RequestId> = host.standing.iter().map(|(_, request)| *request).collect();
             self.log(format!("host {}: {} tasks are lost with it", self.name(machine), standing.len()));
             for request in standing {
@@ -543,7 +546,7 @@
         let (id, key, home) = (entry.setup.id, entry.setup.key, entry.conn);
         let (machine, number, owed) = match entry.phase {
             Phase::Standing { machine, number, .. } => (machine, number, true),
-            Phase::Ending { machine, number } => (machine, number, false),
+            Phase::Ending { machine, number, .. } => (machine, number, false),
             Phase::Open | Phase::Closed => return,
         };
         if let Some(host) = self.hosts.get_mut(&machine) {
@@ -558,6 +561,12 @@
     }
 
     pub(crate) fn sweep_hosts(&mut self, now: Micros) {
+        let ended =
+            |entry: &Request| matches!(entry.phase, Phase::Ending { since, .. } if since + ENDING_US <= now);
+        let ended = self.requests.iter().filter(|(_, entry)| ended(entry)).map(|(request, _)| *request);
+        for request in ended.collect::<Vec<_>>() {
+            self.over(now, request, Outcome::Stopped, None, CANCELLED, Vec::new());
+        }
         let quiet = |host: &Host| {
             !host.standing.is_empty() && host.heard_at + QUIET_US <= now && host.checked_at + CHECK_US <= now
         };
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -165,7 +165,7 @@
                 if let Some(entry) = self.conns.get_mut(&conn) {
                     entry.heard_at = now;
                 }
-                self.cut(request, reedring_platproto::CANCELLED);
+                self.cut(now, request, reedring_platproto::CANCELLED);
             }
             _ => {}
         }
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -8,7 +8,7 @@
 use reedring_platform::Input;
 use reedring_platform::decide::Down;
 use reedring_platproto::host::{FromHost, ToHost};
-use reedring_platproto::owner::{FromOwner, ToOwner, Unusable};
+use reedring_platproto::owner::{FromOwner, Setup, ToOwner, Unusable};
 use reedring_platproto::{CUT, FULL, GIVEN_UP};
 use world::{MS, SECOND, World, line, setup, told};
 
@@ -402,3 +402,26 @@
     assert_eq!(ends(&world), 0);
     assert!(world.engine.sizes().links > 0, "its ends are to be heard");
 }
+
+#[test]
+fn a_task_at_a_host_that_no_list_names_is_over_in_time() {
+    let mut world = World::new(21, &hosts(1));
+    let conn = world.connect();
+    world.ask(conn, Setup { at: Some("h-9".to_owned()), ..setup(5, "print", 4_294_967) });
+    world.run(5 * SECOND);
+    assert!(world.to_owners.is_empty(), "the list may lag");
+    world.run(2_800 * MS);
+    assert!(matches!(world.to_owners[..], [(_, ToOwner::Release { id: 5, cause: CUT, .. })]));
+    assert_eq!((world.engine.sizes().requests, world.engine.sizes().hosts), (0, 1));
+}
+
+#[test]
+fn a_task_that_its_owner_ended_is_forgotten_though_its_host_says_nothing() {
+    let (mut world, _) = standing();
+    let conn = *world.owners.first().unwrap();
+    world.deaf = true;
+    world.tell(Input::Owner(conn, Ok(FromOwner::Release { id: 1, cause: GIVEN_UP })));
+    world.run(6 * SECOND);
+    assert_eq!(world.engine.sizes().requests, 1);
+    assert_eq!(ends(&world), 0, "who ended it is owed nothing");
+}
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -1,6 +1,9 @@
 //! Small stand-ins on loopback: an owner, a host and a notice board, with an encoding of their own.
 #![allow(dead_code)]
 
+#[path = "../../../platproto/tests/wire/mod.rs"]
+mod wire;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -14,6 +17,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
+pub use wire::message;
 
 /// No wait in a test is longer; one that is has failed.
 pub const LONG: Duration = Duration::from_secs(20);
@@ -46,19 +50,6 @@
     }
 }
 
-pub fn message(kind: u8, id: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
-    let mut body = vec![kind];
-    body.extend(id.to_be_bytes());
-    for (code, value) in parameters {
-        body.push(*code);
-        body.extend((value.len() as u16).to_be_bytes());
-        body.extend_from_slice(value);
-    }
-    let mut bytes = (body.len() as u16).to_be_bytes().to_vec();
-    bytes.extend(body);
-    bytes
-}
-
 pub fn setup(id: u64, class: &str, left_ms: u64, extras: &str) -> Vec<u8> {
     let (left, key) = (left_ms.to_string(), format!("{:016x}", id ^ 0xabc));
     let extras = format!("cores:0.5;memory:1;service:0000000000000007{extras}");
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -16,15 +16,7 @@
 pub const SECOND: u64 = 1_000 * MS;
 
 /// Class 0 is safe, 1 keyed by zone, 2 unsafe.
-pub const SETTINGS: &str = r#"{"nInstances":1,"zone":0,"failureDomains":["east","west"],"kinds":["std"],
-    "tenants":[{"name":"radio"}],"discovery":"ask",
-    "classes":[{"name":"play","effect":"free","aimUs":700000},
-        {"name":"take","effect":"guarded","group":"zone","dedupWindowUs":5000000,"aimUs":700000},
-        {"name":"print","effect":"single_shot","aimUs":2000000}],
-    "specifics":{"acceptsCores":2.0,"memBooking":2.0,"yesAt":"accepted","cpuOfKind":[64],"memOfKind":[256.0],
-        "unitCores":1.0,"unitMemory":2.0,"listsFree":true},
-    "policyLimits":{"maxAttempts":4,"cancelling":true,"probing":true,"connectTimeoutUs":250000,"perConn":100},
-    "rules":{"mustAskInUs":10000000}}"#;
+const SETTINGS: &str = include_str!("../standins/settings.json");
 
 pub fn line(id: &str, port: u16, site: &str, health: &str, born_ms: u64) -> String {
     format!(
@@ -102,6 +94,8 @@
     pub unruly: bool,
     /// How every new connection to a host ends; `None`: it stands.
     pub connects: Option<Down>,
+    /// Hosts do nothing on a release.
+    pub deaf: bool,
     next_conn: ConnId,
 }
 
@@ -129,6 +123,7 @@
             to_owners: Vec::new(),
             unruly: false,
             connects: None,
+            deaf: false,
             next_conn: 0,
         };
         world.turn();
@@ -321,6 +316,7 @@
                 assert!(other.is_none(), "{id} is out twice");
                 self.answer(link, id);
             }
+            ToHost::Release { .. } if self.deaf => {}
             ToHost::Release { id, .. } => {
                 if self.live.remove(id).is_some() {
                     self.heard.entry(*id).or_default().ran = true;
--- a/crates/platproto/tests/messages.rs
+++ b/crates/platproto/tests/messages.rs
@@ -1,23 +1,13 @@
 //! Messages as they cross the sockets: whole, cut anywhere, and wrong in every way that was thought of.
 
+mod wire;
+
 use proptest::prelude::*;
 use reedring_platproto::board::{Names, Told};
 use reedring_platproto::host::{self, FromHost, ToHost};
 use reedring_platproto::owner::{self, FromOwner, ToOwner, Unusable};
 use reedring_platproto::{FULL, MAX, config};
-
-fn message(kind: u8, id: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
-    let mut body = vec![kind];
-    body.extend(id.to_be_bytes());
-    for (code, value) in parameters {
-        body.push(*code);
-        body.extend((value.len() as u16).to_be_bytes());
-        body.extend_from_slice(value);
-    }
-    let mut bytes = (body.len() as u16).to_be_bytes().to_vec();
-    bytes.extend(body);
-    bytes
-}
+use wire::message;
 
 const SETUP: [(u8, &[u8]); 6] = [
     (180, b"play"),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -139,8 +139,8 @@
     probed_at: Option<Micros>,
     /// The last probe was for its report, and has not come back.
     asked_for: bool,
-    /// Tenants and classes that it turns away without a named shortage, and until when. A time that is past is
-    /// a doubt: it passed one over, or turned it away before.
+    /// Tenants and classes that it turns away without a named shortage, and until when. A time that is past
+    /// is a doubt: it passed one over, or turned it away before.
     shut: BTreeMap<(u16, u16), Micros>,
     /// Since when the list says that it is gone.
     gone_at: Option<Micros>,
