Platform: what was written twice is one piece; behaviour as before

Board names come from the settings in one place and the engine keeps no copy; the waits to reach a host are net's Backoff; one way each to close an open request, to find one by its id on the wire, to find the attempt that is out, to tell ends again, to list all lines, to call a connection idle. A failure stands beside the refusal in platproto. Two conditions that could never differ are gone (board_told, the grace of a set-up). The module names whose a task is in one place and looks a placed entry up once. Tests share the end of a task and the smallest site; their assertions are as they were.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -5,15 +5,15 @@
 use reedring::timers::Timers;
 use reedring::told::Told;
 use reedring::{Action, AttemptId, Ended, Event, MachineId, Micros, Outcome, Placer, RequestId};
-use reedring_platproto::board::{self, Names};
+use reedring_platproto::board;
 use reedring_platproto::config::Limits;
 use reedring_platproto::host::{Figures, ToHost};
 use reedring_platproto::owner::{Setup, ToOwner};
-use reedring_platproto::{CANCELLED, CUT, ERROR};
+use reedring_platproto::{CANCELLED, CUT, GIVEN_UP};
 
 use crate::hosts::{Host, Link};
 use crate::io::{ConnId, Input, LinkId, Output};
-use crate::owners::{Conn, Owed};
+use crate::owners::{Conn, End};
 
 /// Between two looks at idle connections and old records.
 const SWEEP_US: Micros = 250_000;
@@ -126,7 +126,7 @@
     pub sent: Micros,
 }
 
-/// Sizes of all that an engine keeps, for tests and the log.
+/// Sizes of all that an engine keeps, for tests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sizes {
     /// Requests that are open, stand, or have an attempt out.
@@ -150,7 +150,6 @@
 /// One placer on the platform. The crate's page shows the loop around it.
 pub struct Engine {
     pub(crate) told: Told,
-    pub(crate) names: Names,
     pub(crate) bounds: Bounds,
     pub(crate) conns: BTreeMap<ConnId, Conn>,
     pub(crate) hosts: BTreeMap<MachineId, Host>,
@@ -160,7 +159,8 @@
     /// Requests by the id on the wire.
     pub(crate) by_id: BTreeMap<u64, RequestId>,
     pub(crate) probes: BTreeMap<u64, Probe>,
-    pub(crate) ends: Owed,
+    /// Ends of tasks that owners are to hear of, or heard of just now.
+    pub(crate) ends: VecDeque<End>,
     pub(crate) rev: u64,
     /// The module waits for word of the list.
     pub(crate) asked_list: bool,
@@ -179,11 +179,9 @@
 impl Engine {
     /// A placer that knows its settings and the list as it was told.
     pub fn new(start: Start) -> Self {
-        let names = Names { zones: start.told.zones.clone(), kinds: start.told.kinds.clone() };
         let placer = Placer::new(start.told.settings.clone(), start.seed);
         let mut engine = Self {
             told: start.told,
-            names,
             bounds: start.bounds,
             conns: BTreeMap::new(),
             hosts: BTreeMap::new(),
@@ -192,7 +190,7 @@
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
             probes: BTreeMap::new(),
-            ends: Owed::default(),
+            ends: VecDeque::new(),
             rev: 0,
             asked_list: false,
             timers: Timers::default(),
@@ -300,7 +298,7 @@
             Action::Refuse { request, stay_away_us } => {
                 self.answer(request, |id| ToOwner::refusal(id, stay_away_us.map(|us| us.div_ceil(1_000))));
             }
-            Action::Fail(request) => self.answer(request, |id| failure(id, CUT)),
+            Action::Fail(request) => self.answer(request, |id| ToOwner::failure(id, CUT)),
             Action::Move(request) => self.move_away(now, request),
             Action::Probe(machine) => self.probe(now, machine),
             Action::CloseIdle(machine) => self.close_idle(machine),
@@ -335,19 +333,29 @@
         }
     }
 
-    /// The final answer to a set-up, at once.
-    fn answer(&mut self, request: RequestId, answer: impl FnOnce(u64) -> ToOwner) {
-        let Some(entry) = self.requests.get_mut(&request).filter(|entry| entry.phase == Phase::Open) else {
-            return;
-        };
-        let (conn, id) = (entry.conn, entry.setup.id);
+    /// The request under an id on the wire.
+    pub(crate) fn request_of(&self, id: u64) -> Option<(RequestId, &Request)> {
+        let request = *self.by_id.get(&id)?;
+        Some((request, self.requests.get(&request)?))
+    }
+
+    /// Owes an open request nothing any more; on which connection it came, and its id.
+    pub(crate) fn close(&mut self, request: RequestId) -> Option<(ConnId, u64)> {
+        let entry = self.requests.get_mut(&request).filter(|entry| entry.phase == Phase::Open)?;
         entry.phase = Phase::Closed;
-        let out = entry.out.is_some();
+        let (whose, out) = ((entry.conn, entry.setup.id), entry.out.is_some());
         if !out {
             self.forget(request);
         }
-        self.send_owner(conn, answer(id));
-        self.closed_on(conn, id);
+        Some(whose)
+    }
+
+    /// The final answer to a set-up, at once.
+    fn answer(&mut self, request: RequestId, answer: impl FnOnce(u64) -> ToOwner) {
+        if let Some((conn, id)) = self.close(request) {
+            self.send_owner(conn, answer(id));
+            self.closed_on(conn, id);
+        }
     }
 
     /// Ends the placed task, so that its owner comes again.
@@ -355,7 +363,7 @@
         let Some(entry) = self.requests.get(&request) else { return };
         let (Phase::Standing { .. }, id, conn) = (entry.phase, entry.setup.id, entry.conn) else { return };
         self.cut(now, request, CANCELLED);
-        if let Some(conn) = self.route(Some(conn)) {
+        if let Some(conn) = self.route(conn) {
             self.send_owner(conn, ToOwner::Moved(id));
         }
     }
@@ -462,21 +470,25 @@
     fn give_up(&mut self, request: RequestId, outcome: Outcome) {
         let Some(id) = self.requests.get(&request).map(|entry| entry.setup.id) else { return };
         if let Some(out) = self.take_back(request, outcome, None, Vec::new()) {
-            self.send_host(out.link, ToHost::Release { id, cause: reedring_platproto::GIVEN_UP });
+            self.send_host(out.link, ToHost::Release { id, cause: GIVEN_UP });
             self.doubt(out.link);
         }
     }
 
-    fn stop(&mut self, attempt: AttemptId) {
+    /// The attempt, if it is the one that is out.
+    pub(crate) fn out(&self, attempt: AttemptId) -> Option<Out> {
         let out = self.requests.get(&attempt.request).and_then(|entry| entry.out);
-        if out.is_some_and(|out| out.number == attempt.number) {
+        out.filter(|out| out.number == attempt.number)
+    }
+
+    fn stop(&mut self, attempt: AttemptId) {
+        if self.out(attempt).is_some() {
             self.give_up(attempt.request, Outcome::Stopped);
         }
     }
 
     fn attempt_due(&mut self, now: Micros, attempt: AttemptId) {
-        let out = self.requests.get(&attempt.request).and_then(|entry| entry.out);
-        if out.is_some_and(|out| out.number == attempt.number && out.until <= now) {
+        if self.out(attempt).is_some_and(|out| out.until <= now) {
             self.give_up(attempt.request, Outcome::TimedOut);
         }
     }
@@ -524,13 +536,3 @@
 
 /// How long a probe is waited for where no connect time-out is told.
 const PROBE_US: Micros = 250_000;
-
-/// A failure, which promises nothing.
-pub(crate) fn failure(id: u64, cause: u8) -> ToOwner {
-    ToOwner::Release { id, cause, stay_away_ms: None }
-}
-
-/// What a message that can't be used gets.
-pub(crate) fn turned_away(id: u64) -> ToOwner {
-    failure(id, ERROR)
-}
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use reedring::names::machine_id;
 use reedring::{AttemptId, Event, Health, Listing, Machine, MachineId, Micros, Outcome, RequestId};
-use reedring_platproto::board::{Entry, Notice, Pool, State, Told};
+use reedring_net::Backoff;
+use reedring_platproto::board::{Entry, Notice, Pool, State, Told, number};
 use reedring_platproto::host::{FromHost, ToHost};
 use reedring_platproto::owner::ToOwner;
 use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
@@ -14,14 +16,14 @@
 use crate::engine::{Engine, Phase, Request, Timer};
 use crate::io::{LinkId, Output};
 
-/// Waits between two tries to reach a host that holds tasks: the first, doubled each time up to the last.
-const FIRST_WAIT_US: Micros = 50_000;
-const LAST_WAIT_US: Micros = 1_000_000;
+/// Waits between two tries to reach a host that holds tasks.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const WAITS: Backoff = Backoff::new(FIRST_WAIT, Duration::from_secs(1));
 /// Times that a set-up of which no byte left is sent again as the same attempt.
 const MOST_RESENT: u8 = 3;
 /// A host that holds tasks and says nothing for so long is connected to once more, and again after that: whether
 /// it still is there can't be told otherwise, as to probe is the module's to decide.
-const QUIET_US: Micros = 2_500_000;
+const UNHEARD_US: Micros = 2_500_000;
 const CHECK_US: Micros = 1_000_000;
 /// A host that was told to end a task and does not say that it did has no such task any more.
 const ENDING_US: Micros = 5_000_000;
@@ -46,7 +48,7 @@
     unreachable: u32,
     heard_at: Micros,
     checked_at: Micros,
-    wait: Micros,
+    waits: Backoff,
     /// A timer for the next try is set.
     waiting: bool,
 }
@@ -63,7 +65,7 @@
             unreachable: 0,
             heard_at: 0,
             checked_at: 0,
-            wait: FIRST_WAIT_US,
+            waits: WAITS,
             waiting: false,
         }
     }
@@ -72,6 +74,16 @@
         (self.heard_at, self.unreachable, self.broke) = (now, 0, false);
     }
 
+    /// A new connection is to show whether its tasks still stand. One that was reset may be the first sign of
+    /// their end.
+    fn is_asked(&self) -> bool {
+        (self.links.is_empty() || self.broke) && !self.standing.is_empty()
+    }
+
+    fn tasks(&self) -> Vec<RequestId> {
+        self.standing.iter().map(|(_, request)| *request).collect()
+    }
+
     fn is_listed(&self) -> bool {
         self.entry.as_ref().is_some_and(|entry| entry.health != State::Left)
     }
@@ -99,6 +111,12 @@
     pub used: Micros,
 }
 
+impl Link {
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.probes == 0
+    }
+}
+
 impl Engine {
     // ---- The list ----
 
@@ -109,20 +127,17 @@
             self.notice(now, notice);
         }
         self.rev = self.rev.max(rev);
-        let entries = self.hosts.values().filter_map(|host| host.entry.as_ref());
-        let listed = entries.filter_map(|entry| self.line(entry)).collect();
         self.events.clear();
-        self.events.push(Event::Listed(Listing::Cached(listed)));
+        self.events.push(Event::Listed(Listing::Cached(self.lines())));
     }
 
     pub(crate) fn board_told(&mut self, now: Micros, told: Told) {
-        let answered = self.asked_list;
         let before = self.events.len();
         for notice in told.notices {
             self.notice(now, notice);
         }
         self.rev = self.rev.max(told.rev);
-        if std::mem::take(&mut self.asked_list) && answered && self.events.len() == before {
+        if std::mem::take(&mut self.asked_list) && self.events.len() == before {
             self.events.push(Event::Listed(Listing::Changes(Vec::new())));
         }
     }
@@ -138,9 +153,13 @@
     }
 
     pub(crate) fn fetch(&mut self) {
+        self.events.push(Event::Listed(Listing::Whole(self.lines())));
+    }
+
+    /// The whole list.
+    fn lines(&self) -> Vec<Machine> {
         let entries = self.hosts.values().filter_map(|host| host.entry.as_ref());
-        let lines = entries.filter_map(|entry| self.line(entry)).collect();
-        self.events.push(Event::Listed(Listing::Whole(lines)));
+        entries.filter_map(|entry| self.line(entry)).collect()
     }
 
     fn notice(&mut self, now: Micros, Notice { rev, pool }: Notice) {
@@ -172,8 +191,8 @@
         let room = entry.room.filter(|_| self.told.lists_free);
         Some(Machine {
             id: machine_id(&entry.host),
-            zone: self.names.zone(&entry.site)?,
-            kind: self.names.kind(&entry.class)?,
+            zone: number(&self.told.zones, &entry.site)?,
+            kind: number(&self.told.kinds, &entry.class)?,
             cell: entry.block,
             health: match entry.health {
                 State::Active => Health::Ready,
@@ -195,7 +214,7 @@
         // A process that started later than a task was placed is another one than that which held it.
         let born = entry.born_ms * 1_000;
         let reborn = before.is_some_and(|before| before.born_ms != entry.born_ms);
-        let standing: Vec<RequestId> = host.standing.iter().map(|(_, request)| *request).collect();
+        let standing = host.tasks();
         for request in standing.into_iter().filter(|_| reborn) {
             let phase = self.requests.get(&request).map(|entry| entry.phase);
             if matches!(phase, Some(Phase::Standing { since, .. }) if since < born) {
@@ -228,19 +247,18 @@
             quiet_us: now.saturating_sub(host.heard_at),
         };
         if !host.standing.is_empty() && decide::lost_all(seen) {
-            let standing: Vec<RequestId> = host.standing.iter().map(|(_, request)| *request).collect();
+            let standing = host.tasks();
             self.log(format!("host {}: {} tasks are lost with it", self.name(machine), standing.len()));
             for request in standing {
                 self.over(now, request, Outcome::Reset, None, CUT, Vec::new());
             }
         }
         let Some(host) = self.hosts.get_mut(&machine) else { return };
-        // A connection that was reset may be the first sign of an end: whether it is, a new one shows.
-        let asks = host.links.is_empty() || host.broke;
-        if asks && !host.standing.is_empty() && !host.waiting && host.address().is_some() {
-            let wait = if host.refused == 0 && host.wait == FIRST_WAIT_US { 0 } else { host.wait };
-            host.wait = (host.wait * 2).min(LAST_WAIT_US);
+        if host.is_asked() && !host.waiting && host.address().is_some() {
+            let wait = host.waits.wait();
+            let at_once = host.refused == 0 && wait == FIRST_WAIT;
             host.waiting = true;
+            let wait = if at_once { 0 } else { wait.as_micros() as Micros };
             self.timers.set(now + wait, Timer::Reconnect(machine));
         }
         let host = &self.hosts[&machine];
@@ -257,8 +275,7 @@
     pub(crate) fn reconnect(&mut self, machine: MachineId) {
         let Some(host) = self.hosts.get_mut(&machine) else { return };
         host.waiting = false;
-        let asks = host.links.is_empty() || host.broke;
-        if asks && !host.standing.is_empty() {
+        if host.is_asked() {
             self.check(machine);
         }
     }
@@ -289,7 +306,7 @@
             Some(Choice::Make) => self.make_link(machine),
             None => {
                 // The oldest idle connection to another host makes room.
-                let idle = self.links.iter().filter(|(_, link)| link.open.is_empty() && link.probes == 0);
+                let idle = self.links.iter().filter(|(_, link)| link.is_idle());
                 let oldest = idle.min_by_key(|(_, link)| link.used).map(|(id, _)| *id)?;
                 self.close_link(oldest);
                 self.make_link(machine)
@@ -346,7 +363,7 @@
     pub(crate) fn doubt(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else { return };
         link.doubtful = true;
-        if link.open.is_empty() && link.probes == 0 {
+        if link.is_idle() {
             self.close_link(id);
         }
     }
@@ -361,7 +378,7 @@
     }
 
     pub(crate) fn close_idle(&mut self, machine: MachineId) {
-        let idle = self.links_of(machine).filter(|(_, link)| link.open.is_empty() && link.probes == 0);
+        let idle = self.links_of(machine).filter(|(_, link)| link.is_idle());
         let idle: Vec<LinkId> = idle.map(|(id, _)| id).collect();
         idle.into_iter().for_each(|link| self.close_link(link));
     }
@@ -371,7 +388,8 @@
         (link.up, link.used) = (true, now);
         let (machine, check) = (link.machine, link.check);
         let Some(host) = self.hosts.get_mut(&machine) else { return };
-        (host.refused, host.wait) = (0, FIRST_WAIT_US);
+        host.refused = 0;
+        host.waits.reset();
         host.heard(now);
         if check && self.links_of(machine).any(|(other, link)| other != id && link.up && !link.doubtful) {
             // It is there, and what stands is enough.
@@ -464,10 +482,8 @@
             }
             FromHost::Note { id: task, note } => {
                 let request = self.standing_at(machine, task);
-                let entry = request.and_then(|request| Some((request, self.requests.get(&request)?)));
-                if let Some((request, Phase::Standing { number, .. })) =
-                    entry.map(|(r, entry)| (r, entry.phase))
-                {
+                let phase = request.and_then(|request| Some(self.requests.get(&request)?.phase));
+                if let (Some(request), Some(Phase::Standing { number, .. })) = (request, phase) {
                     let attempt = AttemptId { request, number };
                     self.events.push(Event::Noted { attempt, machine, note });
                 }
@@ -479,8 +495,7 @@
 
     /// The task that stands at a host under this id.
     fn standing_at(&self, machine: MachineId, id: u64) -> Option<RequestId> {
-        let request = *self.by_id.get(&id)?;
-        let entry = self.requests.get(&request)?;
+        let (request, entry) = self.request_of(id)?;
         let at = match entry.phase {
             Phase::Standing { machine, .. } | Phase::Ending { machine, .. } => machine,
             Phase::Open | Phase::Closed => return None,
@@ -508,8 +523,8 @@
 
     fn placed(&mut self, now: Micros, link: LinkId, attempt: AttemptId, description: String) {
         let AttemptId { request, number } = attempt;
+        let Some(out) = self.out(attempt) else { return };
         let Some(entry) = self.requests.get_mut(&request) else { return };
-        let Some(out) = entry.out.filter(|out| out.number == number) else { return };
         let (machine, id, conn) = (out.machine, entry.setup.id, entry.conn);
         if entry.phase != Phase::Open {
             // Nobody wants it any more: it is cut, and its end belongs to the attempt.
@@ -565,8 +580,7 @@
     fn sweep_idle(&mut self, now: Micros) {
         let Some(idle) = self.told.idle_close_us else { return };
         let idle = idle / 10 * 9;
-        let unused =
-            |link: &Link| link.up && link.open.is_empty() && link.probes == 0 && link.used + idle <= now;
+        let unused = |link: &Link| link.up && link.is_idle() && link.used + idle <= now;
         let unused: Vec<(LinkId, MachineId)> = self
             .links
             .iter()
@@ -590,7 +604,9 @@
             self.over(now, request, Outcome::Stopped, None, CANCELLED, Vec::new());
         }
         let quiet = |host: &Host| {
-            !host.standing.is_empty() && host.heard_at + QUIET_US <= now && host.checked_at + CHECK_US <= now
+            !host.standing.is_empty()
+                && host.heard_at + UNHEARD_US <= now
+                && host.checked_at + CHECK_US <= now
         };
         let quiet: Vec<MachineId> =
             self.hosts.iter().filter(|(_, host)| quiet(host)).map(|(id, _)| *id).collect();
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -1,14 +1,15 @@
 //! Owners: their connections, what they ask, and the ends that are owed to them.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use reedring::names::machine_id;
 use reedring::{Event, Micros, RequestId, ServiceId, Task, TaskKey};
 use reedring_platproto::board::number;
 use reedring_platproto::owner::{FromOwner, Setup, ToOwner, Unusable};
+use reedring_platproto::{CANCELLED, ERROR};
 
 use crate::decide::{self, Route};
-use crate::engine::{Engine, Phase, failure, turned_away};
+use crate::engine::{Engine, Phase};
 use crate::io::{ConnId, Output};
 
 /// An owner that says nothing of use for so long is closed on. One that was answered is not: it may be the only
@@ -36,8 +37,9 @@
     closing: bool,
 }
 
+/// The end of a task that its owner is to hear of.
 #[derive(Debug, Clone, Copy)]
-struct End {
+pub(crate) struct End {
     at: Micros,
     /// On which connection it was told; none yet.
     told: Option<ConnId>,
@@ -46,16 +48,6 @@
     cause: u8,
 }
 
-/// Ends of tasks that owners are to hear of.
-#[derive(Debug, Default)]
-pub(crate) struct Owed(VecDeque<End>);
-
-impl Owed {
-    pub fn len(&self) -> usize {
-        self.0.len()
-    }
-}
-
 impl Engine {
     pub(crate) fn send_owner(&mut self, conn: ConnId, message: ToOwner) {
         if self.conns.get(&conn).is_some_and(|conn| !conn.closing) {
@@ -98,24 +90,13 @@
             }
         }
         // An end that was just written may have crossed the close.
-        let lost = |end: &End| end.told == Some(conn);
-        let (again, kept) = self.ends.0.drain(..).partition(lost);
-        self.ends.0 = kept;
-        let again: VecDeque<End> = again;
-        for end in again {
-            self.tell_end(now, End { told: None, ..end });
-        }
+        self.tell_again(now, |end| end.told == Some(conn));
     }
 
     /// The owner waits no more.
     fn withdraw(&mut self, request: RequestId) {
-        let Some(entry) = self.requests.get_mut(&request).filter(|entry| entry.phase == Phase::Open) else {
-            return;
-        };
-        entry.phase = Phase::Closed;
-        self.events.push(Event::Withdrawn(request));
-        if entry.out.is_none() {
-            self.forget(request);
+        if self.close(request).is_some() {
+            self.events.push(Event::Withdrawn(request));
         }
     }
 
@@ -129,7 +110,7 @@
                 let passed = self.ending.is_none();
                 self.send_owner(conn, ToOwner::Tested { id, passed });
             }
-            Ok(FromOwner::Released(id)) => self.ends.0.retain(|end| end.id != id || end.told.is_none()),
+            Ok(FromOwner::Released(id)) => self.ends.retain(|end| end.id != id || end.told.is_none()),
             Ok(FromOwner::Free) => {}
             Err(Unusable { id, why }) => self.unusable(conn, id, &why),
         }
@@ -142,7 +123,7 @@
         if let Some(request) = self.by_id.get(&id).copied().filter(|_| open) {
             self.withdraw(request);
         }
-        self.send_owner(conn, turned_away(id));
+        self.send_owner(conn, ToOwner::failure(id, ERROR));
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         entry.unusable += 1;
         if entry.unusable >= MOST_UNUSABLE {
@@ -151,10 +132,10 @@
     }
 
     fn owner_releases(&mut self, now: Micros, conn: ConnId, id: u64) {
-        let request = self.by_id.get(&id).copied();
-        let phase =
-            request.and_then(|request| self.requests.get(&request)).map(|entry| (entry.phase, entry.conn));
-        let (Some(request), Some((phase, home))) = (request, phase) else { return };
+        let Some((request, phase, home)) = self.request_of(id).map(|(r, entry)| (r, entry.phase, entry.conn))
+        else {
+            return;
+        };
         match phase {
             // Only who asked may take it back.
             Phase::Open if home == conn => {
@@ -165,7 +146,7 @@
                 if let Some(entry) = self.conns.get_mut(&conn) {
                     entry.heard_at = now;
                 }
-                self.cut(now, request, reedring_platproto::CANCELLED);
+                self.cut(now, request, CANCELLED);
             }
             _ => {}
         }
@@ -177,7 +158,7 @@
             Ok(task) => task,
             Err(why) => return self.unusable(conn, id, &why),
         };
-        let known = self.by_id.get(&id).and_then(|request| self.requests.get(request)).map(|r| r.phase);
+        let known = self.request_of(id).map(|(_, entry)| (entry.phase, entry.conn));
         if let Some(host) = &setup.at {
             let machine = machine_id(host);
             if let Some(conn) = self.conns.get_mut(&conn) {
@@ -185,7 +166,7 @@
             }
             // It may name what is held already, under this id or the one that it stands under.
             let held = self.by_key(machine, setup.key);
-            if known.is_some_and(|phase| phase != Phase::Closed) || held {
+            if known.is_some_and(|(phase, _)| phase != Phase::Closed) || held {
                 return self.tell_owed(now);
             }
             let phase = Phase::Standing { machine, number: 0, since: now };
@@ -196,10 +177,8 @@
         }
         match known {
             None => {}
-            Some(Phase::Standing { .. } | Phase::Ending { .. })
-                if self.by_id.get(&id).and_then(|r| self.requests.get(r)).is_some_and(|r| r.conn == conn) =>
-            {
-                // A release here would say that the standing task is over.
+            // A release here would say that the standing task is over.
+            Some((Phase::Standing { .. } | Phase::Ending { .. }, home)) if home == conn => {
                 return self.close_owner(conn);
             }
             Some(_) => return self.unusable(conn, id, "this id is open"),
@@ -208,9 +187,8 @@
             conn.open.insert(id);
             (conn.heard_at, conn.good, conn.unusable) = (now, true, 0);
         }
-        let grace = setup.left_ms * 1_000;
         let request = self.new_request(now, setup, conn, Phase::Open);
-        let grace_us = grace.min(self.requests[&request].deadline - now);
+        let grace_us = self.requests[&request].deadline - now;
         self.events.push(Event::Arrived { task: Task { request, ..task }, grace_us });
         self.tell_owed(now);
     }
@@ -255,17 +233,17 @@
     }
 
     fn tell_end(&mut self, now: Micros, mut end: End) {
-        if let Some(conn) = self.route(Some(end.home)) {
-            self.send_owner(conn, failure(end.id, end.cause));
+        if let Some(conn) = self.route(end.home) {
+            self.send_owner(conn, ToOwner::failure(end.id, end.cause));
             (end.told, end.at) = (Some(conn), now);
         }
-        self.ends.0.push_back(end);
+        self.ends.push_back(end);
     }
 
     /// The connection on which an end is told.
-    pub(crate) fn route(&self, home: Option<ConnId>) -> Option<ConnId> {
+    pub(crate) fn route(&self, home: ConnId) -> Option<ConnId> {
         let conns: Vec<_> = self.conns.iter().filter(|(_, conn)| !conn.closing).collect();
-        let home = home.and_then(|home| conns.iter().position(|(id, _)| **id == home));
+        let home = conns.iter().position(|(id, _)| **id == home);
         let routes: Vec<Route> = conns
             .iter()
             .map(|(_, conn)| Route { answered: conn.answered, good: conn.good, heard_at: conn.heard_at })
@@ -275,11 +253,15 @@
 
     /// Ends that found no connection go out on the first that will do.
     fn tell_owed(&mut self, now: Micros) {
-        let untold = |end: &End| end.told.is_none();
-        if self.ends.0.iter().any(untold) {
-            let (owed, told): (VecDeque<End>, VecDeque<End>) = self.ends.0.drain(..).partition(untold);
-            self.ends.0 = told;
-            owed.into_iter().for_each(|end| self.tell_end(now, end));
+        self.tell_again(now, |end| end.told.is_none());
+    }
+
+    /// Tells these ends as if nobody had been told of them.
+    fn tell_again(&mut self, now: Micros, which: impl Fn(&End) -> bool) {
+        if self.ends.iter().any(&which) {
+            let (again, kept): (Vec<End>, Vec<End>) = self.ends.drain(..).partition(which);
+            self.ends.extend(kept);
+            again.into_iter().for_each(|end| self.tell_end(now, End { told: None, ..end }));
         }
     }
 
@@ -289,6 +271,6 @@
         };
         let idle: Vec<ConnId> = self.conns.iter().filter(over).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|conn| self.close_owner(conn));
-        self.ends.0.retain(|end| now < end.at + if end.told.is_some() { TOLD_US } else { OWED_US });
+        self.ends.retain(|end| now < end.at + if end.told.is_some() { TOLD_US } else { OWED_US });
     }
 }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use reedring_net::{Asked, Signals};
+use reedring_platproto::board::Names;
 use reedring_platproto::config::{self, Config};
 use reedring_platproto::host::ToHost;
 use reedring_platproto::owner::ToOwner;
@@ -103,7 +104,7 @@
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let (began, unix_us) = (Instant::now(), unix.as_micros() as u64);
     let now = || unix_us + began.elapsed().as_micros() as u64;
-    let (names, rev) = (config.names(), config.known.rev);
+    let (names, rev) = (Names::from(&config.settings), config.known.rev);
     let connect = config.settings.settings.rules.connect_timeout_us.unwrap_or(CONNECT_US);
     let start = Start {
         now: unix_us,
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -2,15 +2,13 @@
 
 mod world;
 
-use std::collections::BTreeMap;
-
 use proptest::prelude::*;
 use reedring_platform::Input;
 use reedring_platform::decide::Down;
 use reedring_platproto::host::{FromHost, ToHost};
 use reedring_platproto::owner::{FromOwner, Setup, ToOwner, Unusable};
 use reedring_platproto::{CUT, FULL, GIVEN_UP};
-use world::{MS, SECOND, World, line, setup, told};
+use world::{MS, SECOND, World, end, line, setup, told};
 
 const CLASSES: [&str; 3] = ["play", "take", "print"];
 
@@ -108,8 +106,7 @@
     let conn = world.connect();
     world.ask(conn, setup(1, "play", 1_000));
     world.run(30 * SECOND);
-    let end = FromHost::Release { id: 1, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
-    world.tell(Input::Host(world.to_hosts[0].0, end));
+    world.tell(Input::Host(world.to_hosts[0].0, end(1)));
     assert!(world.owners.contains(&conn));
     assert_eq!((world.heard[&1].answers, world.heard[&1].ends), (1, 1));
 }
@@ -125,7 +122,6 @@
     world.ask(other, setup(3, "play", 1_000));
     world.run(50 * MS);
     world.close(conn);
-    let end = |id| FromHost::Release { id, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
     let link = world.to_hosts[0].0;
     world.tell(Input::Host(link, end(1)));
     let told = |world: &World, id: u64| {
@@ -353,8 +349,7 @@
     world.tell(Input::Board(told(2, false, &[line("h-1", 1, "east", "leaving", 0)])));
     world.run(5 * SECOND);
     assert_eq!(ends(&world), 0, "refusals alone are no sign");
-    let end = FromHost::Release { id: 1, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
-    world.tell(Input::Host(links[0], end));
+    world.tell(Input::Host(links[0], end(1)));
     assert_eq!(ends(&world), 1);
     // It closes those that are idle; that is no sign either.
     world.tell(Input::LinkDown { link: links[1], down: Down::Closed, begun: 1 });
@@ -448,7 +443,6 @@
     assert_eq!(world.engine.sizes().links, 2, "one in use, one ahead");
     world.run(40 * SECOND);
     assert_eq!(world.engine.sizes().links, 1, "the ends are to be heard");
-    let end = |id| FromHost::Release { id, cause: GIVEN_UP, reason: None, figures: BTreeMap::new() };
     let link = world.links_up()[0];
     world.tell(Input::Host(link, end(1)));
     world.tell(Input::Host(link, end(2)));
--- a/crates/platform/tests/loopback.rs
+++ b/crates/platform/tests/loopback.rs
@@ -7,7 +7,7 @@
 use reedring_net::Asked;
 use reedring_platproto::FULL;
 use serde_json::{Value, json};
-use standins::{Board, Host, Mood, Owner, message, placer, setup, soon};
+use standins::{Board, Host, Mood, Owner, alone, message, placer, setup, soon};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const ANSWER: u8 = 9;
@@ -15,9 +15,7 @@
 
 #[tokio::test]
 async fn a_task_goes_from_its_owner_to_a_host_and_its_end_back() {
-    let host = Host::new().await;
-    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let (host, _placer, mut owner) = alone().await;
     owner.send(&message(52, 3, &[(194, &[0])])).await;
     assert_eq!(
         owner.got().await.unwrap(),
@@ -44,9 +42,7 @@
 
 #[tokio::test]
 async fn an_owner_ends_its_task_from_another_connection() {
-    let host = Host::new().await;
-    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let (host, placer, mut owner) = alone().await;
     owner.send(&setup(1, "play", 1_500, "")).await;
     let mut link = host.link().await;
     let line = link.line().await.unwrap();
@@ -146,9 +142,7 @@
 #[tokio::test]
 async fn a_connection_reset_under_a_set_up_is_what_its_class_allows() {
     for (class, again, read) in [("play", true, true), ("print", false, true), ("play", true, false)] {
-        let host = Host::new().await;
-        let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-        let mut owner = Owner::connect(placer.address).await;
+        let (host, _placer, mut owner) = alone().await;
         owner.send(&setup(1, class, 3_000, "")).await;
         let mut link = host.link().await;
         // One that is reset while it is new may have been read, or not.
@@ -171,9 +165,7 @@
 /// A connection that was reset while idle costs no attempt, and while tasks stand it is made again.
 #[tokio::test]
 async fn an_idle_connection_that_is_reset_is_made_again_and_the_end_heard() {
-    let host = Host::new().await;
-    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let (host, _placer, mut owner) = alone().await;
     owner.send(&setup(1, "print", 3_000, "")).await;
     let mut link = host.link().await;
     let line = link.line().await.unwrap();
@@ -193,9 +185,7 @@
 /// What can't be read ends the connection; what is more than was asked for is passed over.
 #[tokio::test]
 async fn spoilt_answers_never_pass_on() {
-    let host = Host::new().await;
-    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let (host, _placer, mut owner) = alone().await;
     owner.send(&setup(1, "play", 5_000, "")).await;
     let spoilt: [&[u8]; 3] = [
         b"\x00\xff noise\n",
@@ -222,9 +212,7 @@
 
 #[tokio::test]
 async fn a_host_that_says_nothing_costs_its_owner_no_more_than_its_time() {
-    let host = Host::new().await;
-    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let (host, _placer, mut owner) = alone().await;
     owner.send(&setup(1, "print", 800, "")).await;
     let mut link = host.link().await;
     let line = link.line().await.unwrap();
@@ -244,9 +232,7 @@
 /// A new host at the address of one that left gets its own connection.
 #[tokio::test]
 async fn an_address_is_taken_over_by_another_host() {
-    let host = Host::new().await;
-    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let (host, placer, mut owner) = alone().await;
     owner.send(&setup(1, "play", 3_000, "")).await;
     let mut old = host.link().await;
     let line = old.line().await.unwrap();
@@ -335,9 +321,7 @@
 
 #[tokio::test]
 async fn a_placer_asked_to_end_takes_what_still_comes_and_answers_all() {
-    let host = Host::new().await;
-    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let (host, placer, mut owner) = alone().await;
     owner.send(&setup(1, "play", 5_000, "")).await;
     let mut link = host.link().await;
     let first = link.line().await.unwrap();
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -318,3 +318,11 @@
         std::fs::write(&self.path, self.config.to_string()).expect("it can be written");
     }
 }
+
+/// A host, a placer that knows it alone, and an owner of that placer.
+pub async fn alone() -> (Host, Running, Owner) {
+    let host = Host::new().await;
+    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
+    let owner = Owner::connect(placer.address).await;
+    (host, placer, owner)
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -50,6 +50,15 @@
     }
 }
 
+fn release(id: u64, cause: u8) -> FromHost {
+    FromHost::Release { id, cause, reason: None, figures: BTreeMap::new() }
+}
+
+/// A host's word that a task came to its end.
+pub fn end(id: u64) -> FromHost {
+    release(id, GIVEN_UP)
+}
+
 /// An attempt as its host sees it.
 #[derive(Clone, Copy, Debug)]
 struct Live {
@@ -327,12 +336,7 @@
                     self.heard.entry(*id).or_default().ran = true;
                 }
                 if self.standing.remove(id).is_some() {
-                    let over = FromHost::Release {
-                        id: *id,
-                        cause: CANCELLED,
-                        reason: None,
-                        figures: BTreeMap::new(),
-                    };
+                    let over = release(*id, CANCELLED);
                     self.later(MS, Input::Host(link, over));
                 }
             }
@@ -346,7 +350,6 @@
     }
 
     fn answer(&mut self, link: LinkId, id: u64) {
-        let release = |cause| FromHost::Release { id, cause, reason: None, figures: BTreeMap::new() };
         let answer = FromHost::Answer { id, description: format!("host's for {id}") };
         let after = u64::from(1 + self.below(40)) * MS;
         let chance = if self.unruly { self.below(100) } else { 0 };
@@ -361,12 +364,12 @@
                 }
                 let life = u64::from(1 + self.below(5_000)) * MS;
                 if chance % 3 > 0 {
-                    self.later(after + life, Input::Host(link, release(GIVEN_UP)));
+                    self.later(after + life, Input::Host(link, release(id, GIVEN_UP)));
                 }
             }
-            45..60 => self.later(after, Input::Host(link, release(FULL))),
-            60..67 => self.later(after, Input::Host(link, release(ERROR))),
-            67..74 => self.later(after, Input::Host(link, release(CUT))),
+            45..60 => self.later(after, Input::Host(link, release(id, FULL))),
+            60..67 => self.later(after, Input::Host(link, release(id, ERROR))),
+            67..74 => self.later(after, Input::Host(link, release(id, CUT))),
             74..84 => {
                 let down = if chance % 2 == 0 { Down::Broke } else { Down::Spoilt };
                 self.later(after, Input::LinkDown { link, down, begun: u64::MAX });
--- a/crates/platproto/src/board.rs
+++ b/crates/platproto/src/board.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use reedring::told::Told as Settings;
 use serde::Deserialize;
 
 /// Events, numbered from 1 at each start of a placer.
@@ -74,6 +75,12 @@
     pub kinds: Vec<String>,
 }
 
+impl From<&Settings> for Names {
+    fn from(settings: &Settings) -> Self {
+        Self { zones: settings.zones.clone(), kinds: settings.kinds.clone() }
+    }
+}
+
 impl Names {
     /// The number of a zone.
     pub fn zone(&self, name: &str) -> Option<u16> {
--- a/crates/platproto/src/config.rs
+++ b/crates/platproto/src/config.rs
@@ -82,8 +82,7 @@
     pub fn read(text: &str) -> Result<Self, Error> {
         let file: File = serde_json::from_str(text)?;
         let settings = told::read(file.settings.get()).map_err(Error::Settings)?;
-        let names = Names { zones: settings.zones.clone(), kinds: settings.kinds.clone() };
-        file.known.check(&names)?;
+        file.known.check(&Names::from(&settings))?;
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(Error::Sockets(file.limits.sockets));
         }
@@ -97,9 +96,4 @@
             settings,
         })
     }
-
-    /// The names that the board's lines use.
-    pub fn names(&self) -> Names {
-        Names { zones: self.settings.zones.clone(), kinds: self.settings.kinds.clone() }
-    }
 }
--- a/crates/platproto/src/owner.rs
+++ b/crates/platproto/src/owner.rs
@@ -292,6 +292,11 @@
         Self::Release { id, cause: FULL, stay_away_ms }
     }
 
+    /// A failure, which promises nothing; after an answer, the end of the task.
+    pub fn failure(id: u64, cause: u8) -> Self {
+        Self::Release { id, cause, stay_away_ms: None }
+    }
+
     /// Its bytes.
     pub fn encode(&self) -> Vec<u8> {
         let (kind, id) = match self {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -342,10 +342,14 @@
     fn is_out(&self) -> bool {
         self.attempts.iter().any(|attempt| matches!(attempt.run, Run::Out | Run::Stopping))
     }
+    /// Its tenant and class.
+    fn whose(&self) -> (u16, u16) {
+        (self.task.tenant, self.task.class)
+    }
     /// The machines that erred on it, and whose it is.
     fn erred(&self) -> impl Iterator<Item = (MachineId, (u16, u16))> {
         let erred = self.attempts.iter().filter(|attempt| attempt.erred);
-        erred.map(|attempt| (attempt.machine, (self.task.tenant, self.task.class)))
+        erred.map(|attempt| (attempt.machine, self.whose()))
     }
     /// The first attempt that may have run.
     fn first_perhaps(&self) -> Option<&Attempt> {
@@ -484,17 +488,17 @@
                 if self.answers.len() > ANSWERS {
                     self.answers.pop_front();
                 }
+                let entry = self.entries.remove(&attempt.request);
                 if let Some(seat) = self.seats.get_mut(machine) {
                     seat.answer(now, *attempt);
-                    let entry = self.entries.get(&attempt.request);
-                    let whose = entry.map(|entry| (entry.task.tenant, entry.task.class));
+                    let whose = entry.as_ref().map(Entry::whose);
                     seat.shut.retain(|other, until| Some(*other) != whose || *until > now);
                     if self.settings.yes_when_running {
                         seat.starting.remove(attempt);
                     }
                 }
                 // Machines that erred on a task which another one takes turn its tenant or class away.
-                for (erred, whose) in self.entries.remove(&attempt.request).iter().flat_map(Entry::erred) {
+                for (erred, whose) in entry.iter().flat_map(Entry::erred) {
                     let seat = self.seats.get_mut(&erred);
                     seat.map(|seat| seat.shut.insert(whose, now + SHUT_US));
                 }
@@ -758,9 +762,9 @@
                 Outcome::Error => entry.is_some_and(|entry| effect(entry) == Effect::Unsafe),
                 _ => false,
             };
-            if let Some(Entry { task, .. }) = entry.filter(|_| shut) {
+            if let Some(entry) = entry.filter(|_| shut) {
                 // One answer that is missing may be lost on its way; a second one in a row is not.
-                let whose = (task.tenant, task.class);
+                let whose = entry.whose();
                 let doubt = passed && !seat.shut.contains_key(&whose);
                 seat.shut.insert(whose, if doubt { now } else { now + SHUT_US });
             }
@@ -881,7 +885,7 @@
         let class = self.settings.classes.get(usize::from(entry.task.class)).cloned().unwrap_or_default();
         let (service, ask) = (entry.task.service, Load::of(&entry.task));
         let left = entry.deadline.saturating_sub(now);
-        let whose = (entry.task.tenant, entry.task.class);
+        let whose = entry.whose();
         let full = self.full_places(&class, service);
         let open = |seat: &&Seat| {
             self.may_offer(now, entry, &class, seat, &full)
