Audit: the window of a keyed task is that of one placing, not of copies lost before it

Ruled out: offers turned back that had left (`Keep::unsend`), a list of what a node holds, an unanswered stop read as "never ran".

Cause: `Judge::sent` took the window from the first attempt of the job, also one that was accepted under an earlier request and whose end is known. Where that was over 3 s old, a try inside its own window counted as a breach. The placer keeps the window for each placing, as the rule says. A copy whose end is not known still counts.

Test: the_window_of_a_lost_task_begins_with_its_new_placing, by times set in the trace; it failed before.

--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -298,6 +298,11 @@
     fn given_up(&self) -> bool {
         self.stopped || self.unlinked
     }
+
+    /// What is known of it once it is not live any more: a node's death takes its tasks with it.
+    fn how_closed(&self) -> Option<Closed> {
+        self.closed.or(self.dead.then_some(Closed::Ended))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -712,8 +717,16 @@
     /// Rule 2 for one offer: what is known of each attempt of the job before it.
     fn sent(&mut self, frame: &Frame, id: AttemptId, new: &Attempt) {
         let before = self.by_job.get(&new.job).cloned().unwrap_or_default();
-        let first = before.iter().filter(|old| self.attempts[*old].closed != Some(Closed::NeverRan));
-        let first_us = first.map(|old| self.attempts[old].sent_us).min();
+        // An earlier request of the same life was placed and lost: its end is known, and a class's window is
+        // that of the tries of one placing.
+        let placed_before = |old_id: &AttemptId, old: &Attempt| {
+            old.accepted && (old_id.request, old_id.life) != (id.request, id.life)
+        };
+        let first = before.iter().map(|old| (old, &self.attempts[old])).filter(|(old_id, old)| {
+            old.closed != Some(Closed::NeverRan)
+                && !(placed_before(old_id, old) && old.how_closed() == Some(Closed::Ended))
+        });
+        let first_us = first.map(|(_, old)| old.sent_us).min();
         let told = self.placers.get(&new.placer).map(|placer| placer.told.clone()).unwrap_or_default();
         let (after_end, after_unknown) = told.comes_again(&new.class);
         let lost_after = time(told.links.lost_after.as_ref()).unwrap_or(60_000_000);
@@ -732,9 +745,8 @@
             };
             let in_window = first_us.is_none_or(|first| frame.time_us < first + new.window_us);
             let keyed = new.repeat == Repeat::Keyed && grouped && in_window;
-            // Another request of the same life: the task was placed and lost in between.
-            let lost = old.accepted && (old_id.request, old_id.life) != (id.request, id.life);
-            let closed = old.closed.or(old.dead.then_some(Closed::Ended));
+            let lost = placed_before(&old_id, old);
+            let closed = old.how_closed();
             let wrong = match closed {
                 Some(Closed::NeverRan) => None,
                 Some(Closed::Ended) if lost => (!after_end).then_some("its class forbids a second start"),
--- a/crates/audit/tests/rules.rs
+++ b/crates/audit/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The audit on traces made by hand: a clean one, and one that breaks each rule.
 
-use reedring_audit::{Event, Recorder, Report, Rule, audit, read};
+use reedring_audit::{Event, Frame, Recorder, Report, Rule, audit, read};
 use reedring_drmaa::framing::wrap;
-use reedring_nodeproto::{AttemptId, End, Held, HeldState, Message, Reason, Task, encode};
+use reedring_nodeproto::{AttemptId, End, Held, HeldState, Message, Reason, Task, decode, encode};
 
 const SETTINGS: &str = r#"
 [site]
@@ -35,6 +35,8 @@
 node = [{ name = "a1", hall = "a" }, { name = "a2", hall = "a" }, { name = "b1", hall = "b" }]
 "#;
 
+const HOUR_US: u64 = 3_600_000_000;
+
 struct Trace(Recorder);
 
 impl Trace {
@@ -191,6 +193,31 @@
     }
 }
 
+/// A copy that was placed and whose end is known is no try of the placing that follows: the window of that one
+/// begins with its own first try.
+#[test]
+fn the_window_of_a_lost_task_begins_with_its_new_placing() {
+    for (tries_apart_us, clean) in [(0, true), (2 * HOUR_US, false)] {
+        let trace = Trace::new();
+        let first = trace.offer("s.1.1", "keyed", "a1", 1, 0);
+        trace.accepted("a1", first);
+        trace.ended("a1", first, End::Evicted, true);
+        let second = trace.offer("s.1.1", "keyed", "a2", 2, 0);
+        trace.stop("a2", second);
+        trace.offer("s.1.1", "keyed", "a1", 2, 1);
+        let mut frames = read(&trace.0.finish().unwrap()).unwrap();
+        let is_offer = |frame: &&Frame| {
+            frame.event == Event::ToNode && matches!(decode(&frame.bytes), Ok(Message::Offer { .. }))
+        };
+        let offers: Vec<usize> = frames.iter().filter(is_offer).map(|frame| frame.number).collect();
+        let [_, second, third] = offers[..] else { panic!("{offers:?}") };
+        // The window is one hour: the second placing comes later than that, its second try in time or not.
+        frames[second..].iter_mut().for_each(|frame| frame.time_us += 2 * HOUR_US);
+        frames[third..].iter_mut().for_each(|frame| frame.time_us += tries_apart_us);
+        assert_eq!(audit(&frames).breaches.is_empty(), clean, "{tries_apart_us}");
+    }
+}
+
 #[test]
 fn an_unsafe_task_that_two_nodes_take_breaks_rule_2() {
     let trace = Trace::new();
