Messages meant for an older link to a node never reach a newer one

Cause: `Keeper::link` and `Keeper::keep` in crates/placer/src/links.rs cleared by time. Now each message names the link it is meant for, which is the last that the core was told of (`Came::LinkUp`), and others are dropped.

Test: what_was_meant_for_an_older_link_is_not_written_to_a_newer_one, which fails without the filter.

--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -23,9 +23,14 @@
 /// Between two tries to connect.
 const WAITS: Backoff = Backoff::new(Duration::from_millis(50), Duration::from_secs(2));
 
+/// A message, and the number of the link that the core meant it for.
+type Meant = (u64, Message);
+
 struct Link {
     address: SocketAddr,
-    out: mpsc::Sender<Message>,
+    /// The last link that the core was told of; 0 before the first.
+    up: u64,
+    out: mpsc::Sender<Meant>,
     task: JoinHandle<()>,
 }
 
@@ -70,7 +75,7 @@
             }
             keeper.keep(messages).await;
         });
-        self.all.insert(node, Link { address, out, task });
+        self.all.insert(node, Link { address, up: 0, out, task });
     }
 
     pub fn disconnect(&mut self, node: &str) {
@@ -79,9 +84,16 @@
         }
     }
 
+    /// The core is told now that this link stands: what it sends from here on is meant for it.
+    pub fn is_up(&mut self, node: &str, number: u64) {
+        if let Some(link) = self.all.get_mut(node) {
+            link.up = number;
+        }
+    }
+
     pub fn send(&mut self, node: &str, message: Message, shared: &Arc<Shared>, came: &mpsc::Sender<Came>) {
         let Some(link) = self.all.get(node) else { return };
-        if link.out.try_send(message).is_ok() {
+        if link.out.try_send((link.up, message)).is_ok() {
             return;
         }
         let (node, address) = (node.to_owned(), link.address);
@@ -100,7 +112,7 @@
 }
 
 impl Keeper {
-    async fn keep(mut self, mut messages: mpsc::Receiver<Message>) {
+    async fn keep(mut self, mut messages: mpsc::Receiver<Meant>) {
         let mut waits = WAITS;
         loop {
             self.number += 1;
@@ -116,14 +128,12 @@
             if self.came.send(Came::Input(down)).await.is_err() {
                 return;
             }
-            // What was meant for the link that ended is void.
-            while messages.try_recv().is_ok() {}
             tokio::time::sleep(waits.wait()).await;
         }
     }
 
     /// One link from its start to its end: why it ended, or why it never stood.
-    async fn link(&mut self, messages: &mut mpsc::Receiver<Message>) -> Result<String, String> {
+    async fn link(&mut self, messages: &mut mpsc::Receiver<Meant>) -> Result<String, String> {
         let limit = self.shared.connect_timeout;
         let connect = tokio::time::timeout(limit, TcpStream::connect(self.address)).await;
         let stream = connect.map_err(|_| "no connection in time".to_owned())?;
@@ -136,10 +146,8 @@
         let mut reader = Reader::default();
         let greeting = tokio::time::timeout(limit, self.greeted(&mut read, &mut reader)).await;
         let up = greeting.map_err(|_| "no greeting in time".to_owned())??;
-        // The core sends nothing on this link before it is told of it: what is queued was for an older one,
-        // and an offer among it would reach the node after it has told what it holds.
-        while messages.try_recv().is_ok() {}
-        self.came.send(Came::Input(up)).await.map_err(|_| "the placer ends".to_owned())?;
+        let up = Came::LinkUp(self.node.clone(), self.number, up);
+        self.came.send(up).await.map_err(|_| "the placer ends".to_owned())?;
         let why = tokio::select! {
             why = self.reads(&mut read, &mut reader) => why,
             why = self.writes(&mut write, messages) => why,
@@ -195,13 +203,19 @@
         }
     }
 
-    async fn writes(&self, write: &mut OwnedWriteHalf, messages: &mut mpsc::Receiver<Message>) -> String {
+    async fn writes(&self, write: &mut OwnedWriteHalf, messages: &mut mpsc::Receiver<Meant>) -> String {
         let mut batch = Vec::new();
         while messages.recv_many(&mut batch, 256).await > 0 {
-            if let Err(error) = self.write(write, &batch).await {
+            // What the core meant for an older link is void, also where it hears late that this one stands: an
+            // offer among it would reach the node after it has told what it holds, and count as never sent.
+            let meant: Vec<Message> = batch
+                .drain(..)
+                .filter(|(number, _)| *number == self.number)
+                .map(|(_, message)| message)
+                .collect();
+            if let Err(error) = self.write(write, &meant).await {
                 return format!("the link broke: {error}");
             }
-            batch.clear();
         }
         "the placer ends the link".to_owned()
     }
@@ -216,3 +230,42 @@
         write.write_all(&bytes).await
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A core behind a backlog sends on for an older link after the newer one has told what its node holds.
+    #[tokio::test]
+    async fn what_was_meant_for_an_older_link_is_not_written_to_a_newer_one() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (came, mut coming) = mpsc::channel(8);
+        let keeper = Keeper {
+            node: "n".into(),
+            address: listener.local_addr().unwrap(),
+            number: 4,
+            shared: Arc::new(Shared::for_tests()),
+            came,
+        };
+        let (out, messages) = mpsc::channel(8);
+        out.send((4, Message::Probe { nonce: 1 })).await.unwrap();
+        let keeping = tokio::spawn(keeper.keep(messages));
+        let (mut node, _) = listener.accept().await.unwrap();
+        let welcome = Message::Welcome { node: "n".into(), life: 1, up_ms: 0, can_suspend: false };
+        node.write_all(&encode(&welcome)).await.unwrap();
+        let Some(Came::LinkUp(_, number, _)) = coming.recv().await else { panic!("no link") };
+        out.send((4, Message::Probe { nonce: 2 })).await.unwrap();
+        out.send((number, Message::Probe { nonce: 3 })).await.unwrap();
+        let (mut reader, mut buffer, mut read) = (Reader::default(), [0; 256], Vec::new());
+        while read.len() < 2 {
+            let count = node.read(&mut buffer).await.unwrap();
+            assert!(count > 0, "{read:?}");
+            reader.push(&buffer[..count]);
+            while let Ok(Some((message, _))) = reader.next_message() {
+                read.push(message);
+            }
+        }
+        assert!(matches!(read[..], [Message::Hello { .. }, Message::Probe { nonce: 3 }]), "{read:?}");
+        keeping.abort();
+    }
+}
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -76,6 +76,11 @@
 }
 
 impl Shared {
+    #[cfg(test)]
+    pub fn for_tests() -> Self {
+        Self { name: "p".to_owned(), life: 1, connect_timeout: Duration::from_secs(10), recorder: None }
+    }
+
     pub fn record(&self, event: Event, peer: &str, link: u64, bytes: &[u8]) {
         if let Some(recorder) = &self.recorder {
             recorder.record(event, &self.name, peer, link, bytes);
@@ -323,6 +328,10 @@
                     }
                     core.handle(now(), input);
                 }
+                Came::LinkUp(node, number, input) => {
+                    shell.links.is_up(&node, number);
+                    core.handle(now(), input);
+                }
             }
         }
         core.flush(now());
