--- a/crates/platform/src/decide.rs
+++ b/crates/platform/src/decide.rs
@@ -103,14 +103,40 @@
     pub quiet_us: u64,
 }
 
+/// Why the tasks that a host held are over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// The host left the list.
+    Left,
+    /// Its process is gone: it refuses connections again and again.
+    Refuses,
+    /// Nothing is heard of its machine.
+    Silent,
+}
+
+impl Lost {
+    /// The reason in words.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Left => "it left the list",
+            Self::Refuses => "it refuses connections",
+            Self::Silent => "nothing is heard of it",
+        }
+    }
+}
+
 /// Are the tasks that a host held over? Its process cut them if it is gone: it left the list, or it refuses
 /// connections again and again. Some that stood may stay open and silent then, but one that is reset shows it. One
 /// that leaves refuses connections while its tasks stand, so with it that alone is no sign. Of a machine that
 /// vanished nothing is heard, and no new connection comes up.
-pub fn lost_all(seen: Seen) -> bool {
+pub fn lost_all(seen: Seen) -> Option<Lost> {
     let refuses = seen.refused >= REFUSED && (seen.broke || seen.links_up == 0 && !seen.leaving);
     let silent = seen.unreachable.max(seen.refused) >= UNREACHABLE && seen.quiet_us >= QUIET_US;
-    !seen.listed || refuses || silent
+    match seen.listed {
+        false => Some(Lost::Left),
+        true if refuses => Some(Lost::Refuses),
+        true => silent.then_some(Lost::Silent),
+    }
 }
 
 /// An owner's connection on which the end of a task may be told.
@@ -201,7 +227,9 @@
                                 refused >= 2 && links_up == 0 || quiet && (refused >= 3 || unreachable >= 3)
                             }
                         };
-                        assert_eq!(lost_all(seen), want, "{seen:?}");
+                        let lost = lost_all(seen);
+                        assert_eq!(lost.is_some(), want, "{seen:?}");
+                        assert_eq!(lost == Some(Lost::Left), !listed, "{seen:?}");
                     }
                 }
             }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -243,9 +243,7 @@
             Input::LinkDown { link, down, begun } => self.link_down(now, link, down, begun),
             Input::Board(told) => self.board_told(now, told),
             Input::BoardLost(why) => self.board_lost(&why),
-            Input::Terminate => {
-                self.ending.get_or_insert(now);
-            }
+            Input::Terminate => self.terminate(now),
         }
     }
 
@@ -274,6 +272,17 @@
         self.end(now);
     }
 
+    fn terminate(&mut self, now: Micros) {
+        if self.ending.is_none() {
+            self.ending = Some(now);
+            let count =
+                |of: fn(&Request) -> bool| self.requests.values().filter(|request| of(request)).count();
+            let open = count(|request| request.phase == Phase::Open);
+            let standing = count(|request| matches!(request.phase, Phase::Standing { .. }));
+            self.log(format!("asked to end: {open} requests are open, {standing} tasks stand"));
+        }
+    }
+
     /// A placer that was asked to end does so once nothing is owed and nothing more comes.
     fn end(&mut self, now: Micros) {
         let Some(asked) = self.ending else { return };
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -246,9 +246,10 @@
             unreachable: if host.entry.is_some() { host.unreachable } else { u32::MAX },
             quiet_us: now.saturating_sub(host.heard_at),
         };
-        if !host.standing.is_empty() && decide::lost_all(seen) {
+        if let Some(lost) = decide::lost_all(seen).filter(|_| !host.standing.is_empty()) {
             let standing = host.tasks();
-            self.log(format!("host {}: {} tasks are lost with it", self.name(machine), standing.len()));
+            let (name, why) = (self.name(machine), lost.word());
+            self.log(format!("host {name}: {} tasks are lost with it: {why}", standing.len()));
             for request in standing {
                 self.over(now, request, Outcome::Reset, None, CUT, Vec::new());
             }
