--- a/crates/platform/tests/churn.rs
+++ b/crates/platform/tests/churn.rs
@@ -1,57 +1,112 @@
-//! Churn on sockets: hosts and owners that come and go leave no descriptor behind. A process of its own, as they are
-//! counted over the whole of it; sizes of maps over a longer churn are in `engine.rs`.
+//! Churn on sockets: hosts and owners that come and go leave no descriptor and no memory behind. The placer runs in a
+//! process of its own, so that only what it holds is counted; sizes of maps over a longer churn are in `engine.rs`.
 
 mod standins;
 
-use standins::{Host, Owner, message, placer, setup, soon};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use standins::{Board, Host, Owner, config, message, setup, soon};
 
 const ROUNDS: u64 = 60;
 /// Rounds after which everything that is made once is there.
 const SETTLED: u64 = 20;
+/// Owners that come in each round for nothing but a test.
+const PASSERS: u64 = 10;
+/// KiB that the rest of the rounds may add: 4 KiB for each connection would be 1,600.
+const MOST_GROWN: usize = 1_000;
+const CONFIG: &str = "REEDRING_CHURN_CONFIG";
+
+/// The placer's process, ended with the test.
+struct Placer(Child);
+
+impl Drop for Placer {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Placer {
+    fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.0.id())).expect("it runs").count()
+    }
 
-fn descriptors() -> usize {
-    std::fs::read_dir("/proc/self/fd").expect("Linux tells").count()
+    /// Resident memory in KiB.
+    fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("it is among them");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+}
+
+#[test]
+#[ignore = "the process that the other test starts"]
+fn placer_process() {
+    let path = std::env::var(CONFIG).expect("the other test names it");
+    reedring_platform::run(Path::new(&path), None).expect("a good configuration");
 }
 
 #[tokio::test]
 async fn hosts_and_owners_that_came_and_went_leave_nothing_behind() {
     let mut host = Host::new().await;
     let line = |host: &Host, n: u64, health: &str| host.line(&format!("h-{n}"), "east", health);
-    let placer = placer(vec![line(&host, 0, "active")]).await;
-    let mut settled = 0;
-    for n in 1..=ROUNDS {
-        let new = Host::new().await;
-        placer.board.tell(false, vec![line(&new, n, "active"), line(&host, n - 1, "left")]);
-        // The placer has taken it in once it asks for what comes after.
-        let next = format!("watch={}&", n + 1);
-        soon("the next poll", async {
-            while !placer.board.asked.lock().expect("no panic").iter().any(|path| path.contains(&next)) {
+    let (board, first) = (Board::new().await, vec![line(&host, 0, "active")]);
+    board.tell(true, first.clone());
+    // A port that is free now.
+    let address: SocketAddr = Host::new().await.address;
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("config.json");
+    std::fs::write(&path, config(address, &board, first).to_string()).expect("it can be written");
+    let mut command = Command::new(std::env::current_exe().expect("this test's program"));
+    let command = command.args(["--ignored", "--exact", "placer_process"]).env(CONFIG, &path);
+    let placer = Placer(command.stdout(Stdio::null()).spawn().expect("it starts"));
+    let asked = async |what: String| {
+        soon("a poll", async {
+            while !board.asked.lock().expect("no panic").iter().any(|path| path.contains(&what)) {
                 tokio::task::yield_now().await;
             }
         })
         .await;
-        placer.board.asked.lock().expect("no panic").clear();
+        board.asked.lock().expect("no panic").clear();
+    };
+    // It polls from after it listens.
+    asked("watch=1&".to_owned()).await;
+    let mut settled = (0, 0);
+    for n in 1..=ROUNDS {
+        let new = Host::new().await;
+        board.tell(false, vec![line(&new, n, "active"), line(&host, n - 1, "left")]);
+        // It has taken that in once it asks for what comes after.
+        asked(format!("watch={}&", n + 1)).await;
         host = new;
-        let mut owner = Owner::connect(placer.address).await;
+        for passer in 0..PASSERS {
+            let mut owner = Owner::connect(address).await;
+            owner.send(&message(52, passer + 1, &[(194, &[0])])).await;
+            assert_eq!(owner.got().await.expect("a test's answer").kind, 53);
+        }
+        let mut owner = Owner::connect(address).await;
         owner.send(&setup(n, "play", 1_500, "")).await;
         // The second connection is the one kept ahead.
         let (mut link, _spare) = (host.link().await, host.link().await);
         let line = link.line().await.expect("a set-up");
         link.answer(&line["id"], "x").await;
-        let answer = owner.got().await.expect("an answer");
-        assert_eq!(answer.kind, 9, "{n}: {answer:?}");
+        assert_eq!(owner.got().await.expect("an answer").kind, 9);
         link.release(&line["id"], 16).await;
         assert_eq!(owner.got().await.expect("an end").cause(), Some(16));
         // Heard, so that it is not told again as this connection closes.
         owner.send(&message(16, n, &[])).await;
         if n == SETTLED {
-            settled = descriptors();
+            settled = (placer.descriptors(), placer.memory());
         }
     }
+    let (descriptors, memory) = settled;
     soon("the last connections' ends", async {
-        while descriptors() > settled + 4 {
+        while placer.descriptors() > descriptors + 4 {
             tokio::task::yield_now().await;
         }
     })
     .await;
+    let grown = placer.memory().saturating_sub(memory);
+    assert!(grown < MOST_GROWN, "{grown} KiB");
 }
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -291,16 +291,21 @@
 
 pub const SETTINGS: &str = include_str!("settings.json");
 
+/// A configuration whose list holds these hosts.
+pub fn config(address: SocketAddr, board: &Board, hosts: Vec<Value>) -> Value {
+    json!({"name": "n1", "listen": address, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": board.address,
+        "known": {"rev": 1, "notices": [notice(1, true, hosts)]},
+        "settings": serde_json::from_str::<Value>(SETTINGS).expect("JSON")})
+}
+
 /// A placer on loopback that knows these hosts.
 pub async fn placer(hosts: Vec<Value>) -> Running {
     let board = Board::new().await;
     board.tell(true, hosts.clone());
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it is bound");
-    let config = json!({"name": "n1", "listen": address, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": board.address,
-        "known": {"rev": 1, "notices": [notice(1, true, hosts)]},
-        "settings": serde_json::from_str::<Value>(SETTINGS).expect("JSON")});
+    let config = config(address, &board, hosts);
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("config.json");
     std::fs::write(&path, config.to_string()).expect("it can be written");
