A link's word carries its node once, and the setter of its number is named as one

Reread: `Came::LinkUp` held the node's name beside the input that names it already, and `Links::is_up` read as a question. The number alone stands beside the input now, and `Links::stands` sets it. Behaviour and tests as they were: what_was_meant_for_an_older_link_is_not_written_to_a_newer_one passes.

--- a/crates/placer/src/clients.rs
+++ b/crates/placer/src/clients.rs
@@ -36,8 +36,8 @@
 pub(crate) enum Came {
     Open(ConnId, mpsc::UnboundedSender<Response>),
     Input(Input),
-    /// A link to a node stands: the node, the link's number, and the word of it.
-    LinkUp(String, u64, Input),
+    /// A link to a node stands: its number, and the word of it.
+    LinkUp(u64, Input),
     /// What the core need not see: it is answered at once.
     Answer(ConnId, Response),
 }
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -85,7 +85,7 @@
     }
 
     /// The core is told now that this link stands: what it sends from here on is meant for it.
-    pub fn is_up(&mut self, node: &str, number: u64) {
+    pub fn stands(&mut self, node: &str, number: u64) {
         if let Some(link) = self.all.get_mut(node) {
             link.up = number;
         }
@@ -146,7 +146,7 @@
         let mut reader = Reader::default();
         let greeting = tokio::time::timeout(limit, self.greeted(&mut read, &mut reader)).await;
         let up = greeting.map_err(|_| "no greeting in time".to_owned())??;
-        let up = Came::LinkUp(self.node.clone(), self.number, up);
+        let up = Came::LinkUp(self.number, up);
         self.came.send(up).await.map_err(|_| "the placer ends".to_owned())?;
         let why = tokio::select! {
             why = self.reads(&mut read, &mut reader) => why,
@@ -253,7 +253,7 @@
         let (mut node, _) = listener.accept().await.unwrap();
         let welcome = Message::Welcome { node: "n".into(), life: 1, up_ms: 0, can_suspend: false };
         node.write_all(&encode(&welcome)).await.unwrap();
-        let Some(Came::LinkUp(_, number, _)) = coming.recv().await else { panic!("no link") };
+        let Some(Came::LinkUp(number, _)) = coming.recv().await else { panic!("no link") };
         out.send((4, Message::Probe { nonce: 2 })).await.unwrap();
         out.send((number, Message::Probe { nonce: 3 })).await.unwrap();
         let (mut reader, mut buffer, mut read) = (Reader::default(), [0; 256], Vec::new());
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -328,8 +328,10 @@
                     }
                     core.handle(now(), input);
                 }
-                Came::LinkUp(node, number, input) => {
-                    shell.links.is_up(&node, number);
+                Came::LinkUp(number, input) => {
+                    if let Input::LinkUp { node, .. } = &input {
+                        shell.links.stands(node, number);
+                    }
                     core.handle(now(), input);
                 }
             }
