--- a/crates/cli/tests/churn.rs
+++ b/crates/cli/tests/churn.rs
@@ -1,10 +1,10 @@
-//! Churn on sockets: hosts and owners that come and go leave no descriptor and no memory behind. The placer runs in a
-//! process of its own, so that only what it holds is counted; sizes of maps over a longer churn are in `engine.rs`.
+//! Churn on sockets: hosts and owners that come and go leave no descriptor and no memory behind. The placer is the
+//! program itself, so that only what it holds is counted; sizes of maps over a longer churn are in the engine's tests.
 
+#[path = "../../platform/tests/standins/mod.rs"]
 mod standins;
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
 use standins::{Board, Host, Owner, config, message, setup, soon};
@@ -16,7 +16,6 @@
 const PASSERS: u64 = 10;
 /// KiB that the rest of the rounds may add: 4 KiB for each connection would be 1,600.
 const MOST_GROWN: usize = 1_000;
-const CONFIG: &str = "REEDRING_CHURN_CONFIG";
 
 /// The placer's process, ended with the test.
 struct Placer(Child);
@@ -41,13 +40,6 @@
     }
 }
 
-#[test]
-#[ignore = "the process that the other test starts"]
-fn placer_process() {
-    let path = std::env::var(CONFIG).expect("the other test names it");
-    reedring_platform::run(Path::new(&path), None).expect("a good configuration");
-}
-
 #[tokio::test]
 async fn hosts_and_owners_that_came_and_went_leave_nothing_behind() {
     let mut host = Host::new().await;
@@ -59,26 +51,19 @@
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("config.json");
     std::fs::write(&path, config(address, &board, first).to_string()).expect("it can be written");
-    let mut command = Command::new(std::env::current_exe().expect("this test's program"));
-    let command = command.args(["--ignored", "--exact", "placer_process"]).env(CONFIG, &path);
-    let placer = Placer(command.stdout(Stdio::null()).spawn().expect("it starts"));
-    let asked = async |what: String| {
-        soon("a poll", async {
-            while !board.asked.lock().expect("no panic").iter().any(|path| path.contains(&what)) {
-                tokio::task::yield_now().await;
-            }
-        })
-        .await;
-        board.asked.lock().expect("no panic").clear();
-    };
+    let mut command = Command::new(env!("CARGO_BIN_EXE_reedring"));
+    let command = command.args(["platform", "--log", "off", "--config"]).arg(&path);
+    let command = command.env_remove("PROXY_LISTEN").stderr(Stdio::null());
+    let placer = Placer(command.spawn().expect("it starts"));
     // It polls from after it listens.
-    asked("watch=1&".to_owned()).await;
+    board.until_asked(|asks| asks.iter().any(|ask| ask.contains("watch=1&"))).await;
     let mut settled = (0, 0);
     for n in 1..=ROUNDS {
         let new = Host::new().await;
         board.tell(false, vec![line(&new, n, "active"), line(&host, n - 1, "left")]);
         // It has taken that in once it asks for what comes after.
-        asked(format!("watch={}&", n + 1)).await;
+        let next = format!("watch={}&", n + 1);
+        board.until_asked(|asks| asks.iter().any(|ask| ask.contains(&next))).await;
         host = new;
         for passer in 0..PASSERS {
             let mut owner = Owner::connect(address).await;
--- a/crates/platform/tests/loopback.rs
+++ b/crates/platform/tests/loopback.rs
@@ -263,12 +263,7 @@
         assert_eq!(owner.got().await.unwrap().kind, ANSWER, "{mood:?}");
         placer.board.tell(false, vec![drained, second.line("h-2", "east", "active")]);
         let asked = placer.board.asked.lock().unwrap().len();
-        let more = async {
-            while placer.board.asked.lock().unwrap().len() < asked + 2 {
-                tokio::task::yield_now().await;
-            }
-        };
-        soon("more asks", more).await;
+        placer.board.until_asked(|asks| asks.len() >= asked + 2).await;
         placer.board.set(Mood::Well);
         let mut at_second = second.obliging();
         // Until the event came through, tasks go where it was told before.
@@ -299,12 +294,7 @@
     std::fs::write(&placer.path, "{").unwrap();
     placer.ask.send(Asked::Reload).await.unwrap();
     placer.configure(&board);
-    let came = async {
-        while board.asked.lock().unwrap().is_empty() {
-            tokio::task::yield_now().await;
-        }
-    };
-    soon("the new board", came).await;
+    board.until_asked(|asks| !asks.is_empty()).await;
     assert!(board.asked.lock().unwrap()[0].starts_with("/board/poll?watch=1&linger="));
     let mut told = second.obliging();
     let mut owner = Owner::connect(placer.address).await;
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -257,6 +257,16 @@
         }
     }
 
+    /// Waits until what was asked for so far is enough.
+    pub async fn until_asked(&self, enough: impl Fn(&[String]) -> bool) {
+        soon("an ask of the board", async {
+            while !enough(&self.asked.lock().expect("no panic")) {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+    }
+
     pub fn set(&self, mood: Mood) {
         self.state.send_modify(|state| state.0 = mood);
     }
