--- a/crates/cli/src/log.rs
+++ b/crates/cli/src/log.rs
@@ -12,6 +12,8 @@
     Text,
     /// One JSON object a line.
     Json,
+    /// The words alone, for a collector that stamps lines itself.
+    Brief,
 }
 
 pub fn start(filter: &str, format: Format) -> Result<(), tracing_subscriber::filter::ParseError> {
@@ -23,6 +25,7 @@
     match format {
         Format::Text => lines.init(),
         Format::Json => lines.json().init(),
+        Format::Brief => lines.without_time().with_level(false).with_target(false).init(),
     }
     Ok(())
 }
--- a/crates/platform/src/decide.rs
+++ b/crates/platform/src/decide.rs
@@ -76,6 +76,36 @@
     room && !candidates.iter().enumerate().any(spare)
 }
 
+/// A connection to a host that may be closed so that another can be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spent {
+    /// It stands; else it is being made.
+    pub up: bool,
+    /// It was made, or is being made, to hear of tasks.
+    pub check: bool,
+    /// No other one stands to a host that holds tasks.
+    pub only: bool,
+    /// When it was last of use.
+    pub used: u64,
+}
+
+/// Which of the connections on which nothing is open makes room for another? One that nobody needs, the longest unused
+/// first; else the longest unused of those that alone reach a host with tasks, which is visited again later. Ends that
+/// wait at a host come as soon as it is connected to: where the new connection is such a visit too (`visit`), none is
+/// cut off that was of use after `since`, nor any before it stands, or visits would end each other for nothing.
+pub fn which_makes_room(links: &[Spent], visit: bool, since: u64) -> Option<usize> {
+    let needed = |link: &Spent| link.only || link.check && !link.up;
+    let may = |link: &Spent| !(visit && needed(link)) || link.up && link.used <= since;
+    let links = links.iter().enumerate().filter(|(_, link)| may(link));
+    links.min_by_key(|(_, link)| (needed(link), !link.up, link.used)).map(|(at, _)| at)
+}
+
+/// May a host have one more connection beside those that it has? While half of `bound` is free, and after that from
+/// what is left once each of the `listed` hosts could have one; `extra` are those beside a first one by now.
+pub fn may_add(links: usize, extra: usize, listed: usize, bound: usize) -> bool {
+    links < bound && (links < bound / 2 || extra < bound.saturating_sub(listed))
+}
+
 /// Refused connections in a row after which a host's process counts as gone, with all that it held.
 const REFUSED: u32 = 2;
 
@@ -210,6 +240,44 @@
         }
     }
 
+    #[test]
+    fn who_is_needed_least_makes_room() {
+        let link = |up, check, only, used| Spent { up, check, only, used };
+        let (spare, older, made) =
+            (link(true, false, false, 9), link(true, false, false, 8), link(false, false, false, 1));
+        let (alone, fresh, coming) =
+            (link(true, true, true, 3), link(true, false, true, 7), link(false, true, false, 2));
+        let cases = [
+            (vec![], false, None),
+            (vec![alone, spare, older], false, Some(2)),
+            (vec![alone, spare, older], true, Some(2)),
+            (vec![alone, made], false, Some(1)),
+            (vec![fresh, alone], false, Some(1)),
+            (vec![fresh, alone], true, Some(1)),
+            (vec![fresh, coming], false, Some(0)),
+            (vec![fresh, coming], true, None),
+            (vec![coming], false, Some(0)),
+        ];
+        for (links, visit, chosen) in cases {
+            assert_eq!(which_makes_room(&links, visit, 5), chosen, "{links:?} {visit}");
+        }
+    }
+
+    #[test]
+    fn second_connections_leave_room_for_each_hosts_first() {
+        for (links, extra, listed, may) in [
+            (0, 0, 400, true),
+            (49, 49, 400, true),
+            (50, 10, 400, false),
+            (80, 9, 90, true),
+            (80, 10, 90, false),
+            (99, 50, 10, true),
+            (100, 50, 10, false),
+        ] {
+            assert_eq!(may_add(links, extra, listed, 100), may, "{links} {extra} {listed}");
+        }
+    }
+
     #[test]
     fn tasks_are_over_where_nothing_stands_or_nothing_comes_up_or_is_heard() {
         for (listed, links_up) in [(false, 0), (false, 1), (true, 0), (true, 1)] {
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -31,19 +31,28 @@
 /// What bounds the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
+    /// Connections of owners and to hosts together.
+    pub all: usize,
     /// Connections of owners.
     pub owners: usize,
-    /// Connections to hosts.
-    pub links: usize,
+    /// Of these, so many are never taken for hosts.
+    pub kept: usize,
     /// Connections to one host.
     pub links_each: usize,
 }
 
 impl Bounds {
-    /// What the descriptors allow: half for owners, a few for the placer's own, the rest for hosts.
+    /// What the descriptors allow. A third is all that owners hold by the protocol, and is kept for them with some
+    /// more for those that just come and go. Who does not keep to that gets what hosts leave, up to a half.
     pub fn of(limits: &Limits) -> Self {
-        let owners = limits.sockets / 2;
-        Self { owners, links: limits.sockets - owners - OWN_SOCKETS, links_each: LINKS_EACH }
+        let sockets = limits.sockets;
+        let kept = sockets / 3 + sockets / 16;
+        Self { all: sockets - OWN_SOCKETS, owners: sockets / 2, kept, links_each: LINKS_EACH }
+    }
+
+    /// Connections to hosts, beside so many of owners.
+    pub fn links(&self, conns: usize) -> usize {
+        self.all.saturating_sub(conns.max(self.kept))
     }
 }
 
@@ -114,7 +123,7 @@
     Attempt(AttemptId),
     /// The time of a probe is over.
     Probe(u64),
-    /// A host that holds tasks is to be connected to again.
+    /// A host that holds tasks may be due to be connected to again.
     Reconnect(MachineId),
     /// Idle connections and old records are looked through.
     Sweep,
@@ -155,6 +164,10 @@
     pub(crate) hosts: BTreeMap<MachineId, Host>,
     pub(crate) links: BTreeMap<LinkId, Link>,
     pub(crate) last_link: LinkId,
+    /// Hosts that have a connection.
+    pub(crate) linked: usize,
+    /// Hosts that the list has.
+    pub(crate) on_list: usize,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// Requests by the id on the wire.
     pub(crate) by_id: BTreeMap<u64, RequestId>,
@@ -187,6 +200,8 @@
             hosts: BTreeMap::new(),
             links: BTreeMap::new(),
             last_link: 0,
+            linked: 0,
+            on_list: 0,
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
             probes: BTreeMap::new(),
@@ -237,6 +252,8 @@
         match input {
             Input::OwnerCame(conn) => self.owner_came(now, conn),
             Input::Owner(conn, message) => self.owner_says(now, conn, message),
+            Input::OwnerEnded(conn) => self.owner_ended(conn),
+            Input::OwnerSpoilt(conn, why) => self.owner_spoilt(conn, &why),
             Input::OwnerGone(conn) => self.owner_gone(now, conn),
             Input::LinkUp(link) => self.link_up(now, link),
             Input::Host(link, message) => self.host_says(now, link, message),
@@ -254,7 +271,7 @@
                 Timer::Module(token) => self.events.push(Event::Woken(token)),
                 Timer::Attempt(attempt) => self.attempt_due(now, attempt),
                 Timer::Probe(id) => self.probe_over(now, id, false, &Figures::new()),
-                Timer::Reconnect(machine) => self.reconnect(machine),
+                Timer::Reconnect(machine) => self.reconnect(now, machine),
                 Timer::Sweep => {
                     self.sweep_owners(now);
                     self.sweep_hosts(now);
@@ -383,7 +400,7 @@
         let Phase::Standing { machine, number, .. } = entry.phase else { return };
         entry.phase = Phase::Ending { machine, number, since: now };
         let id = entry.setup.id;
-        if let Some(link) = self.any_link(machine) {
+        if let Some(link) = self.any_link(now, machine) {
             self.send_host(link, ToHost::Release { id, cause });
         }
     }
@@ -412,7 +429,7 @@
         let Some(entry) = self.requests.get(&request) else { return };
         let Some(out) = entry.out else { return };
         let (number, machine, id) = (out.number, out.machine, entry.setup.id);
-        let Some(link) = self.link_for(machine) else {
+        let Some(link) = self.link_for(now, machine) else {
             if let Some(entry) = self.requests.get_mut(&request) {
                 entry.out = None;
             }
@@ -503,7 +520,7 @@
     }
 
     fn probe(&mut self, now: Micros, machine: MachineId) {
-        let Some(link) = self.link_for(machine) else {
+        let Some(link) = self.link_for(now, machine) else {
             return self.events.push(Event::Probed {
                 machine,
                 answered: false,
--- /dev/null
+++ b/crates/platform/src/follow.rs
@@ -0,0 +1,67 @@
+//! What came and what was done, one line each, so that a task can be followed by its id through a placer's log. Off by
+//! default (`--log reedring_platform::follow=debug` turns it on), and made only where it is on.
+
+use reedring_platproto::host::{FromHost, ToHost};
+use reedring_platproto::owner::{FromOwner, ToOwner};
+
+use crate::io::{Input, Output};
+
+/// The line of an input.
+pub(crate) fn input(input: &Input) -> Option<String> {
+    Some(match input {
+        Input::OwnerCame(conn) => format!("owner {conn} came"),
+        Input::OwnerEnded(conn) => format!("owner {conn} says nothing more"),
+        Input::OwnerSpoilt(conn, why) => format!("owner {conn} can't be read: {why}"),
+        Input::OwnerGone(conn) => format!("owner {conn} went"),
+        Input::Owner(conn, Ok(message)) => match message {
+            FromOwner::Setup(setup) => {
+                let (class, left) = (&setup.class, setup.left_ms);
+                let held = setup.at.as_ref().map_or(String::new(), |host| format!(", held by {host}"));
+                format!("owner {conn} asks {:016x}: {class}, {left} ms{held}", setup.id)
+            }
+            FromOwner::Release { id, cause } => format!("owner {conn} ends {id:016x}: cause {cause}"),
+            FromOwner::Test(id) => format!("owner {conn} tests {id:016x}"),
+            FromOwner::Released(id) => format!("owner {conn} heard {id:016x}"),
+            FromOwner::Free => return None,
+        },
+        Input::Owner(conn, Err(unusable)) => format!("owner {conn} says what can't be used: {unusable}"),
+        Input::LinkUp(link) => format!("link {link} up"),
+        Input::LinkDown { link, down, begun } => format!("link {link} down: {down:?}, {begun} written"),
+        Input::Host(link, message) => match message {
+            FromHost::Answer { id, .. } => format!("link {link} answers {id:016x}"),
+            FromHost::Release { id, cause, reason, .. } => {
+                format!("link {link} ends {id:016x}: cause {cause}, {reason:?}")
+            }
+            FromHost::Tested { id, passed, .. } => format!("link {link} tested {id:016x}: {passed}"),
+            FromHost::Note { .. } | FromHost::Free => return None,
+        },
+        Input::Board(told) => format!("board at {}: {} notices", told.rev, told.notices.len()),
+        Input::BoardLost(why) => format!("board lost: {why}"),
+        Input::Terminate => "asked to end".to_owned(),
+    })
+}
+
+/// The line of an output.
+pub(crate) fn output(output: &Output) -> Option<String> {
+    Some(match output {
+        Output::ToOwner(conn, message) => match message {
+            ToOwner::Answer { id, .. } => format!("to owner {conn}: answer {id:016x}"),
+            ToOwner::Release { id, cause, .. } => {
+                format!("to owner {conn}: release {id:016x}: cause {cause}")
+            }
+            ToOwner::Moved(id) => format!("to owner {conn}: move {id:016x}"),
+            ToOwner::Tested { id, passed } => format!("to owner {conn}: tested {id:016x}: {passed}"),
+        },
+        Output::CloseOwner(conn) => format!("close owner {conn}"),
+        Output::Connect(link, address) => format!("link {link} to {address}"),
+        Output::ToHost(link, message) => match message {
+            ToHost::Setup { id, left_ms, .. } => format!("to link {link}: set-up {id:016x}: {left_ms} ms"),
+            ToHost::Release { id, cause } => format!("to link {link}: release {id:016x}: cause {cause}"),
+            ToHost::Test { id, .. } => format!("to link {link}: test {id:016x}"),
+        },
+        Output::CloseLink(link) => format!("close link {link}"),
+        Output::StopListening => "stop listening".to_owned(),
+        Output::Finished => "finished".to_owned(),
+        Output::Log(_) => return None,
+    })
+}
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -12,7 +12,7 @@
 use reedring_platproto::owner::ToOwner;
 use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
 
-use crate::decide::{self, Candidate, Choice, Down, Fate, Seen};
+use crate::decide::{self, Candidate, Choice, Down, Fate, Seen, Spent};
 use crate::engine::{Engine, Phase, Request, Timer};
 use crate::io::{LinkId, Output};
 
@@ -25,6 +25,11 @@
 /// it still is there can't be told otherwise, as to probe is the module's to decide.
 const UNHEARD_US: Micros = 2_500_000;
 const CHECK_US: Micros = 1_000_000;
+/// A host that holds tasks and has no connection, as others needed the place, is visited after so long: twice within
+/// the 8 s in which an end is owed that its host could not tell.
+const REVISIT_US: Micros = 3_500_000;
+/// How long a visit lasts at least where no connect time-out is told: the way of what waits there.
+const VISIT_US: Micros = 250_000;
 /// A host that was told to end a task and does not say that it did has no such task any more.
 const ENDING_US: Micros = 5_000_000;
 /// A host that left the list and still has a connection may wrap up for so long.
@@ -51,6 +56,8 @@
     waits: Backoff,
     /// A timer for the next try is set.
     waiting: bool,
+    /// Its last connection made room for another; when it is connected to again.
+    parked: Option<Micros>,
 }
 
 impl Host {
@@ -67,6 +74,7 @@
             checked_at: 0,
             waits: WAITS,
             waiting: false,
+            parked: None,
         }
     }
 
@@ -208,7 +216,9 @@
     fn listed(&mut self, now: Micros, entry: Entry) {
         let machine = machine_id(&entry.host);
         let host = self.hosts.entry(machine).or_insert_with(Host::new);
+        self.on_list -= usize::from(host.is_listed());
         let before = host.entry.replace(entry.clone());
+        self.on_list += usize::from(host.is_listed());
         host.left_at = (entry.health == State::Left).then(|| host.left_at.unwrap_or(now));
         let moved = before.as_ref().is_some_and(|before| before.dial != entry.dial);
         // A process that started later than a task was placed is another one than that which held it.
@@ -255,7 +265,7 @@
             }
         }
         let Some(host) = self.hosts.get_mut(&machine) else { return };
-        if host.is_asked() && !host.waiting && host.address().is_some() {
+        if host.is_asked() && !host.waiting && host.parked.is_none() && host.address().is_some() {
             let wait = host.waits.wait();
             let at_once = host.refused == 0 && wait == FIRST_WAIT;
             host.waiting = true;
@@ -273,21 +283,34 @@
         entry.map_or("of no line", |entry| entry.host.as_str())
     }
 
-    pub(crate) fn reconnect(&mut self, machine: MachineId) {
+    pub(crate) fn reconnect(&mut self, now: Micros, machine: MachineId) {
         let Some(host) = self.hosts.get_mut(&machine) else { return };
-        host.waiting = false;
-        if host.is_asked() {
-            self.check(machine);
+        if !host.waiting && host.parked.is_none_or(|at| now < at) {
+            return;
+        }
+        (host.waiting, host.parked) = (false, None);
+        if host.is_asked() && !self.check(now, machine) && self.hosts[&machine].address().is_some() {
+            // All places are taken by those that can't do without: the first that is left is this one's.
+            if let Some(host) = self.hosts.get_mut(&machine) {
+                host.waiting = true;
+            }
+            self.timers.set(now + FIRST_WAIT.as_micros() as Micros, Timer::Reconnect(machine));
         }
     }
 
     // ---- Connections ----
 
     /// The connection for a set-up or probe.
-    pub(crate) fn link_for(&mut self, machine: MachineId) -> Option<LinkId> {
-        let room = self.links.len() < self.bounds.links
-            && self.hosts.get(&machine).is_some_and(|host| host.links.len() < self.bounds.links_each);
-        let address = self.hosts.get(&machine).and_then(Host::address);
+    pub(crate) fn link_for(&mut self, now: Micros, machine: MachineId) -> Option<LinkId> {
+        let host = self.hosts.get(&machine)?;
+        let (address, links, bound) = (host.address(), self.links.len(), self.bounds.links(self.conns.len()));
+        let room = match host.links.len() {
+            0 => links < bound,
+            some => {
+                let extra = links - self.linked;
+                some < self.bounds.links_each && decide::may_add(links, extra, self.on_list, bound)
+            }
+        };
         let (ids, candidates): (Vec<LinkId>, Vec<Candidate>) = self
             .links_of(machine)
             .map(|(id, link)| {
@@ -305,20 +328,55 @@
                 Some(ids[at])
             }
             Some(Choice::Make) => self.make_link(machine),
-            None => {
-                // The oldest idle connection to another host makes room.
-                let idle = self.links.iter().filter(|(_, link)| link.is_idle());
-                let oldest = idle.min_by_key(|(_, link)| link.used).map(|(id, _)| *id)?;
-                self.close_link(oldest);
-                self.make_link(machine)
-            }
+            None if self.make_room(now, false) => self.make_link(machine),
+            None => None,
         }
     }
 
-    /// Any connection that reaches a host, for what concerns standing tasks.
-    pub(crate) fn any_link(&mut self, machine: MachineId) -> Option<LinkId> {
+    /// Any connection that reaches a host, for what concerns standing tasks. With none, it is told when it is next
+    /// connected to.
+    pub(crate) fn any_link(&mut self, now: Micros, machine: MachineId) -> Option<LinkId> {
         let up = self.links_of(machine).filter(|(_, link)| !link.doubtful).max_by_key(|(_, link)| link.up);
-        up.map(|(id, _)| id).or_else(|| self.make_link(machine))
+        let up = up.map(|(id, _)| id);
+        up.or_else(|| if self.make_room(now, false) { self.make_link(machine) } else { None })
+    }
+
+    /// Room for one more connection: one that is needed less goes, if it has to. `visit`: the new one is only to hear
+    /// of tasks.
+    fn make_room(&mut self, now: Micros, visit: bool) -> bool {
+        if self.links.len() < self.bounds.links(self.conns.len()) {
+            return true;
+        }
+        let idle = self.links.iter().filter(|(_, link)| link.is_idle());
+        let (ids, spent): (Vec<LinkId>, Vec<Spent>) = idle
+            .map(|(id, link)| {
+                let only = self.hosts.get(&link.machine).is_some_and(|host| {
+                    !host.standing.is_empty()
+                        && !host.links.iter().any(|other| other != id && self.links[other].up)
+                });
+                (*id, Spent { up: link.up, check: link.check, only, used: link.used })
+            })
+            .unzip();
+        let lasts = self.told.settings.rules.connect_timeout_us.unwrap_or(VISIT_US);
+        let Some(at) = decide::which_makes_room(&spent, visit, now.saturating_sub(lasts)) else {
+            return false;
+        };
+        let machine = self.links[&ids[at]].machine;
+        self.close_link(ids[at]);
+        if let Some(host) = self.hosts.get_mut(&machine).filter(|host| host.is_asked() && !host.waiting) {
+            let at = now + REVISIT_US;
+            host.parked = Some(at);
+            self.timers.set(at, Timer::Reconnect(machine));
+        }
+        self.links.len() < self.bounds.links(self.conns.len())
+    }
+
+    /// An owner came: connections to hosts leave its place.
+    pub(crate) fn yield_links(&mut self, now: Micros) {
+        let over = self.links.len().saturating_sub(self.bounds.links(self.conns.len()));
+        for _ in 0..over {
+            self.make_room(now, false);
+        }
     }
 
     fn make_link(&mut self, machine: MachineId) -> Option<LinkId> {
@@ -326,7 +384,9 @@
         let address = host.address()?;
         self.last_link += 1;
         let id = self.last_link;
+        self.linked += usize::from(host.links.is_empty());
         host.links.insert(id);
+        host.parked = None;
         let link = Link {
             machine,
             address,
@@ -343,13 +403,21 @@
         Some(id)
     }
 
-    /// Connects once more to a host that holds tasks: it is closed again if others stand.
-    fn check(&mut self, machine: MachineId) {
-        if self.links.len() < self.bounds.links
-            && let Some(link) = self.make_link(machine).and_then(|link| self.links.get_mut(&link))
-        {
-            link.check = true;
+    /// A connection is no more.
+    fn drop_link(&mut self, id: LinkId) -> Option<Link> {
+        let link = self.links.remove(&id)?;
+        if let Some(host) = self.hosts.get_mut(&link.machine) {
+            let one = host.links.remove(&id) && host.links.is_empty();
+            self.linked -= usize::from(one);
         }
+        Some(link)
+    }
+
+    /// Connects once more to a host that holds tasks, if there is room: it is closed again if others stand.
+    fn check(&mut self, now: Micros, machine: MachineId) -> bool {
+        let made = if self.make_room(now, true) { self.make_link(machine) } else { None };
+        let link = made.and_then(|link| self.links.get_mut(&link));
+        link.map(|link| link.check = true).is_some()
     }
 
     /// Writes to a connection, if it still is one; answers which message of it this is.
@@ -370,10 +438,7 @@
     }
 
     fn close_link(&mut self, id: LinkId) {
-        if let Some(link) = self.links.remove(&id) {
-            if let Some(host) = self.hosts.get_mut(&link.machine) {
-                host.links.remove(&id);
-            }
+        if self.drop_link(id).is_some() {
             self.outputs.push_back(Output::CloseLink(id));
         }
     }
@@ -411,10 +476,9 @@
     }
 
     pub(crate) fn link_down(&mut self, now: Micros, id: LinkId, down: Down, begun: u64) {
-        let Some(link) = self.links.remove(&id) else { return };
+        let Some(link) = self.drop_link(id) else { return };
         let machine = link.machine;
         if let Some(host) = self.hosts.get_mut(&machine) {
-            host.links.remove(&id);
             match down {
                 Down::Refused => host.refused += 1,
                 Down::Unmade => host.unreachable += 1,
@@ -613,7 +677,7 @@
             self.hosts.iter().filter(|(_, host)| quiet(host)).map(|(id, _)| *id).collect();
         for machine in quiet {
             self.look_at(now, machine);
-            self.check(machine);
+            self.check(now, machine);
             if let Some(host) = self.hosts.get_mut(&machine) {
                 host.checked_at = now;
             }
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -20,6 +20,10 @@
     OwnerCame(ConnId),
     /// An owner's message, or one that can't be used.
     Owner(ConnId, Result<FromOwner, Unusable>),
+    /// An owner will say nothing more on its connection, and may still read.
+    OwnerEnded(ConnId),
+    /// An owner said what can't be read, in words; nothing more is read from it.
+    OwnerSpoilt(ConnId, String),
     /// An owner's connection ended.
     OwnerGone(ConnId),
     /// A connection to a host stands.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,8 +19,10 @@
 mod board;
 pub mod decide;
 mod engine;
+mod follow;
 mod hosts;
 mod io;
+mod outbox;
 mod owners;
 mod run;
 mod sockets;
--- /dev/null
+++ b/crates/platform/src/outbox.rs
@@ -0,0 +1,230 @@
+//! What waits to be written to the other end of a connection: bytes, so that many messages leave in one write. A burst
+//! of messages is no reason to cut a connection whose other end reads; what counts is the memory that all of them
+//! hold together, which one budget bounds.
+
+use std::collections::VecDeque;
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Bytes that all outboxes of a placer hold.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Budget(Arc<AtomicUsize>);
+
+impl Budget {
+    /// Bytes that wait now.
+    pub fn held(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    bytes: Vec<u8>,
+    /// Bytes of `bytes` that left.
+    left: usize,
+    /// Bytes that left, ever.
+    gone: u64,
+    /// Where the messages end that did not leave whole, counted from the first byte ever.
+    ends: VecDeque<u64>,
+    /// Messages that left whole, and where the last of them ended.
+    whole: u64,
+    whole_until: u64,
+    /// Nothing more comes.
+    closed: bool,
+    /// What waits is not written any more.
+    cut: bool,
+}
+
+impl Waiting {
+    fn len(&self) -> usize {
+        self.bytes.len() - self.left
+    }
+
+    fn leave(&mut self, count: usize) {
+        self.left += count;
+        self.gone += count as u64;
+        while let Some(end) = self.ends.front().copied().filter(|end| *end <= self.gone) {
+            self.ends.pop_front();
+            (self.whole, self.whole_until) = (self.whole + 1, end);
+        }
+        if self.left == self.bytes.len() {
+            // An idle connection keeps no buffer.
+            (self.bytes, self.ends) = (Vec::new(), VecDeque::new());
+            self.left = 0;
+        } else if self.left > self.bytes.len() / 2 {
+            self.bytes.drain(..self.left);
+            self.left = 0;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    waiting: Mutex<Waiting>,
+    news: Notify,
+    budget: Budget,
+}
+
+impl Shared {
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What waits is given up, and nothing more put in.
+    fn cut(&self) {
+        let mut waiting = self.waiting();
+        self.budget.0.fetch_sub(waiting.len(), Ordering::Relaxed);
+        (waiting.bytes, waiting.left, waiting.cut) = (Vec::new(), 0, true);
+    }
+}
+
+/// Puts messages in. Once it is dropped, the connection ends as soon as all is written.
+#[derive(Debug)]
+pub(crate) struct Sender(Arc<Shared>);
+
+/// Takes bytes out, for the task that writes them.
+#[derive(Debug)]
+pub(crate) struct Outbox(Arc<Shared>);
+
+/// Both sides of one connection's outbox.
+pub(crate) fn outbox(budget: &Budget) -> (Sender, Outbox) {
+    let waiting = Mutex::new(Waiting::default());
+    let shared = Arc::new(Shared { waiting, news: Notify::new(), budget: budget.clone() });
+    (Sender(shared.clone()), Outbox(shared))
+}
+
+impl Sender {
+    /// Puts a message in.
+    pub fn send(&self, message: &[u8]) {
+        let mut waiting = self.0.waiting();
+        if waiting.cut {
+            return;
+        }
+        waiting.bytes.extend_from_slice(message);
+        let end = waiting.gone + waiting.len() as u64;
+        waiting.ends.push_back(end);
+        self.0.budget.0.fetch_add(message.len(), Ordering::Relaxed);
+        self.0.news.notify_one();
+    }
+
+    /// Bytes that wait.
+    pub fn len(&self) -> usize {
+        self.0.waiting().len()
+    }
+
+    /// Gives up what waits: the connection ends at once.
+    pub fn cut(&self) {
+        self.0.cut();
+        self.0.news.notify_one();
+    }
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        self.0.waiting().closed = true;
+        self.0.news.notify_one();
+    }
+}
+
+impl Outbox {
+    /// Comes back when something was put in, or nothing more will be, since it last did.
+    pub async fn news(&self) {
+        self.0.news.notified().await;
+    }
+
+    /// Bytes that wait.
+    pub fn len(&self) -> usize {
+        self.0.waiting().len()
+    }
+
+    /// Whether its sender is done with the connection, whatever still waits.
+    pub fn is_closed(&self) -> bool {
+        let waiting = self.0.waiting();
+        waiting.closed || waiting.cut
+    }
+
+    /// Whether the connection ends: nothing more comes, and what waits was written or given up.
+    pub fn is_over(&self) -> bool {
+        let waiting = self.0.waiting();
+        waiting.cut || waiting.closed && waiting.len() == 0
+    }
+
+    /// Messages of which a byte left.
+    pub fn begun(&self) -> u64 {
+        let waiting = self.0.waiting();
+        waiting.whole + u64::from(waiting.gone > waiting.whole_until)
+    }
+
+    /// Writes what the other end takes now.
+    pub fn write(&self, stream: &TcpStream) -> io::Result<()> {
+        let mut waiting = self.0.waiting();
+        while waiting.len() > 0 && !waiting.cut {
+            match stream.try_write(&waiting.bytes[waiting.left..]) {
+                Ok(count) => {
+                    self.0.budget.0.fetch_sub(count, Ordering::Relaxed);
+                    waiting.leave(count);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Outbox {
+    fn drop(&mut self) {
+        self.0.cut();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    #[test]
+    fn messages_of_which_a_byte_left_are_counted() {
+        let budget = Budget::default();
+        let (sender, outbox) = outbox(&budget);
+        for message in ["abc", "de", "fgh"] {
+            sender.send(message.as_bytes());
+        }
+        assert_eq!((outbox.begun(), budget.held()), (0, 8));
+        for (count, begun) in [(1, 1), (2, 1), (1, 2), (1, 2), (2, 3), (1, 3)] {
+            outbox.0.waiting().leave(count);
+            assert_eq!(outbox.begun(), begun);
+        }
+        assert_eq!(sender.len(), 0);
+        sender.send(b"ij");
+        outbox.0.waiting().leave(1);
+        assert_eq!(outbox.begun(), 4);
+    }
+
+    #[tokio::test]
+    async fn what_waits_is_written_after_its_sender_went_and_not_once_it_is_cut() {
+        let budget = Budget::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        stream.writable().await.unwrap();
+        let (sender, waits) = outbox(&budget);
+        sender.send(b"whole");
+        drop(sender);
+        assert!(waits.is_closed() && !waits.is_over());
+        waits.write(&stream).unwrap();
+        assert!(waits.is_over() && budget.held() == 0);
+        let (sender, waits) = outbox(&budget);
+        sender.send(b"whole");
+        sender.cut();
+        waits.write(&stream).unwrap();
+        assert_eq!((waits.is_over(), waits.begun(), budget.held()), (true, 0, 0));
+        drop(waits);
+        sender.send(b"nobody writes it");
+        assert_eq!(budget.held(), 0);
+    }
+}
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -6,7 +6,7 @@
 use reedring::{Event, Micros, RequestId, ServiceId, Task, TaskKey};
 use reedring_platproto::board::number;
 use reedring_platproto::owner::{FromOwner, Setup, ToOwner, Unusable};
-use reedring_platproto::{CANCELLED, ERROR};
+use reedring_platproto::{CANCELLED, CUT, ERROR};
 
 use crate::decide::{self, Route};
 use crate::engine::{Engine, Phase};
@@ -34,6 +34,8 @@
     pub good: bool,
     /// Messages that could not be used, since the last one that could.
     unusable: u32,
+    /// It says nothing more: it is closed once nothing is open on it.
+    ended: bool,
     closing: bool,
 }
 
@@ -57,9 +59,34 @@
 
     /// Nothing is open under this id on the connection any more.
     pub(crate) fn closed_on(&mut self, conn: ConnId, id: u64) {
-        if let Some(conn) = self.conns.get_mut(&conn) {
-            conn.open.remove(&id);
+        if let Some(entry) = self.conns.get_mut(&conn) {
+            entry.open.remove(&id);
+            if entry.ended && entry.open.is_empty() {
+                self.close_owner(conn);
+            }
+        }
+    }
+
+    /// An owner that said all it has to say still gets its answers.
+    pub(crate) fn owner_ended(&mut self, conn: ConnId) {
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
+        entry.ended = true;
+        if entry.open.is_empty() {
+            self.close_owner(conn);
+        }
+    }
+
+    /// Whoever can't be read is closed on; what it had asked for ends with that.
+    pub(crate) fn owner_spoilt(&mut self, conn: ConnId, why: &str) {
+        self.log(format!("owner {conn}: closed: {why}"));
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
+        for id in std::mem::take(&mut entry.open) {
+            self.send_owner(conn, ToOwner::failure(id, CUT));
+            if let Some(request) = self.by_id.get(&id).copied() {
+                self.withdraw(request);
+            }
         }
+        self.close_owner(conn);
     }
 
     pub(crate) fn owner_came(&mut self, now: Micros, conn: ConnId) {
@@ -73,6 +100,7 @@
             self.close_owner(oldest);
         }
         self.conns.insert(conn, Conn { heard_at: now, ..Conn::default() });
+        self.yield_links(now);
     }
 
     fn close_owner(&mut self, conn: ConnId) {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -9,15 +9,14 @@
 use reedring_net::{Asked, Signals};
 use reedring_platproto::board::Names;
 use reedring_platproto::config::{self, Config};
-use reedring_platproto::host::ToHost;
-use reedring_platproto::owner::ToOwner;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 use crate::engine::{Bounds, Engine, Start};
 use crate::io::{ConnId, Input, LinkId, Output};
-use crate::{board, sockets};
+use crate::outbox::{self, Budget, outbox};
+use crate::{board, follow, sockets};
 
 /// Inputs taken into the engine before the module decides on them.
 const BATCH: usize = 256;
@@ -27,6 +26,8 @@
 const READ_AGAIN: Duration = Duration::from_millis(200);
 /// How long the last answers may take to be written at the end.
 const FAREWELL: Duration = Duration::from_millis(300);
+/// What waits to be written may hold this part of the memory.
+const OUTBOXES: usize = 8;
 /// Lines logged in a second, at most.
 const LINES: u32 = 50;
 
@@ -64,7 +65,7 @@
 
 /// News for the engine's task.
 pub(crate) enum Came {
-    Owner(ConnId, mpsc::Sender<ToOwner>),
+    Owner(ConnId, outbox::Sender),
     Input(Input),
     /// A line for the staff.
     Log(String),
@@ -118,11 +119,14 @@
     let (move_board, boards) = watch::channel(config.board);
     tokio::spawn(board::poll(boards, names, rev, came.clone()));
     tokio::spawn(answer(asked, path.to_owned(), move_board, came.clone()));
-    let accepting = tokio::spawn(sockets::accept(listener, came.clone()));
+    let budget = Budget::default();
+    let accepting = tokio::spawn(sockets::accept(listener, budget.clone(), came.clone()));
     let mut shell = Shell {
         owners: BTreeMap::new(),
         links: BTreeMap::new(),
         connect: Duration::from_micros(connect),
+        budget,
+        most: (config.limits.memory_mb as usize * 1024 * 1024 / OUTBOXES).max(64 * 1024),
         accepting,
         came,
         second: (0, 0),
@@ -134,7 +138,7 @@
             if output == Output::Finished {
                 return shell.farewell().await;
             }
-            shell.carry_out(&mut engine, now(), output);
+            shell.carry_out(now(), output);
         }
         let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
         tokio::select! {
@@ -158,11 +162,20 @@
                 Input::LinkDown { link, .. } => drop(shell.links.remove(link)),
                 _ => {}
             }
+            follow(|| follow::input(&input));
             engine.handle(now(), input);
         }
     }
 }
 
+fn follow(line: impl FnOnce() -> Option<String>) {
+    if tracing::enabled!(target: "reedring_platform::follow", tracing::Level::DEBUG)
+        && let Some(line) = line()
+    {
+        tracing::debug!(target: "reedring_platform::follow", "{line}");
+    }
+}
+
 /// How long a connection may take where no time-out is told.
 const CONNECT_US: u64 = 250_000;
 
@@ -202,9 +215,12 @@
 }
 
 struct Shell {
-    owners: BTreeMap<ConnId, mpsc::Sender<ToOwner>>,
-    links: BTreeMap<LinkId, (mpsc::Sender<ToHost>, JoinHandle<()>)>,
+    owners: BTreeMap<ConnId, outbox::Sender>,
+    links: BTreeMap<LinkId, outbox::Sender>,
     connect: Duration,
+    /// What waits to be written, and how much may.
+    budget: Budget,
+    most: usize,
     accepting: JoinHandle<()>,
     came: mpsc::Sender<Came>,
     /// The second in which lines were logged last, and how many.
@@ -212,27 +228,25 @@
 }
 
 impl Shell {
-    fn carry_out(&mut self, engine: &mut Engine, now: u64, output: Output) {
+    fn carry_out(&mut self, now: u64, output: Output) {
+        follow(|| follow::output(&output));
         match output {
             Output::ToOwner(conn, message) => {
-                let full = self.owners.get(&conn).is_some_and(|out| out.try_send(message).is_err());
-                if full {
-                    // It does not read: it is cut, and nothing of it is waited for.
-                    self.owners.remove(&conn);
+                if let Some(out) = self.owners.get(&conn) {
+                    out.send(&message.encode());
+                    self.bound(now);
                 }
             }
             Output::CloseOwner(conn) => drop(self.owners.remove(&conn)),
             Output::Connect(link, address) => {
-                let (out, messages) = mpsc::channel(sockets::QUEUE);
-                let task = sockets::link(link, address, self.connect, messages, self.came.clone());
-                self.links.insert(link, (out, tokio::spawn(task)));
+                let (out, messages) = outbox(&self.budget);
+                self.links.insert(link, out);
+                tokio::spawn(sockets::link(link, address, self.connect, messages, self.came.clone()));
             }
             Output::ToHost(link, message) => {
-                let full = self.links.get(&link).is_some_and(|(out, _)| out.try_send(message).is_err());
-                if full && let Some((_, task)) = self.links.remove(&link) {
-                    task.abort();
-                    let down = crate::decide::Down::Broke;
-                    engine.handle(now, Input::LinkDown { link, down, begun: u64::MAX });
+                if let Some(out) = self.links.get(&link) {
+                    out.send(&message.encode());
+                    self.bound(now);
                 }
             }
             Output::CloseLink(link) => drop(self.links.remove(&link)),
@@ -242,6 +256,22 @@
         }
     }
 
+    /// Where too much waits to be written, whoever most of it waits for does not read: it is cut.
+    fn bound(&mut self, now: u64) {
+        if self.budget.held() <= self.most {
+            return;
+        }
+        let owner = self.owners.iter().max_by_key(|(_, out)| out.len());
+        let link = self.links.iter().max_by_key(|(_, out)| out.len());
+        let (owner, link) =
+            (owner.map(|(id, out)| (out, "owner", id)), link.map(|(id, out)| (out, "link", id)));
+        if let Some((out, what, id)) = owner.into_iter().chain(link).max_by_key(|(out, _, _)| out.len()) {
+            let line = format!("{what} {id}: closed: {} bytes wait for it", out.len());
+            out.cut();
+            self.log(now, &line);
+        }
+    }
+
     /// A bounded number of lines: a flood of bad input is no flood of lines.
     fn log(&mut self, now: u64, line: &str) {
         let second = now / 1_000_000;
@@ -259,7 +289,7 @@
         let owners = std::mem::take(&mut self.owners);
         let written = async {
             for out in owners.into_values() {
-                while out.capacity() < sockets::QUEUE && !out.is_closed() {
+                while out.len() > 0 {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             }
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -5,22 +5,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use reedring_platproto::host::{self, ToHost};
-use reedring_platproto::owner::{self, ToOwner};
+use reedring_platproto::{host, owner};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use crate::decide::Down;
 use crate::io::{ConnId, Input, LinkId};
+use crate::outbox::{Budget, Outbox, outbox};
 use crate::run::Came;
 
-/// Messages that wait for one who does not read; one more, and the connection is cut.
-pub(crate) const QUEUE: usize = 256;
 /// Nothing can be written for so long: whoever is there does not read.
 const STUCK: Duration = Duration::from_millis(2_400);
 /// A message that has begun ends in this time.
 const WHOLE: Duration = Duration::from_millis(2_400);
+/// Between two tries to connect while no descriptor is left.
+const SHORT: Duration = Duration::from_millis(10);
 
 thread_local! {
     /// What is read goes through one buffer, whatever the number of connections.
@@ -39,30 +39,30 @@
     })
 }
 
-/// Writes all of it; whether a byte left.
-async fn write(stream: &TcpStream, bytes: &[u8]) -> (bool, io::Result<()>) {
-    let mut at = 0;
-    while at < bytes.len() {
-        if let Err(error) = stream.writable().await {
-            return (at > 0, Err(error));
-        }
-        match stream.try_write(&bytes[at..]) {
-            Ok(count) => at += count,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(error) => return (at > 0, Err(error)),
-        }
-    }
-    (true, Ok(()))
+/// Until when what waits must move on, since it was first seen to wait.
+fn stuck_at(since: Option<Instant>) -> Instant {
+    since.unwrap_or_else(Instant::now) + STUCK
+}
+
+/// Writes what the other end takes; since when nothing of it does, where something waits.
+fn write(stream: &TcpStream, outbox: &Outbox, since: Option<Instant>) -> io::Result<Option<Instant>> {
+    let before = outbox.len();
+    outbox.write(stream)?;
+    Ok(match outbox.len() {
+        0 => None,
+        rest if rest < before => Some(Instant::now()),
+        _ => Some(since.unwrap_or_else(Instant::now)),
+    })
 }
 
 /// Takes owners' connections until the listener is dropped.
-pub(crate) async fn accept(listener: TcpListener, came: mpsc::Sender<Came>) {
+pub(crate) async fn accept(listener: TcpListener, budget: Budget, came: mpsc::Sender<Came>) {
     let mut last: ConnId = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 last += 1;
-                let (out, messages) = mpsc::channel(QUEUE);
+                let (out, messages) = outbox(&budget);
                 if came.send(Came::Owner(last, out)).await.is_err() {
                     return;
                 }
@@ -78,56 +78,69 @@
     }
 }
 
-async fn serve(
-    conn: ConnId,
-    stream: &TcpStream,
-    mut messages: mpsc::Receiver<ToOwner>,
-    came: &mpsc::Sender<Came>,
-) {
+async fn serve(conn: ConnId, stream: &TcpStream, messages: Outbox, came: &mpsc::Sender<Came>) {
     let _ = stream.set_nodelay(true);
     let mut reader = owner::Reader::default();
-    let mut begun: Option<Instant> = None;
+    // Since when a message in part waits for its rest, and what waits for the owner, for it to read.
+    let (mut begun, mut waits): (Option<Instant>, Option<Instant>) = (None, None);
+    // It may still say something.
+    let mut listens = true;
     loop {
-        tokio::select! {
-            ready = stream.readable() => {
+        let ended = tokio::select! {
+            ready = stream.readable(), if listens => {
                 if ready.is_err() {
                     return;
                 }
                 match read(stream, |bytes| reader.push(bytes)) {
                     Ok(None) => continue,
-                    Ok(Some(0)) | Err(_) => return,
-                    Ok(Some(_)) => {}
-                }
-                loop {
-                    match reader.next_message() {
-                        Ok(Some(message)) => {
-                            begun = None;
-                            if came.send(Came::Input(Input::Owner(conn, message))).await.is_err() {
-                                return;
+                    Ok(Some(0)) => Some(Input::OwnerEnded(conn)),
+                    Err(_) => return,
+                    Ok(Some(_)) => loop {
+                        match reader.next_message() {
+                            Ok(Some(message)) => {
+                                begun = None;
+                                if came.send(Came::Input(Input::Owner(conn, message))).await.is_err() {
+                                    return;
+                                }
                             }
+                            Ok(None) => {
+                                begun = reader.is_partial().then(|| begun.unwrap_or_else(Instant::now));
+                                break None;
+                            }
+                            Err(error) => break Some(Input::OwnerSpoilt(conn, error.to_string())),
                         }
-                        Ok(None) => break,
-                        Err(error) => {
-                            let _ = came.send(Came::Log(format!("owner {conn}: closed: {error}"))).await;
-                            return;
-                        }
-                    }
+                    },
                 }
-                begun = reader.is_partial().then(|| begun.unwrap_or_else(Instant::now));
             }
-            message = messages.recv() => {
-                let Some(message) = message else { return };
-                let written = timeout(STUCK, write(stream, &message.encode())).await;
-                if !matches!(written, Ok((_, Ok(())))) {
-                    return;
+            ready = stream.writable(), if waits.is_some() => {
+                match ready.and_then(|()| write(stream, &messages, waits)) {
+                    Ok(since) => waits = since,
+                    Err(_) => return,
+                }
+                None
+            }
+            () = messages.news() => {
+                match write(stream, &messages, waits) {
+                    Ok(since) => waits = since,
+                    Err(_) => return,
                 }
+                None
             }
+            () = tokio::time::sleep_until(stuck_at(waits)), if waits.is_some() => return,
             () = tokio::time::sleep_until(begun.unwrap_or_else(Instant::now) + WHOLE), if begun.is_some() => {
-                let line = format!("owner {conn}: closed: a message that does not end");
-                let _ = came.send(Came::Log(line)).await;
+                Some(Input::OwnerSpoilt(conn, "a message that does not end".to_owned()))
+            }
+        };
+        if let Some(ended) = ended {
+            // What it was promised is still written to it.
+            (listens, begun) = (false, None);
+            if came.send(Came::Input(ended)).await.is_err() {
                 return;
             }
         }
+        if messages.is_over() {
+            return;
+        }
     }
 }
 
@@ -136,36 +149,58 @@
     link: LinkId,
     address: SocketAddr,
     limit: Duration,
-    messages: mpsc::Receiver<ToHost>,
+    messages: Outbox,
     came: mpsc::Sender<Came>,
 ) {
-    let mut begun = 0;
-    let down = match timeout(limit, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => {
-            if came.send(Came::Input(Input::LinkUp(link))).await.is_err() {
-                return;
+    let down = tokio::select! {
+        made = timeout(limit, connect(address)) => match made {
+            Ok(Ok(stream)) => {
+                if came.send(Came::Input(Input::LinkUp(link))).await.is_err() {
+                    return;
+                }
+                carry(link, &stream, &messages, &came).await
             }
-            carry(link, &stream, messages, &came, &mut begun).await
-        }
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Down::Refused,
-        Ok(Err(error)) => {
-            let _ = came.send(Came::Log(format!("host at {address}: no connection: {error}"))).await;
-            Down::Unmade
-        }
-        Err(_) => Down::Unmade,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Down::Refused,
+            Ok(Err(error)) => {
+                let _ = came.send(Came::Log(format!("host at {address}: no connection: {error}"))).await;
+                Down::Unmade
+            }
+            Err(_) => Down::Unmade,
+        },
+        // Nobody wants it any more.
+        () = closed(&messages) => return,
     };
+    let begun = messages.begun();
     let _ = came.send(Came::Input(Input::LinkDown { link, down, begun })).await;
 }
 
-async fn carry(
-    link: LinkId,
-    stream: &TcpStream,
-    mut messages: mpsc::Receiver<ToHost>,
-    came: &mpsc::Sender<Came>,
-    begun: &mut u64,
-) -> Down {
+async fn closed(messages: &Outbox) {
+    while !messages.is_closed() {
+        messages.news().await;
+    }
+}
+
+/// Connects; where the placer has no descriptor left for a moment, that is no sign of the host's.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    loop {
+        match TcpStream::connect(address).await {
+            Err(error) if is_short(&error) => tokio::time::sleep(SHORT).await,
+            made => return made,
+        }
+    }
+}
+
+/// Out of descriptors, of the process or the machine.
+fn is_short(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(23 | 24))
+}
+
+async fn carry(link: LinkId, stream: &TcpStream, messages: &Outbox, came: &mpsc::Sender<Came>) -> Down {
     let _ = stream.set_nodelay(true);
     let mut reader = host::Reader::default();
+    let mut waits: Option<Instant> = None;
+    // What was put in before the connection stood.
+    let mut news = true;
     loop {
         tokio::select! {
             // What the host said or did is seen before anything more is written to it.
@@ -194,27 +229,28 @@
                         }
                     }
                 }
+                continue;
             }
-            message = messages.recv() => {
-                let Some(message) = message else { return Down::Closed };
-                // A reset that came already says that nothing more is read.
-                if !matches!(stream.take_error(), Ok(None)) {
+            ready = stream.writable(), if waits.is_some() => {
+                if ready.is_err() {
                     return Down::Broke;
                 }
-                match timeout(STUCK, write(stream, &message.encode())).await {
-                    Ok((left, written)) => {
-                        *begun += u64::from(left);
-                        if written.is_err() {
-                            return Down::Broke;
-                        }
-                    }
-                    // Some of it may have left.
-                    Err(_) => {
-                        *begun += 1;
-                        return Down::Broke;
-                    }
-                }
             }
+            () = std::future::ready(()), if news => {}
+            () = messages.news() => {}
+            () = tokio::time::sleep_until(stuck_at(waits)), if waits.is_some() => return Down::Broke,
+        }
+        news = false;
+        // A reset that came already says that nothing more is read.
+        if !matches!(stream.take_error(), Ok(None)) {
+            return Down::Broke;
+        }
+        match write(stream, messages, waits) {
+            Ok(since) => waits = since,
+            Err(_) => return Down::Broke,
+        }
+        if messages.is_over() {
+            return Down::Closed;
         }
     }
 }
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -449,3 +449,52 @@
     world.run(40 * SECOND);
     assert_eq!((world.engine.sizes().links, ends(&world)), (0, 2));
 }
+
+/// Tasks that stand at these hosts are handed over.
+fn hand_over(world: &mut World, conn: u64, hosts: std::ops::RangeInclusive<u16>) {
+    for n in hosts {
+        world.ask(conn, Setup { at: Some(format!("h-{n}")), ..setup(u64::from(n), "play", 4_294_967) });
+    }
+    world.run(SECOND);
+}
+
+/// Whether an owner was told the ends of all of these tasks.
+fn told_all(world: &World, count: u16) -> bool {
+    let told = |id: u64| {
+        world.to_owners.iter().any(|(_, m)| matches!(m, ToOwner::Release { id: told, .. } if *told == id))
+    };
+    (1..=u64::from(count)).all(told)
+}
+
+/// Seen on calm+mass: connections made ahead held the places of those to hosts with tasks.
+#[test]
+fn every_host_with_tasks_keeps_a_connection_while_there_are_places() {
+    let mut world = World::new(23, &hosts(22));
+    let conn = world.connect();
+    for id in 100..200 {
+        world.ask(conn, setup(id, CLASSES[id as usize % 3], 1_000));
+    }
+    world.run(SECOND);
+    hand_over(&mut world, conn, 1..=22);
+    (1..=22).for_each(|n| world.finish(u64::from(n), n));
+    assert!(told_all(&world, 22), "all at once");
+}
+
+/// Seen on calm+mass: with tasks at more hosts than descriptors, an end was told 6 s after its time.
+#[test]
+fn ends_at_more_hosts_than_descriptors_are_told_within_eight_seconds() {
+    let mut world = World::new(24, &hosts(100));
+    let conn = world.connect();
+    hand_over(&mut world, conn, 1..=100);
+    world.run(10 * SECOND);
+    assert!(world.engine.sizes().links <= world.most_links());
+    (1..=100).for_each(|n| world.finish(u64::from(n), n));
+    for id in 200..216 {
+        // Offers need places meanwhile.
+        world.ask(conn, setup(id, "play", 1_000));
+        world.run(500 * MS);
+        assert!(world.engine.sizes().links <= world.most_links());
+    }
+    assert!(told_all(&world, 100), "{} are open", world.engine.sizes().requests);
+    assert!((200..216).all(|id| world.heard[&id].answers == 1), "and no offer ended for want of a place");
+}
--- a/crates/platform/tests/loopback.rs
+++ b/crates/platform/tests/loopback.rs
@@ -338,6 +338,51 @@
 }
 
 /// A client that sends and never reads is cut; its neighbours are served.
+/// A host that leaves the list ends all of its tasks at once, and one connection is owed all of these ends.
+#[tokio::test]
+async fn a_burst_of_ends_cuts_nobody_who_reads() {
+    let host = Host::new().await;
+    let placer = placer(vec![host.line("h-1", "east", "active")]).await;
+    let mut owner = Owner::connect(placer.address).await;
+    let count = 2_000;
+    let held: Vec<u8> = (1..=count).flat_map(|id| setup(id, "play", 4_294_967, ";at:h-1")).collect();
+    owner.send(&held).await;
+    // Its test is passed once all of that was taken in.
+    owner.send(&message(52, 9, &[(194, &[0])])).await;
+    assert_eq!(owner.got().await.unwrap().kind, 53);
+    placer.board.tell(false, vec![host.line("h-1", "east", "left")]);
+    for _ in 0..count {
+        assert_eq!(owner.got().await.expect("it is not closed on").kind, RELEASE);
+    }
+}
+
+#[tokio::test]
+async fn an_owner_that_said_all_it_has_to_say_gets_its_answers_and_its_close() {
+    let host = Host::new().await;
+    let line = host.line("h-1", "east", "active");
+    let _told = host.obliging();
+    let placer = placer(vec![line]).await;
+    let mut owner = Owner::connect(placer.address).await;
+    let asks: Vec<u8> = (1..=3).flat_map(|id| setup(id, "play", 5_000, "")).collect();
+    owner.send(&asks).await;
+    owner.stream.shutdown().await.unwrap();
+    for _ in 1..=3 {
+        assert_eq!(owner.got().await.expect("all it asked for").kind, ANSWER);
+    }
+    assert_eq!(owner.got().await, None);
+}
+
+/// What can't be read comes after a set-up on the same connection: that one still ends with an answer.
+#[tokio::test]
+async fn what_was_asked_before_bytes_that_are_no_message_is_answered() {
+    let (_host, _placer, mut owner) = alone().await;
+    owner.send(&setup(1, "play", 5_000, "")).await;
+    owner.send(&[0, 3, 1, 2, 3]).await;
+    let end = owner.got().await.expect("an answer");
+    assert!((end.kind, end.id) == (RELEASE, 1) && end.cause() != Some(FULL), "{end:?}");
+    assert_eq!(owner.got().await, None);
+}
+
 #[tokio::test]
 async fn who_does_not_read_is_cut() {
     let host = Host::new().await;
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -105,13 +105,15 @@
     pub connects: Option<Down>,
     /// Hosts do nothing on a release.
     pub deaf: bool,
+    /// Tasks that came to their end at a host with no connection, by its port.
+    unsaid: BTreeMap<u16, Vec<u64>>,
     next_conn: ConnId,
 }
 
 impl World {
     pub fn new(seed: u64, hosts: &[String]) -> Self {
         let settings = reedring::told::read(SETTINGS).expect("the settings are whole");
-        let bounds = Bounds { owners: 16, links: 24, links_each: 4 };
+        let bounds = Bounds { all: 40, owners: 16, kept: 16, links_each: 4 };
         let now = 1_700_000_000 * SECOND;
         let known = told(1, true, hosts);
         let engine = Engine::new(Start { now, seed, told: settings, known, bounds });
@@ -133,6 +135,7 @@
             unruly: false,
             connects: None,
             deaf: false,
+            unsaid: BTreeMap::new(),
             next_conn: 0,
         };
         world.turn();
@@ -153,6 +156,19 @@
         self.links.iter().filter(|(_, (_, up))| *up).map(|(link, _)| *link).collect()
     }
 
+    /// A task comes to its end at a host, which says so on a connection or on the next that is made to it.
+    pub fn finish(&mut self, id: u64, port: u16) {
+        match self.links.iter().find(|(_, link)| **link == (port, true)).map(|(link, _)| *link) {
+            Some(link) => self.tell(Input::Host(link, end(id))),
+            None => self.unsaid.entry(port).or_default().push(id),
+        }
+    }
+
+    /// The most connections to hosts that it may have.
+    pub fn most_links(&self) -> usize {
+        24
+    }
+
     pub fn connect(&mut self) -> ConnId {
         self.next_conn += 1;
         let conn = self.next_conn;
@@ -181,7 +197,14 @@
         let passes = match &input {
             Input::LinkUp(link) => {
                 let known = self.links.get_mut(link);
-                known.map(|link| link.1 = true).is_some()
+                let port = known.map(|known| {
+                    known.1 = true;
+                    known.0
+                });
+                let unsaid = port.and_then(|port| self.unsaid.remove(&port)).unwrap_or_default();
+                let link = *link;
+                unsaid.into_iter().for_each(|id| self.later(MS, Input::Host(link, end(id))));
+                port.is_some()
             }
             Input::Host(link, message) => {
                 let stands = self.links.get(link).is_some_and(|link| link.1);
