Platform: an attempt is given up on the wire before the next one leaves

A second way to the same breach: a set-up and its release both waited for a connection that did not stand, and left together when it stood, after the next attempt (n15, link 891).

Changed: the shell's loop writes itself, in the engine's order; words that give up at once, all else at the end of the turn. A closed connection is shut down at once. A set-up for a connection that does not stand waits in the engine and is taken back with its attempt, which then never ran.

Tests that fail without: an_attempt_is_given_up_before_the_next_one_leaves (the shell), what_waits_for_a_connection_never_leaves_once_it_is_given_up (tried: both messages left).

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -492,13 +492,18 @@
     }
 
     /// Gives up waiting for the attempt that is out: its host is told, and its connection used no more, as
-    /// whatever kept the answer from coming may hold up the next one too.
+    /// whatever kept the answer from coming may hold up the next one too. What waits for a connection that does not
+    /// stand never left.
     fn give_up(&mut self, request: RequestId, outcome: Outcome) {
-        let Some(id) = self.requests.get(&request).map(|entry| entry.setup.id) else { return };
-        if let Some(out) = self.take_back(request, outcome, None, Vec::new()) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let (id, Some(out)) = (entry.setup.id, entry.out) else { return };
+        let unsent = self.unsend(out.link, id);
+        let outcome = if unsent { Outcome::Unconnected } else { outcome };
+        self.take_back(request, outcome, None, Vec::new());
+        if !unsent {
             self.send_host(out.link, ToHost::Release { id, cause: GIVEN_UP });
-            self.doubt(out.link);
         }
+        self.doubt(out.link);
     }
 
     /// The attempt, if it is the one that is out.
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -109,6 +109,8 @@
     up: bool,
     /// Messages written to it.
     sent: u64,
+    /// What is to be written once it stands: until then it can be taken back.
+    queue: Vec<ToHost>,
     /// Set-ups open on it, by id.
     pub open: BTreeMap<u64, AttemptId>,
     pub probes: u32,
@@ -392,6 +394,7 @@
             address,
             up: false,
             sent: 0,
+            queue: Vec::new(),
             open: BTreeMap::new(),
             probes: 0,
             doubtful: false,
@@ -420,14 +423,41 @@
         link.map(|link| link.check = true).is_some()
     }
 
-    /// Writes to a connection, if it still is one; answers which message of it this is.
+    /// Writes to a connection, if it still is one, as soon as it stands; answers which message of it this is.
     pub(crate) fn send_host(&mut self, id: LinkId, message: ToHost) -> u64 {
         let Some(link) = self.links.get_mut(&id) else { return 0 };
+        if !link.up {
+            link.queue.push(message);
+            return link.queue.len() as u64 - 1;
+        }
         self.outputs.push_back(Output::ToHost(id, message));
         link.sent += 1;
         link.sent - 1
     }
 
+    /// Takes a set-up back that was not written yet; whether it could be.
+    pub(crate) fn unsend(&mut self, link: LinkId, id: u64) -> bool {
+        let Some(link) = self.links.get_mut(&link).filter(|link| !link.up) else { return false };
+        link.queue.retain(|message| !matches!(message, ToHost::Setup { id: other, .. } if *other == id));
+        true
+    }
+
+    /// Writes what waited for the connection to stand.
+    fn send_queue(&mut self, id: LinkId) {
+        let queue = self.links.get_mut(&id).map(|link| std::mem::take(&mut link.queue));
+        for message in queue.unwrap_or_default() {
+            let request = match &message {
+                ToHost::Setup { id, .. } => self.by_id.get(id).copied(),
+                _ => None,
+            };
+            let position = self.send_host(id, message);
+            let out = request.and_then(|request| self.requests.get_mut(&request)?.out.as_mut());
+            if let Some(out) = out.filter(|out| out.link == id) {
+                out.position = position;
+            }
+        }
+    }
+
     /// Uses a connection no more: it is closed once nothing is open on it.
     pub(crate) fn doubt(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else { return };
@@ -453,6 +483,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         (link.up, link.used) = (true, now);
         let (machine, check) = (link.machine, link.check);
+        self.send_queue(id);
         let Some(host) = self.hosts.get_mut(&machine) else { return };
         host.refused = 0;
         host.waits.reset();
--- a/crates/platform/src/outbox.rs
+++ b/crates/platform/src/outbox.rs
@@ -1,12 +1,18 @@
 //! What waits to be written to the other end of a connection: bytes, so that many messages leave in one write. A burst
 //! of messages is no reason to cut a connection whose other end reads; what counts is the memory that all of them
 //! hold together, which one budget bounds.
+//!
+//! The loop around the engine writes itself, in the order in which the engine spoke: a set-up must not leave before
+//! the word on another connection that gave its last attempt up. The connection's own task writes only what the other
+//! end did not take then.
 
 use std::collections::VecDeque;
 use std::io;
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -64,6 +70,8 @@
 
 #[derive(Debug)]
 struct Shared {
+    /// None as long as it is being made.
+    stream: OnceLock<Arc<TcpStream>>,
     waiting: Mutex<Waiting>,
     news: Notify,
     budget: Budget,
@@ -74,6 +82,23 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Writes what the other end takes now.
+    fn write(&self) -> io::Result<()> {
+        let Some(stream) = self.stream.get() else { return Ok(()) };
+        let mut waiting = self.waiting();
+        while waiting.len() > 0 && !waiting.cut {
+            match stream.try_write(&waiting.bytes[waiting.left..]) {
+                Ok(count) => {
+                    self.budget.0.fetch_sub(count, Ordering::Relaxed);
+                    waiting.leave(count);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     /// What waits is given up, and nothing more put in.
     fn cut(&self) {
         let mut waiting = self.waiting();
@@ -93,12 +118,13 @@
 /// Both sides of one connection's outbox.
 pub(crate) fn outbox(budget: &Budget) -> (Sender, Outbox) {
     let waiting = Mutex::new(Waiting::default());
-    let shared = Arc::new(Shared { waiting, news: Notify::new(), budget: budget.clone() });
+    let stream = OnceLock::new();
+    let shared = Arc::new(Shared { stream, waiting, news: Notify::new(), budget: budget.clone() });
     (Sender(shared.clone()), Outbox(shared))
 }
 
 impl Sender {
-    /// Puts a message in.
+    /// Puts a message in; [`Self::flush`] writes it.
     pub fn send(&self, message: &[u8]) {
         let mut waiting = self.0.waiting();
         if waiting.cut {
@@ -108,7 +134,16 @@
         let end = waiting.gone + waiting.len() as u64;
         waiting.ends.push_back(end);
         self.0.budget.0.fetch_add(message.len(), Ordering::Relaxed);
-        self.0.news.notify_one();
+    }
+
+    /// Writes what the other end takes now, and leaves the rest to the connection's task; whether there is none.
+    pub fn flush(&self) -> bool {
+        // Of what went wrong the connection's task learns as well.
+        let whole = self.0.write().is_ok() && self.len() == 0;
+        if !whole {
+            self.0.news.notify_one();
+        }
+        whole
     }
 
     /// Bytes that wait.
@@ -119,6 +154,10 @@
     /// Gives up what waits: the connection ends at once.
     pub fn cut(&self) {
         self.0.cut();
+        if let Some(stream) = self.0.stream.get() {
+            // The other end is to see it before anything that is written elsewhere after this.
+            let _ = SockRef::from(&**stream).shutdown(Shutdown::Both);
+        }
         self.0.news.notify_one();
     }
 }
@@ -131,6 +170,11 @@
 }
 
 impl Outbox {
+    /// The connection stands.
+    pub fn attach(&self, stream: &Arc<TcpStream>) {
+        let _ = self.0.stream.set(stream.clone());
+    }
+
     /// Comes back when something was put in, or nothing more will be, since it last did.
     pub async fn news(&self) {
         self.0.news.notified().await;
@@ -160,19 +204,8 @@
     }
 
     /// Writes what the other end takes now.
-    pub fn write(&self, stream: &TcpStream) -> io::Result<()> {
-        let mut waiting = self.0.waiting();
-        while waiting.len() > 0 && !waiting.cut {
-            match stream.try_write(&waiting.bytes[waiting.left..]) {
-                Ok(count) => {
-                    self.0.budget.0.fetch_sub(count, Ordering::Relaxed);
-                    waiting.leave(count);
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(())
+    pub fn write(&self) -> io::Result<()> {
+        self.0.write()
     }
 }
 
@@ -212,16 +245,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         stream.writable().await.unwrap();
+        let stream = Arc::new(stream);
         let (sender, waits) = outbox(&budget);
         sender.send(b"whole");
         drop(sender);
         assert!(waits.is_closed() && !waits.is_over());
-        waits.write(&stream).unwrap();
+        waits.attach(&stream);
+        waits.write().unwrap();
         assert!(waits.is_over() && budget.held() == 0);
         let (sender, waits) = outbox(&budget);
+        waits.attach(&stream);
         sender.send(b"whole");
         sender.cut();
-        waits.write(&stream).unwrap();
+        waits.write().unwrap();
         assert_eq!((waits.is_over(), waits.begun(), budget.held()), (true, 0, 0));
         drop(waits);
         sender.send(b"nobody writes it");
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -7,8 +7,10 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use reedring_net::{Asked, Signals};
+use reedring_platproto::GIVEN_UP;
 use reedring_platproto::board::Names;
 use reedring_platproto::config::{self, Config};
+use reedring_platproto::host::ToHost;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -129,6 +131,8 @@
         most: (config.limits.memory_mb as usize * 1024 * 1024 / OUTBOXES).max(64 * 1024),
         accepting,
         came,
+        touched_owners: Vec::new(),
+        touched_links: Vec::new(),
         second: (0, 0),
     };
     let mut batch = Vec::with_capacity(BATCH);
@@ -140,6 +144,7 @@
             }
             shell.carry_out(now(), output);
         }
+        shell.write();
         let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
         tokio::select! {
             _ = coming.recv_many(&mut batch, BATCH) => {}
@@ -221,6 +226,9 @@
     /// What waits to be written, and how much may.
     budget: Budget,
     most: usize,
+    /// Who was sent something that is not written yet.
+    touched_owners: Vec<ConnId>,
+    touched_links: Vec<LinkId>,
     accepting: JoinHandle<()>,
     came: mpsc::Sender<Came>,
     /// The second in which lines were logged last, and how many.
@@ -234,10 +242,15 @@
             Output::ToOwner(conn, message) => {
                 if let Some(out) = self.owners.get(&conn) {
                     out.send(&message.encode());
+                    self.touched_owners.push(conn);
                     self.bound(now);
                 }
             }
-            Output::CloseOwner(conn) => drop(self.owners.remove(&conn)),
+            Output::CloseOwner(conn) => {
+                if let Some(out) = self.owners.remove(&conn) {
+                    out.flush();
+                }
+            }
             Output::Connect(link, address) => {
                 let (out, messages) = outbox(&self.budget);
                 self.links.insert(link, out);
@@ -246,16 +259,39 @@
             Output::ToHost(link, message) => {
                 if let Some(out) = self.links.get(&link) {
                     out.send(&message.encode());
+                    match message {
+                        // It is to be given up before it is sent elsewhere. A host that takes nothing any more does
+                        // not hear of it, and sees the connection end instead.
+                        ToHost::Release { cause: GIVEN_UP, .. } if !out.flush() => out.cut(),
+                        ToHost::Release { cause: GIVEN_UP, .. } => {}
+                        _ => self.touched_links.push(link),
+                    }
                     self.bound(now);
                 }
             }
-            Output::CloseLink(link) => drop(self.links.remove(&link)),
+            Output::CloseLink(link) => {
+                // What is open on it is given up with it, before it is sent elsewhere.
+                if let Some(out) = self.links.remove(&link) {
+                    out.flush();
+                    out.cut();
+                }
+            }
             Output::StopListening => self.accepting.abort(),
             Output::Log(line) => self.log(now, &line),
             Output::Finished => {}
         }
     }
 
+    /// Writes what was sent since the last time.
+    fn write(&mut self) {
+        for link in self.touched_links.drain(..) {
+            self.links.get(&link).map(outbox::Sender::flush);
+        }
+        for conn in self.touched_owners.drain(..) {
+            self.owners.get(&conn).map(outbox::Sender::flush);
+        }
+    }
+
     /// Where too much waits to be written, whoever most of it waits for does not read: it is cut.
     fn bound(&mut self, now: u64) {
         if self.budget.held() <= self.most {
@@ -298,3 +334,63 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpStream;
+
+    use super::*;
+
+    /// Seen on split+mass: the word that gave an attempt up left after the next set-up on another connection, as the
+    /// first one's task waited for the engine. Nothing but the loop may be needed to write it, and it writes it first.
+    #[tokio::test]
+    async fn an_attempt_is_given_up_before_the_next_one_leaves() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (came, _coming) = mpsc::channel(4);
+        let mut shell = Shell {
+            owners: BTreeMap::new(),
+            links: BTreeMap::new(),
+            connect: Duration::from_secs(1),
+            budget: Budget::default(),
+            most: 1 << 20,
+            touched_owners: Vec::new(),
+            touched_links: Vec::new(),
+            accepting: tokio::spawn(async {}),
+            came,
+            second: (0, 0),
+        };
+        let mut ends = Vec::new();
+        for link in [1, 2] {
+            let (sender, messages) = outbox(&shell.budget);
+            let stream = std::sync::Arc::new(TcpStream::connect(address).await.unwrap());
+            stream.writable().await.unwrap();
+            messages.attach(&stream);
+            shell.links.insert(link, sender);
+            ends.push((listener.accept().await.unwrap().0, messages));
+        }
+        let setup = ToHost::Setup {
+            id: 7,
+            class: "play".to_owned(),
+            key: 1,
+            idem: None,
+            left_ms: 100,
+            description: "x".to_owned(),
+        };
+        // Both in one turn, whatever else was meant for the second before.
+        shell.carry_out(0, Output::ToHost(2, ToHost::Test { id: 1, report: false }));
+        shell.carry_out(0, Output::ToHost(1, ToHost::Release { id: 7, cause: GIVEN_UP }));
+        shell.carry_out(0, Output::ToHost(2, setup));
+        let mut bytes = [0; 256];
+        let count = ends[0].0.read(&mut bytes).await.unwrap();
+        assert!(std::str::from_utf8(&bytes[..count]).unwrap().contains("release"));
+        assert_eq!(ends[1].1.begun(), 0, "the set-up waits for the end of the turn");
+        shell.write();
+        let count = ends[1].0.read(&mut bytes).await.unwrap();
+        assert!(std::str::from_utf8(&bytes[..count]).unwrap().contains("setup"));
+        // A connection that is closed has ended for its host before anything else is done.
+        shell.carry_out(0, Output::CloseLink(2));
+        assert_eq!(ends[1].0.read(&mut bytes).await.unwrap(), 0);
+    }
+}
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use reedring_platproto::{host, owner};
@@ -45,9 +46,9 @@
 }
 
 /// Writes what the other end takes; since when nothing of it does, where something waits.
-fn write(stream: &TcpStream, outbox: &Outbox, since: Option<Instant>) -> io::Result<Option<Instant>> {
+fn write(outbox: &Outbox, since: Option<Instant>) -> io::Result<Option<Instant>> {
     let before = outbox.len();
-    outbox.write(stream)?;
+    outbox.write()?;
     Ok(match outbox.len() {
         0 => None,
         rest if rest < before => Some(Instant::now()),
@@ -62,7 +63,9 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 last += 1;
+                let stream = Arc::new(stream);
                 let (out, messages) = outbox(&budget);
+                messages.attach(&stream);
                 if came.send(Came::Owner(last, out)).await.is_err() {
                     return;
                 }
@@ -113,14 +116,14 @@
                 }
             }
             ready = stream.writable(), if waits.is_some() => {
-                match ready.and_then(|()| write(stream, &messages, waits)) {
+                match ready.and_then(|()| write(&messages, waits)) {
                     Ok(since) => waits = since,
                     Err(_) => return,
                 }
                 None
             }
             () = messages.news() => {
-                match write(stream, &messages, waits) {
+                match write(&messages, waits) {
                     Ok(since) => waits = since,
                     Err(_) => return,
                 }
@@ -155,6 +158,8 @@
     let down = tokio::select! {
         made = timeout(limit, connect(address)) => match made {
             Ok(Ok(stream)) => {
+                let stream = Arc::new(stream);
+                messages.attach(&stream);
                 if came.send(Came::Input(Input::LinkUp(link))).await.is_err() {
                     return;
                 }
@@ -199,8 +204,6 @@
     let _ = stream.set_nodelay(true);
     let mut reader = host::Reader::default();
     let mut waits: Option<Instant> = None;
-    // What was put in before the connection stood.
-    let mut news = true;
     loop {
         tokio::select! {
             // What the host said or did is seen before anything more is written to it.
@@ -236,16 +239,14 @@
                     return Down::Broke;
                 }
             }
-            () = std::future::ready(()), if news => {}
             () = messages.news() => {}
             () = tokio::time::sleep_until(stuck_at(waits)), if waits.is_some() => return Down::Broke,
         }
-        news = false;
         // A reset that came already says that nothing more is read.
         if !matches!(stream.take_error(), Ok(None)) {
             return Down::Broke;
         }
-        match write(stream, messages, waits) {
+        match write(messages, waits) {
             Ok(since) => waits = since,
             Err(_) => return Down::Broke,
         }
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -159,6 +159,7 @@
     let mut world = World::new(4, &hosts(2));
     let (owner, offender) = (world.connect(), world.connect());
     world.ask(owner, setup(1, "play", 1_000));
+    world.run(2 * MS);
     world.tell(Input::Owner(offender, Ok(FromOwner::Setup(Box::new(setup(1, "print", 1_000))))));
     world.run(SECOND);
     let got =
@@ -236,6 +237,7 @@
     let mut world = World::new(8, &hosts(1));
     let conn = world.connect();
     world.ask(conn, setup(1, "print", 900));
+    world.run(10 * MS);
     // Its answer never comes: the attempt ends by its own time, and the connection is used no more.
     let link = world.to_hosts[0].0;
     world.tell(Input::LinkUp(link));
@@ -498,3 +500,23 @@
     assert!(told_all(&world, 100), "{} are open", world.engine.sizes().requests);
     assert!((200..216).all(|id| world.heard[&id].answers == 1), "and no offer ended for want of a place");
 }
+
+/// A set-up that waits for a connection to stand is taken back with its attempt: it must not reach its host while the
+/// next one is out elsewhere, and it never ran.
+#[test]
+fn what_waits_for_a_connection_never_leaves_once_it_is_given_up() {
+    let mut world = World::new(25, &hosts(2));
+    let conn = world.connect();
+    world.slow = Some(900 * MS);
+    world.ask(conn, setup(1, "print", 3_000));
+    let asked = world.asked_links();
+    assert_eq!(asked.len(), 1);
+    // Its owner does not wait for it, and neither does a second one whose time ends.
+    world.tell(Input::Owner(conn, Ok(FromOwner::Release { id: 1, cause: GIVEN_UP })));
+    world.ask(conn, setup(2, "print", 300));
+    world.run(3 * SECOND);
+    let setups = world.to_hosts.iter().filter(|(_, m)| matches!(m, ToHost::Setup { .. })).count();
+    assert_eq!((setups, world.to_hosts.len()), (0, 0), "{:?}", world.to_hosts);
+    assert_eq!(world.heard[&2].refusals, 1, "it never left, so asking again is harmless");
+    assert_eq!(world.engine.sizes().requests, 0);
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -103,6 +103,8 @@
     pub unruly: bool,
     /// How every new connection to a host ends; `None`: it stands.
     pub connects: Option<Down>,
+    /// How long every new connection to a host takes to stand.
+    pub slow: Option<u64>,
     /// Hosts do nothing on a release.
     pub deaf: bool,
     /// Tasks that came to their end at a host with no connection, by its port.
@@ -134,6 +136,7 @@
             to_owners: Vec::new(),
             unruly: false,
             connects: None,
+            slow: None,
             deaf: false,
             unsaid: BTreeMap::new(),
             next_conn: 0,
@@ -151,6 +154,11 @@
         self.later.insert((self.now + after, self.planned), input);
     }
 
+    /// Connections to hosts that stand or are being made.
+    pub fn asked_links(&self) -> Vec<LinkId> {
+        self.links.keys().copied().collect()
+    }
+
     /// Connections to hosts that stand.
     pub fn links_up(&self) -> Vec<LinkId> {
         self.links.iter().filter(|(_, (_, up))| *up).map(|(link, _)| *link).collect()
@@ -284,7 +292,7 @@
             }
             Output::Connect(link, address) => {
                 self.links.insert(link, (address.port(), false));
-                let after = u64::from(self.below(3)) * MS;
+                let after = self.slow.unwrap_or(u64::from(self.below(3)) * MS);
                 let chance = self.below(100);
                 let down = match chance {
                     _ if self.connects.is_some() => self.connects.map(|down| (down, 250 * MS)),
