Module: draws of one step share one look at the machines; equal actions, less time

With turns of the loop logged, n15 stood in the module while ends waited: 7.742 turn: 256 in 2738 us, flush 112270 us, 229 out 2188 us, write 1061 us 8.060 turn: 256 in 2363 us, flush 127317 us, 325 out 3191 us, write 1212 us So reading, writing and encoding were ruled out (6 ms of a turn of 120), and the batch of 256 with them: its time is the module's. Placer::place looked at all seats five times and sorted them twice for each draw, summed each seat's changes three times, and counted ten seconds of arrivals; a step draws for all that came and all that is held.

Module and time of the machine (names.rs: mix, once; load.rs, api.rs: arithmetic).

--- a/src/api.rs
+++ b/src/api.rs
@@ -217,6 +217,17 @@
     pub free_memory: Option<f64>,
 }
 
+impl Machine {
+    /// The number of the place that a spread counts over.
+    pub fn place(&self, place: Place) -> u64 {
+        match place {
+            Place::Machine => self.id.0,
+            Place::Cell => u64::from(self.cell),
+            Place::Zone => u64::from(self.zone),
+        }
+    }
+}
+
 /// News of the machine list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Listing {
--- a/src/load.rs
+++ b/src/load.rs
@@ -33,6 +33,10 @@
         let (cores, memory) = (self.cores + other.cores, self.memory + other.memory);
         Self { cores, memory }
     }
+    /// Whether it is no smaller than `other` in one of the two.
+    pub fn reaches(self, other: Self) -> bool {
+        self.cores >= other.cores || self.memory >= other.memory
+    }
     /// The fuller share of `whole`; a size that is not told counts for nothing.
     pub fn share(self, whole: Self) -> f64 {
         let part = |x: f64, of: f64| if of > 0.0 { x / of } else { 0.0 };
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,6 +9,7 @@
 
 use crate::api::*;
 use crate::load::{Load, ONCE};
+use crate::names::mix;
 
 /// Microseconds in which own arrivals are counted for `a`: about as long as a view stays unconfirmed.
 const WINDOW_US: Micros = 1_000_000;
@@ -215,33 +216,28 @@
         self.asked.is_some() || self.used.is_some()
     }
 
-    /// The fuller share committed: of what may be asked, or of what may be used.
-    fn share(&self, now: Micros, ratio: Load) -> f64 {
-        let used = self.used(ratio).map_or(0.0, |used| used.share(self.ease));
-        let full = f64::from(u8::from(self.refuses(now, Load::default())));
-        self.asked().share(self.limit).max(used).max(full)
-    }
-
-    /// Whether a refusal still speaks against an ask that is no smaller.
-    fn refuses(&self, now: Micros, ask: Load) -> bool {
-        let refused = self.refused.filter(|(at, _)| now < at + REFUSAL_US);
-        refused.is_some_and(|(_, load)| ask.cores >= load.cores || ask.memory >= load.memory)
-    }
-
-    /// Whether the ask fits what the machine accepts and, by reports, its memory.
-    fn has_room(&self, now: Micros, ask: Load, ratio: Load) -> bool {
-        let (roof, grown) = (self.ease.memory, ask.memory * ratio.memory);
-        !self.refuses(now, ask)
-            && self.asked().plus(ask).share(self.limit) <= 1.0
-            && self.used(ratio).is_none_or(|used| roof <= 0.0 || used.memory + grown <= roof)
-    }
-
-    /// The number of the place that a spread counts over.
-    fn place(&self, place: Place) -> u64 {
-        match place {
-            Place::Machine => self.line.id.0,
-            Place::Cell => u64::from(self.line.cell),
-            Place::Zone => u64::from(self.line.zone),
+    /// How it looks at a moment.
+    fn glance(&self, now: Micros, settings: &Settings, salt: u64, ratio: Load) -> Glance {
+        let (asked, used, heard) = (self.asked(), self.used(ratio), self.is_heard());
+        let refused = self.refused.filter(|(at, _)| now < at + REFUSAL_US).map(|(_, load)| load);
+        let full = f64::from(u8::from(refused.is_some_and(|refused| Load::default().reaches(refused))));
+        let use_share = used.map_or(0.0, |used| used.share(self.ease));
+        Glance {
+            line: self.line.clone(),
+            rank: 0,
+            tasks: self.tasks,
+            limit: self.limit,
+            memory_roof: self.ease.memory,
+            asked,
+            used,
+            refused,
+            // The fuller share committed: of what may be asked, or of what may be used.
+            share: asked.share(self.limit).max(use_share).max(full),
+            heard,
+            floored: !heard || self.strikes > 0 || self.is_cold(now, &settings.rules),
+            budget: self.cold_budget_left(now, settings, salt),
+            barred: self.barred_until > now,
+            shut: self.shut.values().any(|until| *until > now),
         }
     }
 
@@ -296,9 +292,38 @@
 
     /// Offers wait and nothing at all came back since: a hang, a stall or a cut link. A machine that still
     /// answers others or probes is slow, not silent: to give its offers up would only start copies.
-    fn is_silent(&self, now: Micros, awake_since: Micros, patience: Micros) -> bool {
-        let oldest = self.waiting.values().min();
-        oldest.is_some_and(|sent| (*sent).max(self.heard_at).max(awake_since) + patience < now)
+    fn silent_since(&self, awake_since: Micros) -> Option<Micros> {
+        self.waiting.values().min().map(|sent| (*sent).max(self.heard_at).max(awake_since))
+    }
+}
+
+/// A machine as all draws of one step see it, in one piece of memory: only an own offer changes it.
+struct Glance {
+    line: Machine,
+    /// Its place in the order that all schedulers share.
+    rank: usize,
+    tasks: f64,
+    limit: Load,
+    memory_roof: f64,
+    asked: Load,
+    used: Option<Load>,
+    refused: Option<Load>,
+    share: f64,
+    heard: bool,
+    /// Back cold or from a failure, or never heard of: it only looks empty.
+    floored: bool,
+    budget: bool,
+    barred: bool,
+    shut: bool,
+}
+
+impl Glance {
+    /// Whether the ask fits what the machine accepts and, by reports, its memory.
+    fn has_room(&self, ask: Load, ratio: Load) -> bool {
+        let (roof, grown) = (self.memory_roof, ask.memory * ratio.memory);
+        !self.refused.is_some_and(|refused| ask.reaches(refused))
+            && self.asked.plus(ask).share(self.limit) <= 1.0
+            && self.used.is_none_or(|used| roof <= 0.0 || used.memory + grown <= roof)
     }
 }
 
@@ -373,6 +398,10 @@
     settings: Settings,
     rng: Pcg32,
     seats: BTreeMap<MachineId, Seat>,
+    /// Places among the seats, from the largest machine down, in an order that all schedulers share.
+    order: Vec<usize>,
+    /// How the seats look at the moment of this step, in their order.
+    glances: Vec<Glance>,
     entries: BTreeMap<RequestId, Entry>,
     standing: BTreeMap<AttemptId, Standing>,
     arrivals: VecDeque<(Micros, f64)>,
@@ -406,6 +435,8 @@
             rng: Pcg32::new(seed, 0),
             settings,
             seats: BTreeMap::new(),
+            order: Vec::new(),
+            glances: Vec::new(),
             entries: BTreeMap::new(),
             standing: BTreeMap::new(),
             arrivals: VecDeque::new(),
@@ -436,8 +467,14 @@
             self.fold(now, event, actions);
         }
         let held = self.held.len();
-        for request in std::mem::take(&mut self.due) {
-            self.place(now, request, actions);
+        if !self.due.is_empty() {
+            let a = self.poured(now);
+            let glance = |seat: &Seat| seat.glance(now, &self.settings, self.salt, self.ratio);
+            self.glances = self.seats.values().map(glance).collect();
+            self.order.iter().zip(0..).for_each(|(at, rank)| self.glances[*at].rank = rank);
+            for request in std::mem::take(&mut self.due) {
+                self.place(now, request, a, actions);
+            }
         }
         if self.held.len() > held && self.probing <= now {
             self.log(now, format!("holding {} tasks: no machine may take them", self.held.len()), actions);
@@ -595,6 +632,7 @@
         self.answers = answers.into_iter().rev().take(ANSWERS).rev().collect();
         let before = beliefs.arrivals.iter().map(|(ago, size)| (at(*ago), *size));
         self.arrivals = before.chain(self.arrivals.iter().copied()).collect();
+        self.arrivals.make_contiguous().sort_by_key(|(at, _)| *at);
         if let Some((cores, memory)) = beliefs.ratio.filter(|(x, y)| x.is_finite() && y.is_finite()) {
             self.ratio = Load { cores, memory };
         }
@@ -622,8 +660,9 @@
             if !self.seats.contains_key(&line.id) {
                 self.seats.insert(line.id, Seat::new(line, &self.settings));
                 // Tasks may have been adopted on it before the list named it.
-                let there = self.standing.clone().into_iter().filter(|(_, s)| s.machine == line.id);
-                there.for_each(|(attempt, standing)| self.stand(attempt, standing));
+                let there = self.standing.iter().filter(|(_, standing)| standing.machine == line.id);
+                let there: Vec<_> = there.map(|(attempt, standing)| (*attempt, *standing)).collect();
+                there.into_iter().for_each(|(attempt, standing)| self.stand(attempt, standing));
             }
             self.seats.entry(line.id).and_modify(|seat| seat.tell(now, line));
         }
@@ -633,6 +672,9 @@
             seat.gone_at = gone.then(|| seat.gone_at.unwrap_or(now));
             !seat.services.is_empty() || seat.gone_at.is_none_or(|at| now < at + SHUT_US)
         });
+        let seats: Vec<_> = self.seats.values().map(|seat| (seat.tasks, mix(seat.line.id.0))).collect();
+        self.order = (0..seats.len()).collect();
+        self.order.sort_by(|x, y| seats[*y].0.total_cmp(&seats[*x].0).then(seats[*x].1.cmp(&seats[*y].1)));
         if !matches!(listing, Listing::Cached(_)) {
             self.watch_failures = 0;
             let most = self.settings.rules.must_ask_us;
@@ -698,11 +740,14 @@
         let patience = self.patience(aim.unwrap_or(0));
         for seat in self.seats.values_mut().filter(|_| self.settings.rules.may_probe) {
             let old = seat.probed_at.is_none_or(|at| at + patience / 4 < now);
-            if old && seat.is_silent(now, self.awake_since, patience / 4) {
+            let since = seat.silent_since(self.awake_since);
+            if old && since.is_some_and(|since| since + patience / 4 < now) {
                 seat.probed_at = Some(now);
                 actions.push(Action::Probe(seat.line.id));
             }
         }
+        let since = |seat: &Seat| Some((seat.line.id, seat.silent_since(self.awake_since)?));
+        let since: BTreeMap<MachineId, Micros> = self.seats.values().filter_map(since).collect();
         let patiences = self.settings.classes.iter().map(|class| self.patience(class.aim_us));
         let (patiences, mut stopped): (Vec<Micros>, u32) = (patiences.collect(), 0);
         for (request, entry) in self.entries.iter_mut().filter(|_| self.settings.rules.may_stop) {
@@ -710,10 +755,8 @@
             for (attempt, number) in entry.attempts.iter_mut().zip(0..) {
                 let seat = self.seats.get(&attempt.machine);
                 let early = attempt.sent.max(self.awake_since) + patience / 2 >= now;
-                let silent = seat.is_some_and(|seat| {
-                    seat.is_silent(now, self.awake_since, patience)
-                        || !early && seat.passed_over(attempt.sent, &self.settings)
-                });
+                let silent = since.get(&attempt.machine).is_some_and(|since| since + patience < now)
+                    || !early && seat.is_some_and(|seat| seat.passed_over(attempt.sent, &self.settings));
                 if attempt.run == Run::Out && silent {
                     attempt.run = Run::Stopping;
                     stopped += 1;
@@ -818,11 +861,12 @@
     /// this moment is left out, and a quiet scheduler counts over a longer span: the count just after
     /// an arrival is never under one, which M times over is more than a large quiet fleet gets.
     fn poured(&mut self, now: Micros) -> f64 {
-        self.arrivals.retain(|(at, _)| now <= at + SPAN_US);
-        let before = self.arrivals.iter().rev().filter(|(at, _)| *at < now);
+        let old = self.arrivals.partition_point(|(at, _)| at + SPAN_US < now);
+        self.arrivals.drain(..old);
+        let before = self.arrivals.iter().rev().skip_while(|(at, _)| *at >= now);
         let enough = before.clone().nth(ENOUGH - 1).map_or(0, |(at, _)| *at);
         let span = (now - enough).min(SPAN_US).min(now - self.awake_since).max(WINDOW_US);
-        let own: f64 = before.filter(|(at, _)| now <= at + span).map(|(_, size)| size).sum();
+        let own: f64 = before.take_while(|(at, _)| now <= at + span).map(|(_, size)| size).sum();
         own * WINDOW_US as f64 / span as f64 * f64::from(self.settings.schedulers.max(1))
     }
 
@@ -835,7 +879,7 @@
 
     /// Rules 2 to 5 for one offer, but for the spread over cells and zones: `full` holds the places that
     /// have their most. Every send passes here.
-    fn may_offer(&self, now: Micros, entry: &Entry, class: &Class, seat: &Seat, full: &[u64]) -> bool {
+    fn may_offer(&self, now: Micros, entry: &Entry, class: &Class, seat: &Glance, full: &[u64]) -> bool {
         let grouped = |first: &Attempt| {
             let other = self.seats.get(&first.machine).map(|seat| &seat.line);
             other.is_some_and(|other| match class.group {
@@ -857,8 +901,8 @@
             && !entry.is_out()
             && !self.is_spent(entry)
             && may_repeat
-            && class.spread.is_none_or(|(place, _)| full.binary_search(&seat.place(place)).is_err())
-            && seat.cold_budget_left(now, &self.settings, self.salt)
+            && class.spread.is_none_or(|(place, _)| full.binary_search(&seat.line.place(place)).is_err())
+            && seat.budget
     }
 
     /// The places that hold the most that a class allows of one service: one pass over the fleet.
@@ -868,7 +912,7 @@
         };
         let mut held: BTreeMap<u64, u32> = BTreeMap::new();
         for seat in self.seats.values() {
-            *held.entry(seat.place(place)).or_default() += seat.services.get(&service).unwrap_or(&0);
+            *held.entry(seat.line.place(place)).or_default() += seat.services.get(&service).unwrap_or(&0);
         }
         held.into_iter().filter(|(_, held)| *held >= most).map(|(place, _)| place).collect()
     }
@@ -877,8 +921,7 @@
         self.settings.rules.max_attempts.is_some_and(|most| entry.attempts.len() >= most as usize)
     }
 
-    fn place(&mut self, now: Micros, request: RequestId, actions: &mut Vec<Action>) {
-        let a = self.poured(now);
+    fn place(&mut self, now: Micros, request: RequestId, a: f64, actions: &mut Vec<Action>) {
         let Some(entry) = self.entries.get(&request).filter(|entry| !entry.is_out()) else {
             return;
         };
@@ -887,17 +930,18 @@
         let left = entry.deadline.saturating_sub(now);
         let whose = entry.whose();
         let full = self.full_places(&class, service);
-        let open = |seat: &&Seat| {
-            self.may_offer(now, entry, &class, seat, &full)
-                && seat.barred_until <= now
-                && seat.shut.get(&whose).is_none_or(|until| *until <= now)
+        let shut = |id: &MachineId| self.seats[id].shut.get(&whose).is_some_and(|until| *until > now);
+        let open = |seat: &&Glance| {
+            !seat.barred
+                && seat.has_room(ask, self.ratio)
+                && self.may_offer(now, entry, &class, seat, &full)
+                && !(seat.shut && shut(&seat.line.id))
                 && entry.erred().all(|(machine, _)| machine != seat.line.id)
-                && seat.has_room(now, ask, self.ratio)
         };
-        let seats: Vec<&Seat> = self.seats.values().filter(open).collect();
+        let seats: Vec<&Glance> = self.glances.iter().filter(open).collect();
         let lost = entry.first_perhaps().is_some() && class.effect != Effect::Safe;
         if !seats.is_empty() && left > 0 {
-            let odds = self.odds(now, seats, service, a);
+            let odds = self.odds(seats, service, a);
             // A wait must end in a look before the deadline.
             if left <= 2 * TICK_US || !self.ask_pool(now, &odds, actions) {
                 let machine = self.draw(&odds);
@@ -939,46 +983,44 @@
     }
 
     /// One pour over the open machines: the odds of each in the pool.
-    fn odds(&self, now: Micros, mut pool: Vec<&Seat>, service: ServiceId, a: f64) -> Vec<(MachineId, f64)> {
-        let ready = self.seats.values().filter(|seat| seat.line.health == Health::Ready);
-        let mut ready: Vec<&Seat> = ready.collect();
+    fn odds(&self, mut pool: Vec<&Glance>, service: ServiceId, a: f64) -> Vec<(MachineId, f64)> {
+        let ready = || self.glances.iter().filter(|seat| seat.line.health == Health::Ready);
         let mean = |sum: f64, of: usize| sum / of.max(1) as f64;
-        let tasks: f64 = ready.iter().map(|seat| seat.tasks).sum();
-        let mean_tasks = mean(tasks, ready.len());
-        let heard = ready.iter().filter(|seat| seat.is_heard()).map(|seat| seat.share(now, self.ratio));
+        let tasks: f64 = ready().map(|seat| seat.tasks).sum();
+        let mean_tasks = mean(tasks, ready().count());
+        let heard = ready().filter(|seat| seat.heard).map(|seat| seat.share);
         let average = mean(heard.clone().sum(), heard.count());
         // Machines back cold or from a failure look empty; they are no deeper than the average.
-        let share = |seat: &Seat| {
-            let cold = seat.is_cold(now, &self.settings.rules);
-            let floor = if !seat.is_heard() || seat.strikes > 0 || cold { average } else { 0.0 };
-            seat.share(now, self.ratio).max(floor)
-        };
+        let share = |seat: &Glance| seat.share.max(if seat.floored { average } else { 0.0 });
         if self.settings.prices.fleet.is_some_and(|price| price > 0.0) {
             // The smallest set that holds the load, in an order that all schedulers share.
-            let load: f64 = ready.iter().map(|seat| share(seat) * seat.tasks).sum::<f64>() + a;
-            let order = |x: &Seat, y: &Seat| {
-                y.tasks.total_cmp(&x.tasks).then(mix(x.line.id.0).cmp(&mix(y.line.id.0)))
-            };
-            ready.sort_by(|x, y| order(x, y));
+            let load: f64 = ready().map(|seat| share(seat) * seat.tasks).sum::<f64>() + a;
             let mut room = 0.0;
-            let last = ready.iter().find(|seat| {
+            let order = self.order.iter().map(|at| &self.glances[*at]);
+            let last = order.filter(|seat| seat.line.health == Health::Ready).find(|seat| {
                 room += seat.tasks * PACK_FILL;
                 room >= load
             });
-            let needed = |seat: &&Seat| last.is_none_or(|last| order(seat, last).is_le());
+            let needed = |seat: &&Glance| last.is_none_or(|last| seat.rank <= last.rank);
             if pool.iter().any(needed) {
                 pool.retain(needed);
             }
         }
         // The homes of a service are the same machines at every scheduler: without a word they
         // gather its tasks where its program is. The other services' water falls elsewhere.
-        pool.sort_by_cached_key(|seat| std::cmp::Reverse(mix(seat.line.id.0 ^ mix(service.0))));
-        pool.truncate(HOMES);
+        let of = mix(service.0);
+        let first = |seat: &&Glance| std::cmp::Reverse(mix(seat.line.id.0 ^ of));
+        if pool.len() > HOMES {
+            pool.select_nth_unstable_by_key(HOMES - 1, first);
+            pool.truncate(HOMES);
+        }
+        pool.sort_by_cached_key(first);
         let a = a * pool.iter().map(|seat| seat.tasks).sum::<f64>() / tasks.max(1.0);
-        let column = |(rank, seat): (usize, &&Seat)| {
+        let column = |(rank, glance): (usize, &&Glance)| {
             let home = [DIP, DIP / 2.0].get(rank).copied().unwrap_or(0.0);
+            let seat = &self.seats[&glance.line.id];
             let holds = if seat.services.contains_key(&service) { DIP } else { 0.0 };
-            (share(seat) + seat.starting.len() as f64 * START_RISE - home.max(holds)) * mean_tasks
+            (share(glance) + seat.starting.len() as f64 * START_RISE - home.max(holds)) * mean_tasks
         };
         let columns: Vec<f64> = pool.iter().enumerate().map(column).collect();
         let odds = tidal_probabilities(&columns, a).into_iter().zip(pool);
@@ -1004,6 +1046,10 @@
             if seat.is_cold(now, &self.settings.rules) {
                 seat.cold_offers.push(now);
             }
+            let glance = seat.glance(now, &self.settings, self.salt, self.ratio);
+            if let Ok(at) = self.glances.binary_search_by_key(&machine, |glance| glance.line.id) {
+                self.glances[at] = Glance { rank: self.glances[at].rank, ..glance };
+            }
         }
         actions.push(Action::Offer { request, machine, within_us });
     }
@@ -1016,10 +1062,3 @@
         }
     }
 }
-
-/// A value-stable hash (the finish of SplitMix64), equal at every scheduler.
-fn mix(x: u64) -> u64 {
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/src/names.rs
+++ b/src/names.rs
@@ -6,10 +6,14 @@
 /// module's shared orders need it.
 fn stable(name: &str) -> u64 {
     let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    let hash = name.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, fold);
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    mix(name.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, fold))
+}
+
+/// A value-stable hash of a number (the finish of SplitMix64), equal at every placer.
+pub(crate) fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
 }
 
 /// The machine's number at every placer.
