Platform: nothing waits for a host that drains; the list goes first; an end leaves nothing

From 4 s on and every 0.5 s three tries still end before the 8 s in which an end is owed.

Tests that fail without (tried): what_waits_for_a_connection_does_not_leave_for_a_host_that_drains, a_placer_that_may_end_says_so_again_once_what_came_since_is_answered; who_waits_when_listening_stops_is_taken.

--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -15,7 +15,6 @@
 use tokio::time::{sleep, timeout};
 
 use crate::io::Input;
-use crate::run::Came;
 
 /// How long the board may wait for news before it answers.
 const LINGER: Duration = Duration::from_millis(1_000);
@@ -33,7 +32,7 @@
     mut addresses: watch::Receiver<SocketAddr>,
     names: Names,
     mut rev: u64,
-    came: mpsc::Sender<Came>,
+    came: mpsc::Sender<Input>,
 ) {
     let (mut waits, mut sender, mut lost) = (WAITS, None, false);
     loop {
@@ -62,7 +61,7 @@
             }
         };
         if let Some(input) = input
-            && came.send(Came::Input(input)).await.is_err()
+            && came.send(input).await.is_err()
         {
             return;
         }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -172,8 +172,10 @@
     /// Requests by the id on the wire.
     pub(crate) by_id: BTreeMap<u64, RequestId>,
     pub(crate) probes: BTreeMap<u64, Probe>,
-    /// Ends of tasks that owners are to hear of, or heard of just now.
+    /// Ends of tasks that owners are to hear of.
     pub(crate) ends: VecDeque<End>,
+    /// Ends that were told just now, by task, and on which connection.
+    pub(crate) told_ends: BTreeMap<u64, (ConnId, End)>,
     pub(crate) rev: u64,
     /// The module waits for word of the list.
     pub(crate) asked_list: bool,
@@ -186,6 +188,7 @@
     /// Since when it is to end.
     pub(crate) ending: Option<Micros>,
     stopped_listening: bool,
+    /// It was said that it may end, and nothing came since.
     finished: bool,
 }
 
@@ -206,6 +209,7 @@
             by_id: BTreeMap::new(),
             probes: BTreeMap::new(),
             ends: VecDeque::new(),
+            told_ends: BTreeMap::new(),
             rev: 0,
             asked_list: false,
             timers: Timers::default(),
@@ -240,7 +244,7 @@
             conns: self.conns.len(),
             links: self.links.len(),
             hosts: self.hosts.len(),
-            ends: self.ends.len(),
+            ends: self.ends.len() + self.told_ends.len(),
             probes: self.probes.len(),
             timers: self.timers.len(),
             module: self.placer.sizes(),
@@ -249,6 +253,7 @@
 
     /// Takes an input in. What the module has to say to it comes with the next [`Engine::flush`].
     pub fn handle(&mut self, now: Micros, input: Input) {
+        self.finished = false;
         match input {
             Input::OwnerCame(conn) => self.owner_came(now, conn),
             Input::Owner(conn, message) => self.owner_says(now, conn, message),
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -23,8 +23,8 @@
 const MOST_RESENT: u8 = 3;
 /// A host that holds tasks and says nothing for so long is connected to once more, and again after that: whether
 /// it still is there can't be told otherwise, as to probe is the module's to decide.
-const UNHEARD_US: Micros = 2_500_000;
-const CHECK_US: Micros = 1_000_000;
+const UNHEARD_US: Micros = 4_000_000;
+const CHECK_US: Micros = 500_000;
 /// A host that holds tasks and has no connection, as others needed the place, is visited after so long: twice within
 /// the 8 s in which an end is owed that its host could not tell.
 const REVISIT_US: Micros = 3_500_000;
@@ -236,9 +236,33 @@
         if moved {
             self.close_idle(machine);
         }
+        if entry.health != State::Active {
+            self.recall_unsent(machine);
+        }
         self.look_at(now, machine);
     }
 
+    /// What waits for a connection to a host that takes nothing new does not leave when it stands: that may be after
+    /// the time in which it still could.
+    fn recall_unsent(&mut self, machine: MachineId) {
+        let coming = self.links_of(machine).filter(|(_, link)| !link.up);
+        let unsent: Vec<(LinkId, Vec<AttemptId>)> =
+            coming.map(|(id, link)| (id, link.open.values().copied().collect())).collect();
+        for (link, attempts) in unsent {
+            for AttemptId { request, .. } in attempts {
+                let id = self.requests.get(&request).map(|entry| entry.setup.id);
+                id.map(|id| self.unsend(link, id));
+                self.take_back(request, Outcome::Unconnected, None, Vec::new());
+            }
+        }
+    }
+
+    /// Whether the list says that it takes new tasks.
+    fn is_active(&self, machine: MachineId) -> bool {
+        let entry = self.hosts.get(&machine).and_then(|host| host.entry.as_ref());
+        entry.is_some_and(|entry| entry.health == State::Active)
+    }
+
     fn links_of(&self, machine: MachineId) -> impl Iterator<Item = (LinkId, &Link)> {
         let links = self.hosts.get(&machine).into_iter().flat_map(|host| &host.links);
         links.filter_map(|id| Some((*id, self.links.get(id)?)))
@@ -533,8 +557,9 @@
         let out = self.requests.get_mut(&request).and_then(|entry| entry.out.as_mut());
         let Some(out) = out.filter(|out| out.number == attempt.number) else { return };
         let fate = decide::did_it_run(down, out.position < begun);
-        if fate == Fate::Unsent && out.resent < MOST_RESENT && now < out.until {
-            out.resent += 1;
+        let (machine, again) = (out.machine, out.resent < MOST_RESENT && now < out.until);
+        out.resent += 1;
+        if fate == Fate::Unsent && again && self.is_active(machine) {
             return self.send_setup(now, request);
         }
         let outcome = if fate == Fate::MayHaveRun { Outcome::Reset } else { Outcome::Unconnected };
@@ -701,6 +726,9 @@
         }
         let quiet = |host: &Host| {
             !host.standing.is_empty()
+                // One that is to be visited is connected to then.
+                && host.parked.is_none()
+                && !host.waiting
                 && host.heard_at + UNHEARD_US <= now
                 && host.checked_at + CHECK_US <= now
         };
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -62,7 +62,8 @@
     CloseLink(LinkId),
     /// Take no new connections any more.
     StopListening,
-    /// All is answered; the placer may end.
+    /// All that was taken in is answered: the placer may end if nothing more waits to be taken in; else it is said
+    /// again.
     Finished,
     /// A line for the staff.
     Log(String),
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -43,8 +43,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct End {
     at: Micros,
-    /// On which connection it was told; none yet.
-    told: Option<ConnId>,
     home: ConnId,
     id: u64,
     cause: u8,
@@ -118,7 +116,13 @@
             }
         }
         // An end that was just written may have crossed the close.
-        self.tell_again(now, |end| end.told == Some(conn));
+        let crossed: Vec<u64> =
+            self.told_ends.iter().filter(|(_, (to, _))| *to == conn).map(|(id, _)| *id).collect();
+        for id in crossed {
+            if let Some((_, end)) = self.told_ends.remove(&id) {
+                self.tell_end(now, end);
+            }
+        }
     }
 
     /// The owner waits no more.
@@ -138,7 +142,7 @@
                 let passed = self.ending.is_none();
                 self.send_owner(conn, ToOwner::Tested { id, passed });
             }
-            Ok(FromOwner::Released(id)) => self.ends.retain(|end| end.id != id || end.told.is_none()),
+            Ok(FromOwner::Released(id)) => drop(self.told_ends.remove(&id)),
             Ok(FromOwner::Free) => {}
             Err(Unusable { id, why }) => self.unusable(conn, id, &why),
         }
@@ -257,39 +261,34 @@
 
     /// Tells an owner that a task is over.
     pub(crate) fn end_task(&mut self, now: Micros, home: ConnId, id: u64, cause: u8) {
-        self.tell_end(now, End { at: now, told: None, home, id, cause });
+        self.tell_end(now, End { at: now, home, id, cause });
     }
 
-    fn tell_end(&mut self, now: Micros, mut end: End) {
-        if let Some(conn) = self.route(end.home) {
-            self.send_owner(conn, ToOwner::failure(end.id, end.cause));
-            (end.told, end.at) = (Some(conn), now);
+    fn tell_end(&mut self, now: Micros, end: End) {
+        match self.route(end.home) {
+            Some(conn) => {
+                self.send_owner(conn, ToOwner::failure(end.id, end.cause));
+                self.told_ends.insert(end.id, (conn, End { at: now, ..end }));
+            }
+            None => self.ends.push_back(end),
         }
-        self.ends.push_back(end);
     }
 
     /// The connection on which an end is told.
     pub(crate) fn route(&self, home: ConnId) -> Option<ConnId> {
-        let conns: Vec<_> = self.conns.iter().filter(|(_, conn)| !conn.closing).collect();
-        let home = conns.iter().position(|(id, _)| **id == home);
-        let routes: Vec<Route> = conns
-            .iter()
-            .map(|(_, conn)| Route { answered: conn.answered, good: conn.good, heard_at: conn.heard_at })
-            .collect();
-        decide::which_route(home, &routes).map(|at| *conns[at].0)
+        if self.conns.get(&home).is_some_and(|conn| !conn.closing) {
+            return Some(home);
+        }
+        let routes = self.conns.iter().filter(|(_, conn)| !conn.closing).map(|(id, conn)| {
+            (*id, Route { answered: conn.answered, good: conn.good, heard_at: conn.heard_at })
+        });
+        decide::which_route(routes)
     }
 
     /// Ends that found no connection go out on the first that will do.
     fn tell_owed(&mut self, now: Micros) {
-        self.tell_again(now, |end| end.told.is_none());
-    }
-
-    /// Tells these ends as if nobody had been told of them.
-    fn tell_again(&mut self, now: Micros, which: impl Fn(&End) -> bool) {
-        if self.ends.iter().any(&which) {
-            let (again, kept): (Vec<End>, Vec<End>) = self.ends.drain(..).partition(which);
-            self.ends.extend(kept);
-            again.into_iter().for_each(|end| self.tell_end(now, End { told: None, ..end }));
+        for end in std::mem::take(&mut self.ends) {
+            self.tell_end(now, end);
         }
     }
 
@@ -299,6 +298,7 @@
         };
         let idle: Vec<ConnId> = self.conns.iter().filter(over).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|conn| self.close_owner(conn));
-        self.ends.retain(|end| now < end.at + if end.told.is_some() { TOLD_US } else { OWED_US });
+        self.ends.retain(|end| now < end.at + OWED_US);
+        self.told_ends.retain(|_, (_, end)| now < end.at + TOLD_US);
     }
 }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -12,8 +12,7 @@
 use reedring_platproto::config::{self, Config};
 use reedring_platproto::host::ToHost;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
-use tokio::task::JoinHandle;
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::engine::{Bounds, Engine, Start};
 use crate::io::{ConnId, Input, LinkId, Output};
@@ -24,6 +23,8 @@
 const BATCH: usize = 256;
 /// Inputs that wait for the engine; whoever brings one more waits.
 const INPUTS: usize = 512;
+/// Answers of the board that wait for the engine.
+const LISTED: usize = 4;
 /// Between two tries to read a configuration that could not be read.
 const READ_AGAIN: Duration = Duration::from_millis(200);
 /// How long the last answers may take to be written at the end.
@@ -119,17 +120,20 @@
     let mut engine = Engine::new(start);
     let (came, mut coming) = mpsc::channel(INPUTS);
     let (move_board, boards) = watch::channel(config.board);
-    tokio::spawn(board::poll(boards, names, rev, came.clone()));
+    // What the list tells goes before all that waits: a drain counts from when it was told.
+    let (list, mut listed) = mpsc::channel(LISTED);
+    tokio::spawn(board::poll(boards, names, rev, list));
     tokio::spawn(answer(asked, path.to_owned(), move_board, came.clone()));
     let budget = Budget::default();
-    let accepting = tokio::spawn(sockets::accept(listener, budget.clone(), came.clone()));
+    let (stop, stopped) = oneshot::channel();
+    tokio::spawn(sockets::accept(listener, budget.clone(), came.clone(), stopped));
     let mut shell = Shell {
         owners: BTreeMap::new(),
         links: BTreeMap::new(),
         connect: Duration::from_micros(connect),
         budget,
         most: (config.limits.memory_mb as usize * 1024 * 1024 / OUTBOXES).max(64 * 1024),
-        accepting,
+        stop: Some(stop),
         came,
         touched_owners: Vec::new(),
         touched_links: Vec::new(),
@@ -139,16 +143,22 @@
     loop {
         engine.flush(now());
         while let Some(output) = engine.poll() {
-            if output == Output::Finished {
+            // What came before it may end is answered, however far behind the loop is.
+            if output == Output::Finished && coming.is_empty() {
                 return shell.farewell().await;
             }
             shell.carry_out(now(), output);
         }
         shell.write();
         let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
-        tokio::select! {
-            _ = coming.recv_many(&mut batch, BATCH) => {}
-            () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => {}
+        let told = tokio::select! {
+            told = listed.recv() => told,
+            _ = coming.recv_many(&mut batch, BATCH) => None,
+            () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => None,
+        };
+        for input in told.into_iter().chain(std::iter::from_fn(|| listed.try_recv().ok())) {
+            follow(|| follow::input(&input));
+            engine.handle(now(), input);
         }
         for news in batch.drain(..) {
             let input = match news {
@@ -229,7 +239,8 @@
     /// Who was sent something that is not written yet.
     touched_owners: Vec<ConnId>,
     touched_links: Vec<LinkId>,
-    accepting: JoinHandle<()>,
+    /// Tells that no new connections are taken any more.
+    stop: Option<oneshot::Sender<()>>,
     came: mpsc::Sender<Came>,
     /// The second in which lines were logged last, and how many.
     second: (u64, u32),
@@ -276,7 +287,7 @@
                     out.cut();
                 }
             }
-            Output::StopListening => self.accepting.abort(),
+            Output::StopListening => drop(self.stop.take()),
             Output::Log(line) => self.log(now, &line),
             Output::Finished => {}
         }
@@ -357,7 +368,7 @@
             most: 1 << 20,
             touched_owners: Vec::new(),
             touched_links: Vec::new(),
-            accepting: tokio::spawn(async {}),
+            stop: None,
             came,
             second: (0, 0),
         };
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -8,7 +8,7 @@
 
 use reedring_platproto::{host, owner};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
 use crate::decide::Down;
@@ -56,11 +56,21 @@
     })
 }
 
-/// Takes owners' connections until the listener is dropped.
-pub(crate) async fn accept(listener: TcpListener, budget: Budget, came: mpsc::Sender<Came>) {
+/// Takes owners' connections until it is told to stop; those that the system took by then are taken as well.
+pub(crate) async fn accept(
+    listener: TcpListener,
+    budget: Budget,
+    came: mpsc::Sender<Came>,
+    mut stop: oneshot::Receiver<()>,
+) {
     let mut last: ConnId = 0;
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = &mut stop => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 last += 1;
                 let stream = Arc::new(stream);
@@ -255,3 +265,26 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A placer that ends has taken whom the system took for it, however late its own turn comes.
+    #[tokio::test]
+    async fn who_waits_when_listening_stops_is_taken() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut owners = Vec::new();
+        for _ in 0..8 {
+            owners.push(TcpStream::connect(address).await.unwrap());
+        }
+        let ((stop, stopped), (came, mut coming)) = (oneshot::channel(), mpsc::channel(16));
+        drop(stop);
+        accept(listener, Budget::default(), came, stopped).await;
+        for _ in 0..8 {
+            assert!(matches!(coming.recv().await, Some(Came::Owner(..))));
+        }
+        assert!(TcpStream::connect(address).await.is_err(), "and nobody after that");
+    }
+}
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -520,3 +520,45 @@
     assert_eq!(world.heard[&2].refusals, 1, "it never left, so asking again is harmless");
     assert_eq!(world.engine.sizes().requests, 0);
 }
+
+/// Connections that come up late carry nothing to a host that was told to drain meanwhile: the grace may be over.
+#[test]
+fn what_waits_for_a_connection_does_not_leave_for_a_host_that_drains() {
+    for again in [false, true] {
+        let mut world = World::new(26, &hosts(1));
+        let conn = world.connect();
+        world.slow = (!again).then_some(900 * MS);
+        world.ask(conn, setup(1, "print", 3_000));
+        if again {
+            // It crossed the close of its connection; not a byte of it left.
+            world.run(10 * MS);
+            world.deaf = true;
+            world.ask(conn, setup(2, "print", 3_000));
+            world.connects = Some(Down::Closed);
+        }
+        world.tell(Input::Board(told(2, false, &[line("h-1", 1, "west", "leaving", 0)])));
+        let before = world.to_hosts.len();
+        for link in world.links_up() {
+            world.tell(Input::LinkDown { link, down: Down::Closed, begun: 0 });
+        }
+        world.run(2 * SECOND);
+        let after = &world.to_hosts[before..];
+        assert!(!after.iter().any(|(_, m)| matches!(m, ToHost::Setup { .. })), "{again}: {after:?}");
+    }
+}
+
+#[test]
+fn a_placer_that_may_end_says_so_again_once_what_came_since_is_answered() {
+    let mut world = World::new(27, &hosts(2));
+    let conn = world.connect();
+    world.tell(Input::Terminate);
+    world.run(1_100 * MS);
+    assert!(world.finished);
+    // It was behind: this had come before.
+    world.finished = false;
+    world.ask(conn, setup(1, "play", 1_000));
+    assert!(!world.finished);
+    world.run(SECOND);
+    world.tell(Input::Host(world.to_hosts[0].0, end(1)));
+    assert_eq!((world.heard[&1].answers, world.heard[&1].ends, world.finished), (1, 1, true));
+}
