--- a/crates/platform/src/decide.rs
+++ b/crates/platform/src/decide.rs
@@ -87,17 +87,24 @@
     pub only: bool,
     /// When it was last of use.
     pub used: u64,
+    /// Since when it stands.
+    pub since: u64,
 }
 
 /// Which of the connections on which nothing is open makes room for another? One that nobody needs, the longest unused
-/// first; else the longest unused of those that alone reach a host with tasks, which is visited again later. Ends that
-/// wait at a host come as soon as it is connected to: where the new connection is such a visit too (`visit`), none is
-/// cut off that was of use after `since`, nor any before it stands, or visits would end each other for nothing.
-pub fn which_makes_room(links: &[Spent], visit: bool, since: u64) -> Option<usize> {
+/// first; else one of those that alone reach a host with tasks, which is visited again later. Where the new connection
+/// is such a visit too, they take turns: the one that stands longest goes, whatever it brings, or hosts that always
+/// have news would keep all others waiting; and none goes that stands for less than from `until` on, or does not stand
+/// yet, or visits would end each other for nothing. For a set-up the longest unused goes.
+pub fn which_makes_room(links: &[Spent], visit: bool, until: u64) -> Option<usize> {
     let needed = |link: &Spent| link.only || link.check && !link.up;
-    let may = |link: &Spent| !(visit && needed(link)) || link.up && link.used <= since;
+    let may = |link: &Spent| !(visit && needed(link)) || link.up && link.since <= until;
+    let key = |link: &Spent| {
+        let turn = if visit && needed(link) { link.since } else { link.used };
+        (needed(link), !link.up, turn)
+    };
     let links = links.iter().enumerate().filter(|(_, link)| may(link));
-    links.min_by_key(|(_, link)| (needed(link), !link.up, link.used)).map(|(at, _)| at)
+    links.min_by_key(|(_, link)| key(link)).map(|(at, _)| at)
 }
 
 /// May a host have one more connection beside those that it has? While half of `bound` is free, and after that from
@@ -242,7 +249,7 @@
 
     #[test]
     fn who_is_needed_least_makes_room() {
-        let link = |up, check, only, used| Spent { up, check, only, used };
+        let link = |up, check, only, used| Spent { up, check, only, used, since: 10 - used };
         let (spare, older, made) =
             (link(true, false, false, 9), link(true, false, false, 8), link(false, false, false, 1));
         let (alone, fresh, coming) =
@@ -253,9 +260,10 @@
             (vec![alone, spare, older], true, Some(2)),
             (vec![alone, made], false, Some(1)),
             (vec![fresh, alone], false, Some(1)),
-            (vec![fresh, alone], true, Some(1)),
-            (vec![fresh, coming], false, Some(0)),
-            (vec![fresh, coming], true, None),
+            // In turn, though it was of use last.
+            (vec![fresh, alone], true, Some(0)),
+            (vec![alone, coming], false, Some(0)),
+            (vec![alone, coming], true, None),
             (vec![coming], false, Some(0)),
         ];
         for (links, visit, chosen) in cases {
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -119,6 +119,8 @@
     check: bool,
     /// When it was last of use; one that does not stand yet, its number.
     pub used: Micros,
+    /// Since when it stands.
+    since: Micros,
 }
 
 impl Link {
@@ -380,7 +382,7 @@
                     !host.standing.is_empty()
                         && !host.links.iter().any(|other| other != id && self.links[other].up)
                 });
-                (*id, Spent { up: link.up, check: link.check, only, used: link.used })
+                (*id, Spent { up: link.up, check: link.check, only, used: link.used, since: link.since })
             })
             .unzip();
         let lasts = self.told.settings.rules.connect_timeout_us.unwrap_or(VISIT_US);
@@ -424,6 +426,7 @@
             doubtful: false,
             check: false,
             used: id,
+            since: 0,
         };
         self.links.insert(id, link);
         self.outputs.push_back(Output::Connect(id, address));
@@ -505,7 +508,7 @@
 
     pub(crate) fn link_up(&mut self, now: Micros, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        (link.up, link.used) = (true, now);
+        (link.up, link.used, link.since) = (true, now, now);
         let (machine, check) = (link.machine, link.check);
         self.send_queue(id);
         let Some(host) = self.hosts.get_mut(&machine) else { return };
