Platform: load reports are read, from the one text that hosts tell them in

The log had probes answered with no figures: link 47 tested: true, {} and the line of a host as it came {"cause":1,"fields":{"load":"x0:12.157;x1:1.399"},"id":"","type":"pong"} The reader (platproto, host.rs, figures) took numbers by their field's name only, so every report was dropped, and the module placed as if nothing were known.

Test that fails without: a_load_report_is_read_from_one_text.

--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -32,7 +32,9 @@
             FromHost::Release { id, cause, reason, .. } => {
                 format!("link {link} ends {id:016x}: cause {cause}, {reason:?}")
             }
-            FromHost::Tested { id, passed, .. } => format!("link {link} tested {id:016x}: {passed}"),
+            FromHost::Tested { id, passed, figures } => {
+                format!("link {link} tested {id:016x}: {passed}, {figures:?}")
+            }
             FromHost::Note { .. } | FromHost::Free => return None,
         },
         Input::Board(told) => format!("board at {}: {} notices", told.rev, told.notices.len()),
--- a/crates/platproto/src/host.rs
+++ b/crates/platproto/src/host.rs
@@ -114,7 +114,7 @@
         let cause = line.cause.ok_or("cause: missing")?;
         u8::try_from(cause).map_err(|_| format!("cause: {cause} is none"))
     };
-    let figures = || line.fields.iter().filter_map(|(name, value)| Some((name.clone(), number(value)?)));
+    let figures = || line.fields.iter().flat_map(|(name, value)| figures(name, value));
     match line.r#type.as_str() {
         "answer" => {
             let description = line.sdp.ok_or("sdp: missing")?;
@@ -136,6 +136,20 @@
     }
 }
 
+/// The figures of a field: itself, or those that it lists in one text, as `x0:12.157;x1:1.399`.
+fn figures(name: &str, value: &Value) -> Vec<(String, f64)> {
+    if let Some(value) = number(value) {
+        return vec![(name.to_owned(), value)];
+    }
+    let parts = value.as_str().into_iter().flat_map(|text| text.split(';'));
+    let figure = |part: &str| {
+        let (name, value) = part.split_once(':')?;
+        let value = value.trim().parse().ok().filter(|value: &f64| value.is_finite())?;
+        Some((name.trim().to_owned(), value))
+    };
+    parts.filter_map(figure).collect()
+}
+
 /// Numbers are told as such or as text.
 fn number(value: &Value) -> Option<f64> {
     let number = match value {
--- a/crates/platproto/tests/messages.rs
+++ b/crates/platproto/tests/messages.rs
@@ -129,6 +129,21 @@
     assert!(matches!(pong, Ok(Some(FromHost::Tested { id: 1, passed: true, .. }))));
 }
 
+/// Seen on palermo-cluster-later: a load report is one text that lists its figures.
+#[test]
+fn a_load_report_is_read_from_one_text() {
+    let pong = r#"{"type":"pong","id":"0000000000000001","fields":{"load":"x0:12.157;x1:-1.399;x2:nan;x3"},"cause":1}"#;
+    let Ok(Some(FromHost::Tested { figures, .. })) = line(pong) else { panic!("{:?}", line(pong)) };
+    assert_eq!(
+        figures.into_iter().collect::<Vec<_>>(),
+        [("x0".to_owned(), 12.157), ("x1".to_owned(), -1.399)]
+    );
+    let full =
+        r#"{"type":"release","id":"0000000000000001","fields":{"note":"backlog","load":"x0:3"},"cause":34}"#;
+    let Ok(Some(FromHost::Release { reason, figures, .. })) = line(full) else { panic!("{:?}", line(full)) };
+    assert_eq!((reason, figures.get("x0")), (Some(reedring::Reason::Crowded), Some(&3.0)));
+}
+
 #[test]
 fn lines_that_are_no_messages_end_a_connection() {
     for text in [
