--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -23,8 +23,8 @@
 const MOST_RESENT: u8 = 3;
 /// A host that holds tasks and says nothing for so long is connected to once more, and again after that: whether
 /// it still is there can't be told otherwise, as to probe is the module's to decide.
-const UNHEARD_US: Micros = 4_000_000;
-const CHECK_US: Micros = 500_000;
+const UNHEARD_US: Micros = 2_500_000;
+const CHECK_US: Micros = 1_000_000;
 /// A host that holds tasks and has no connection, as others needed the place, is visited after so long: twice within
 /// the 8 s in which an end is owed that its host could not tell.
 const REVISIT_US: Micros = 3_500_000;
