--- a/tests/equal.rs
+++ b/tests/equal.rs
@@ -8,6 +8,12 @@
 use rand_pcg::Pcg32;
 use reedring::*;
 
+/// Folds an action into the number of those before.
+fn fold(hash: u64, action: &Action) -> u64 {
+    let bytes = format!("{action:?}").into_bytes();
+    bytes.into_iter().fold(hash, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3))
+}
+
 /// Folds every action of a drawn day into one number.
 fn fingerprint(seed: u64) -> u64 {
     let (mut draw, mut hash) = (Pcg32::new(seed, 5), 0xcbf2_9ce4_8422_2325_u64);
@@ -55,9 +61,7 @@
         placer.step(now, &events, &mut actions);
         events.clear();
         for action in &actions {
-            for byte in format!("{action:?}").bytes() {
-                hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-            }
+            hash = fold(hash, action);
             if let Action::Offer { request, machine, .. } = action {
                 let number = counts.entry(*request).or_default();
                 out.push((AttemptId { request: *request, number: *number }, *machine));
@@ -219,9 +223,7 @@
         placer.step(now, &events, &mut actions);
         events.clear();
         for action in &actions {
-            for byte in format!("{action:?}").bytes() {
-                hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-            }
+            hash = fold(hash, action);
             match action {
                 Action::Offer { request, machine, .. } => {
                     let number = made.entry(*request).or_default();
