Platform: owners that come when all places are taken are answered, not closed on unheard

A sixteenth of the descriptors more now come in; what they ask for fails at once, and they are closed on. Connections to hosts yield the places as for any owner.

Test that fails without: who_comes_when_all_places_are_taken_is_answered.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -35,7 +35,9 @@
     pub all: usize,
     /// Connections of owners.
     pub owners: usize,
-    /// Of these, so many are never taken for hosts.
+    /// Connections of owners beyond these, for as long as it takes to answer them.
+    pub door: usize,
+    /// So many of owners' places are never taken for hosts.
     pub kept: usize,
     /// Connections to one host.
     pub links_each: usize,
@@ -47,7 +49,8 @@
     pub fn of(limits: &Limits) -> Self {
         let sockets = limits.sockets;
         let kept = sockets / 3 + sockets / 16;
-        Self { all: sockets - OWN_SOCKETS, owners: sockets / 2, kept, links_each: LINKS_EACH }
+        let (all, owners, door) = (sockets - OWN_SOCKETS, sockets / 2, sockets / 16);
+        Self { all, owners, door, kept, links_each: LINKS_EACH }
     }
 
     /// Connections to hosts, beside so many of owners.
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -37,6 +37,8 @@
     /// It says nothing more: it is closed once nothing is open on it.
     ended: bool,
     closing: bool,
+    /// It came when all places were taken by such as wait for answers: what it asks for fails at once.
+    at_door: bool,
 }
 
 /// The end of a task that its owner is to hear of.
@@ -88,16 +90,18 @@
     }
 
     pub(crate) fn owner_came(&mut self, now: Micros, conn: ConnId) {
+        let mut at_door = false;
         if self.conns.len() >= self.bounds.owners {
-            let idle = self.conns.iter().filter(|(_, conn)| conn.open.is_empty() && !conn.closing);
+            let idle = |conn: &Conn| conn.open.is_empty() && !conn.closing && !conn.at_door;
+            let idle = self.conns.iter().filter(|(_, conn)| idle(conn));
             let oldest = idle.min_by_key(|(_, conn)| (conn.answered, conn.heard_at)).map(|(id, _)| *id);
-            let Some(oldest) = oldest else {
-                self.outputs.push_back(Output::CloseOwner(conn));
-                return;
-            };
-            self.close_owner(oldest);
+            match oldest {
+                Some(oldest) => self.close_owner(oldest),
+                None if self.conns.len() < self.bounds.owners + self.bounds.door => at_door = true,
+                None => return self.outputs.push_back(Output::CloseOwner(conn)),
+            }
         }
-        self.conns.insert(conn, Conn { heard_at: now, ..Conn::default() });
+        self.conns.insert(conn, Conn { heard_at: now, at_door, ..Conn::default() });
         self.yield_links(now);
     }
 
@@ -215,6 +219,10 @@
             }
             Some(_) => return self.unusable(conn, id, "this id is open"),
         }
+        if self.conns.get(&conn).is_some_and(|conn| conn.at_door) {
+            self.send_owner(conn, ToOwner::failure(id, CUT));
+            return self.close_owner(conn);
+        }
         if let Some(conn) = self.conns.get_mut(&conn) {
             conn.open.insert(id);
             (conn.heard_at, conn.good, conn.unusable) = (now, true, 0);
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -562,3 +562,24 @@
     world.tell(Input::Host(world.to_hosts[0].0, end(1)));
     assert_eq!((world.heard[&1].answers, world.heard[&1].ends, world.finished), (1, 1, true));
 }
+
+/// All places are taken by owners that wait for answers: whoever comes then is answered too, and at once.
+#[test]
+fn who_comes_when_all_places_are_taken_is_answered() {
+    let mut world = World::new(28, &hosts(2));
+    world.slow = Some(900 * MS);
+    for id in 1..=16 {
+        let conn = world.connect();
+        world.ask(conn, setup(id, "play", 3_000));
+    }
+    let late = world.connect();
+    world.ask(late, setup(17, "play", 3_000));
+    assert_eq!(world.heard[&17].failures, 1);
+    assert!(!world.owners.contains(&late), "and closed on, for the next one's sake");
+    assert_eq!(world.owners.len(), 16, "and costs the others nothing");
+    world.run(4 * SECOND);
+    for id in 1..=16 {
+        let heard = &world.heard[&id];
+        assert_eq!(heard.answers + heard.refusals + heard.failures, 1, "{id}: {heard:?}");
+    }
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -115,7 +115,7 @@
 impl World {
     pub fn new(seed: u64, hosts: &[String]) -> Self {
         let settings = reedring::told::read(SETTINGS).expect("the settings are whole");
-        let bounds = Bounds { all: 40, owners: 16, kept: 16, links_each: 4 };
+        let bounds = Bounds { all: 40, owners: 16, door: 2, kept: 16, links_each: 4 };
         let now = 1_700_000_000 * SECOND;
         let known = told(1, true, hosts);
         let engine = Engine::new(Start { now, seed, told: settings, known, bounds });
