Platform: what the list told is taken first by one function, with its test

The change of that lets the board's answers go first had no test. It is run::next now; the test the_list_goes_before_all_that_waits fails where the batch is handed on before the list is looked at. A poller that ended no longer keeps the loop from waiting.

--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -151,12 +151,7 @@
         }
         shell.write();
         let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
-        let told = tokio::select! {
-            told = listed.recv() => told,
-            _ = coming.recv_many(&mut batch, BATCH) => None,
-            () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => None,
-        };
-        for input in told.into_iter().chain(std::iter::from_fn(|| listed.try_recv().ok())) {
+        for input in next(&mut listed, &mut coming, &mut batch, wake).await {
             follow(|| follow::input(&input));
             engine.handle(now(), input);
         }
@@ -183,6 +178,21 @@
     }
 }
 
+/// Waits for what comes or for the time to wake: all that the list told, which goes first, and a batch of the rest.
+async fn next(
+    listed: &mut mpsc::Receiver<Input>,
+    coming: &mut mpsc::Receiver<Came>,
+    batch: &mut Vec<Came>,
+    wake: Option<Duration>,
+) -> Vec<Input> {
+    let told = tokio::select! {
+        Some(told) = listed.recv() => Some(told),
+        _ = coming.recv_many(batch, BATCH) => None,
+        () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => None,
+    };
+    told.into_iter().chain(std::iter::from_fn(|| listed.try_recv().ok())).collect()
+}
+
 fn follow(line: impl FnOnce() -> Option<String>) {
     if tracing::enabled!(target: "reedring_platform::follow", tracing::Level::DEBUG)
         && let Some(line) = line()
@@ -353,6 +363,21 @@
 
     use super::*;
 
+    /// A drain counts from when it was told, however much waits before it.
+    #[tokio::test]
+    async fn the_list_goes_before_all_that_waits() {
+        for _ in 0..32 {
+            let (list, mut listed) = mpsc::channel(LISTED);
+            let (came, mut coming) = mpsc::channel(INPUTS);
+            for conn in 0..300 {
+                came.try_send(Came::Input(Input::OwnerGone(conn))).ok().unwrap();
+            }
+            list.try_send(Input::BoardLost("a".to_owned())).unwrap();
+            let told = next(&mut listed, &mut coming, &mut Vec::new(), None).await;
+            assert!(matches!(&told[..], [Input::BoardLost(_)]), "{told:?}");
+        }
+    }
+
     /// Seen on split+mass: the word that gave an attempt up left after the next set-up on another connection, as the
     /// first one's task waited for the engine. Nothing but the loop may be needed to write it, and it writes it first.
     #[tokio::test]
