--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -27,6 +27,13 @@
 const STAY_MORE_US: Micros = 400_000;
 /// Kept in hand of an owner's time, for the way of the last answer.
 const ANSWER_US: Micros = 10_000;
+/// How long a connection may take where no time-out is told.
+const CONNECT_US: Micros = 250_000;
+
+/// How long a connection may take, and so a probe too; a visit to a host lasts no less.
+pub(crate) fn connect_us(told: &Told) -> Micros {
+    told.settings.rules.connect_timeout_us.unwrap_or(CONNECT_US)
+}
 
 /// What bounds the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -176,7 +183,7 @@
     pub(crate) by_id: BTreeMap<u64, RequestId>,
     pub(crate) probes: BTreeMap<u64, Probe>,
     /// Ends of tasks that owners are to hear of.
-    pub(crate) ends: VecDeque<End>,
+    pub(crate) ends: Vec<End>,
     /// Ends that were told just now, by task, and on which connection.
     pub(crate) told_ends: BTreeMap<u64, (ConnId, End)>,
     pub(crate) rev: u64,
@@ -211,7 +218,7 @@
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
             probes: BTreeMap::new(),
-            ends: VecDeque::new(),
+            ends: Vec::new(),
             told_ends: BTreeMap::new(),
             rev: 0,
             asked_list: false,
@@ -548,8 +555,7 @@
             link.probes += 1;
         }
         self.send_host(link, ToHost::Test { id, report });
-        let within = self.told.settings.rules.connect_timeout_us.unwrap_or(PROBE_US);
-        self.timers.set(now + within, Timer::Probe(id));
+        self.timers.set(now + connect_us(&self.told), Timer::Probe(id));
     }
 
     pub(crate) fn probe_over(&mut self, now: Micros, id: u64, answered: bool, figures: &Figures) {
@@ -572,6 +578,3 @@
         report.unwrap_or_default()
     }
 }
-
-/// How long a probe is waited for where no connect time-out is told.
-const PROBE_US: Micros = 250_000;
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -13,7 +13,7 @@
 use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
 
 use crate::decide::{self, Candidate, Choice, Down, Fate, Seen, Spent};
-use crate::engine::{Engine, Phase, Request, Timer};
+use crate::engine::{Engine, Phase, Request, Timer, connect_us};
 use crate::io::{LinkId, Output};
 
 /// Waits between two tries to reach a host that holds tasks.
@@ -28,8 +28,6 @@
 /// A host that holds tasks and has no connection, as others needed the place, is visited after so long: twice within
 /// the 8 s in which an end is owed that its host could not tell.
 const REVISIT_US: Micros = 3_500_000;
-/// How long a visit lasts at least where no connect time-out is told: the way of what waits there.
-const VISIT_US: Micros = 250_000;
 /// A host that was told to end a task and does not say that it did has no such task any more.
 const ENDING_US: Micros = 5_000_000;
 /// A host that left the list and still has a connection may wrap up for so long.
@@ -92,8 +90,12 @@
         self.standing.iter().map(|(_, request)| *request).collect()
     }
 
+    fn health(&self) -> Option<State> {
+        self.entry.as_ref().map(|entry| entry.health)
+    }
+
     fn is_listed(&self) -> bool {
-        self.entry.as_ref().is_some_and(|entry| entry.health != State::Left)
+        self.health().is_some_and(|health| health != State::Left)
     }
 
     fn address(&self) -> Option<SocketAddr> {
@@ -248,23 +250,14 @@
     /// the time in which it still could.
     fn recall_unsent(&mut self, machine: MachineId) {
         let coming = self.links_of(machine).filter(|(_, link)| !link.up);
-        let unsent: Vec<(LinkId, Vec<AttemptId>)> =
-            coming.map(|(id, link)| (id, link.open.values().copied().collect())).collect();
-        for (link, attempts) in unsent {
-            for AttemptId { request, .. } in attempts {
-                let id = self.requests.get(&request).map(|entry| entry.setup.id);
-                id.map(|id| self.unsend(link, id));
-                self.take_back(request, Outcome::Unconnected, None, Vec::new());
-            }
+        let unsent =
+            coming.flat_map(|(link, of)| of.open.iter().map(move |(id, attempt)| (link, *id, *attempt)));
+        for (link, id, attempt) in unsent.collect::<Vec<_>>() {
+            self.unsend(link, id);
+            self.take_back(attempt.request, Outcome::Unconnected, None, Vec::new());
         }
     }
 
-    /// Whether the list says that it takes new tasks.
-    fn is_active(&self, machine: MachineId) -> bool {
-        let entry = self.hosts.get(&machine).and_then(|host| host.entry.as_ref());
-        entry.is_some_and(|entry| entry.health == State::Active)
-    }
-
     fn links_of(&self, machine: MachineId) -> impl Iterator<Item = (LinkId, &Link)> {
         let links = self.hosts.get(&machine).into_iter().flat_map(|host| &host.links);
         links.filter_map(|id| Some((*id, self.links.get(id)?)))
@@ -277,7 +270,7 @@
         let seen = Seen {
             // One that no line ever named can't be connected to.
             listed: host.entry.is_none() || host.is_listed(),
-            leaving: host.entry.as_ref().is_some_and(|entry| entry.health == State::Leaving),
+            leaving: host.health() == Some(State::Leaving),
             broke: host.broke,
             links_up: up,
             refused: host.refused,
@@ -356,8 +349,7 @@
                 Some(ids[at])
             }
             Some(Choice::Make) => self.make_link(machine),
-            None if self.make_room(now, false) => self.make_link(machine),
-            None => None,
+            None => self.place_link(now, machine, false),
         }
     }
 
@@ -365,8 +357,12 @@
     /// connected to.
     pub(crate) fn any_link(&mut self, now: Micros, machine: MachineId) -> Option<LinkId> {
         let up = self.links_of(machine).filter(|(_, link)| !link.doubtful).max_by_key(|(_, link)| link.up);
-        let up = up.map(|(id, _)| id);
-        up.or_else(|| if self.make_room(now, false) { self.make_link(machine) } else { None })
+        up.map(|(id, _)| id).or_else(|| self.place_link(now, machine, false))
+    }
+
+    /// A new connection, once there is room for it.
+    fn place_link(&mut self, now: Micros, machine: MachineId, visit: bool) -> Option<LinkId> {
+        if self.make_room(now, visit) { self.make_link(machine) } else { None }
     }
 
     /// Room for one more connection: one that is needed less goes, if it has to. `visit`: the new one is only to hear
@@ -385,10 +381,8 @@
                 (*id, Spent { up: link.up, check: link.check, only, used: link.used, since: link.since })
             })
             .unzip();
-        let lasts = self.told.settings.rules.connect_timeout_us.unwrap_or(VISIT_US);
-        let Some(at) = decide::which_makes_room(&spent, visit, now.saturating_sub(lasts)) else {
-            return false;
-        };
+        let until = now.saturating_sub(connect_us(&self.told));
+        let Some(at) = decide::which_makes_room(&spent, visit, until) else { return false };
         let machine = self.links[&ids[at]].machine;
         self.close_link(ids[at]);
         if let Some(host) = self.hosts.get_mut(&machine).filter(|host| host.is_asked() && !host.waiting) {
@@ -445,8 +439,7 @@
 
     /// Connects once more to a host that holds tasks, if there is room: it is closed again if others stand.
     fn check(&mut self, now: Micros, machine: MachineId) -> bool {
-        let made = if self.make_room(now, true) { self.make_link(machine) } else { None };
-        let link = made.and_then(|link| self.links.get_mut(&link));
+        let link = self.place_link(now, machine, true).and_then(|link| self.links.get_mut(&link));
         link.map(|link| link.check = true).is_some()
     }
 
@@ -560,9 +553,9 @@
         let out = self.requests.get_mut(&request).and_then(|entry| entry.out.as_mut());
         let Some(out) = out.filter(|out| out.number == attempt.number) else { return };
         let fate = decide::did_it_run(down, out.position < begun);
-        let (machine, again) = (out.machine, out.resent < MOST_RESENT && now < out.until);
-        out.resent += 1;
-        if fate == Fate::Unsent && again && self.is_active(machine) {
+        let active = self.hosts.get(&out.machine).and_then(Host::health) == Some(State::Active);
+        if fate == Fate::Unsent && out.resent < MOST_RESENT && now < out.until && active {
+            out.resent += 1;
             return self.send_setup(now, request);
         }
         let outcome = if fate == Fate::MayHaveRun { Outcome::Reset } else { Outcome::Unconnected };
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/owners.rs
@@ -61,17 +61,20 @@
     pub(crate) fn closed_on(&mut self, conn: ConnId, id: u64) {
         if let Some(entry) = self.conns.get_mut(&conn) {
             entry.open.remove(&id);
-            if entry.ended && entry.open.is_empty() {
-                self.close_owner(conn);
-            }
+            self.close_ended(conn);
         }
     }
 
     /// An owner that said all it has to say still gets its answers.
     pub(crate) fn owner_ended(&mut self, conn: ConnId) {
-        let Some(entry) = self.conns.get_mut(&conn) else { return };
-        entry.ended = true;
-        if entry.open.is_empty() {
+        if let Some(entry) = self.conns.get_mut(&conn) {
+            entry.ended = true;
+            self.close_ended(conn);
+        }
+    }
+
+    fn close_ended(&mut self, conn: ConnId) {
+        if self.conns.get(&conn).is_some_and(|entry| entry.ended && entry.open.is_empty()) {
             self.close_owner(conn);
         }
     }
@@ -82,9 +85,7 @@
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         for id in std::mem::take(&mut entry.open) {
             self.send_owner(conn, ToOwner::failure(id, CUT));
-            if let Some(request) = self.by_id.get(&id).copied() {
-                self.withdraw(request);
-            }
+            self.withdraw(id);
         }
         self.close_owner(conn);
     }
@@ -114,11 +115,7 @@
 
     pub(crate) fn owner_gone(&mut self, now: Micros, conn: ConnId) {
         let Some(gone) = self.conns.remove(&conn) else { return };
-        for id in gone.open {
-            if let Some(request) = self.by_id.get(&id).copied() {
-                self.withdraw(request);
-            }
-        }
+        gone.open.into_iter().for_each(|id| self.withdraw(id));
         // An end that was just written may have crossed the close.
         let crossed: Vec<u64> =
             self.told_ends.iter().filter(|(_, (to, _))| *to == conn).map(|(id, _)| *id).collect();
@@ -130,8 +127,10 @@
     }
 
     /// The owner waits no more.
-    fn withdraw(&mut self, request: RequestId) {
-        if self.close(request).is_some() {
+    fn withdraw(&mut self, id: u64) {
+        if let Some(request) = self.by_id.get(&id).copied()
+            && self.close(request).is_some()
+        {
             self.events.push(Event::Withdrawn(request));
         }
     }
@@ -155,9 +154,8 @@
     fn unusable(&mut self, conn: ConnId, id: u64, why: &str) {
         self.log(format!("owner {conn}: turned away: message on {id:016x}: {why}"));
         // One whole answer at most for one id on one connection: what is open under it ends with this.
-        let open = self.conns.get_mut(&conn).is_some_and(|entry| entry.open.remove(&id));
-        if let Some(request) = self.by_id.get(&id).copied().filter(|_| open) {
-            self.withdraw(request);
+        if self.conns.get_mut(&conn).is_some_and(|entry| entry.open.remove(&id)) {
+            self.withdraw(id);
         }
         self.send_owner(conn, ToOwner::failure(id, ERROR));
         let Some(entry) = self.conns.get_mut(&conn) else { return };
@@ -176,7 +174,7 @@
             // Only who asked may take it back.
             Phase::Open if home == conn => {
                 self.closed_on(conn, id);
-                self.withdraw(request);
+                self.withdraw(id);
             }
             Phase::Standing { .. } => {
                 if let Some(entry) = self.conns.get_mut(&conn) {
@@ -278,7 +276,7 @@
                 self.send_owner(conn, ToOwner::failure(end.id, end.cause));
                 self.told_ends.insert(end.id, (conn, End { at: now, ..end }));
             }
-            None => self.ends.push_back(end),
+            None => self.ends.push(end),
         }
     }
 
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::engine::{Bounds, Engine, Start};
+use crate::engine::{Bounds, Engine, Start, connect_us};
 use crate::io::{ConnId, Input, LinkId, Output};
 use crate::outbox::{self, Budget, outbox};
 use crate::{board, follow, sockets};
@@ -109,7 +109,7 @@
     let (began, unix_us) = (Instant::now(), unix.as_micros() as u64);
     let now = || unix_us + began.elapsed().as_micros() as u64;
     let (names, rev) = (Names::from(&config.settings), config.known.rev);
-    let connect = config.settings.settings.rules.connect_timeout_us.unwrap_or(CONNECT_US);
+    let connect = connect_us(&config.settings);
     let start = Start {
         now: unix_us,
         seed: config.seed,
@@ -151,11 +151,8 @@
         }
         shell.write();
         let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
-        for input in next(&mut listed, &mut coming, &mut batch, wake).await {
-            follow(|| follow::input(&input));
-            engine.handle(now(), input);
-        }
-        for news in batch.drain(..) {
+        let told = next(&mut listed, &mut coming, &mut batch, wake).await;
+        for news in told.into_iter().map(Came::Input).chain(batch.drain(..)) {
             let input = match news {
                 Came::Owner(conn, out) => {
                     shell.owners.insert(conn, out);
@@ -201,9 +198,6 @@
     }
 }
 
-/// How long a connection may take where no time-out is told.
-const CONNECT_US: u64 = 250_000;
-
 /// Does what is asked; a configuration that can't be used leaves the old one in force and is read again.
 async fn answer(
     mut asked: mpsc::Receiver<Asked>,
@@ -280,12 +274,12 @@
             Output::ToHost(link, message) => {
                 if let Some(out) = self.links.get(&link) {
                     out.send(&message.encode());
-                    match message {
-                        // It is to be given up before it is sent elsewhere. A host that takes nothing any more does
-                        // not hear of it, and sees the connection end instead.
-                        ToHost::Release { cause: GIVEN_UP, .. } if !out.flush() => out.cut(),
-                        ToHost::Release { cause: GIVEN_UP, .. } => {}
-                        _ => self.touched_links.push(link),
+                    if !matches!(message, ToHost::Release { cause: GIVEN_UP, .. }) {
+                        self.touched_links.push(link);
+                    } else if !out.flush() {
+                        // It is to be given up before it is sent elsewhere: a host that takes nothing any more sees
+                        // the connection end instead.
+                        out.cut();
                     }
                     self.bound(now);
                 }
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -40,9 +40,9 @@
     })
 }
 
-/// Until when what waits must move on, since it was first seen to wait.
-fn stuck_at(since: Option<Instant>) -> Instant {
-    since.unwrap_or_else(Instant::now) + STUCK
+/// Comes back when something has gone on for so long.
+async fn over(since: Option<Instant>, limit: Duration) {
+    tokio::time::sleep_until(since.unwrap_or_else(Instant::now) + limit).await;
 }
 
 /// Writes what the other end takes; since when nothing of it does, where something waits.
@@ -126,21 +126,14 @@
                 }
             }
             ready = stream.writable(), if waits.is_some() => {
-                match ready.and_then(|()| write(&messages, waits)) {
-                    Ok(since) => waits = since,
-                    Err(_) => return,
-                }
-                None
-            }
-            () = messages.news() => {
-                match write(&messages, waits) {
-                    Ok(since) => waits = since,
-                    Err(_) => return,
+                if ready.is_err() {
+                    return;
                 }
                 None
             }
-            () = tokio::time::sleep_until(stuck_at(waits)), if waits.is_some() => return,
-            () = tokio::time::sleep_until(begun.unwrap_or_else(Instant::now) + WHOLE), if begun.is_some() => {
+            () = messages.news() => None,
+            () = over(waits, STUCK), if waits.is_some() => return,
+            () = over(begun, WHOLE), if begun.is_some() => {
                 Some(Input::OwnerSpoilt(conn, "a message that does not end".to_owned()))
             }
         };
@@ -151,6 +144,10 @@
                 return;
             }
         }
+        match write(&messages, waits) {
+            Ok(since) => waits = since,
+            Err(_) => return,
+        }
         if messages.is_over() {
             return;
         }
@@ -205,7 +202,7 @@
     }
 }
 
-/// Out of descriptors, of the process or the machine.
+/// Out of descriptors, of the machine (ENFILE) or the process (EMFILE).
 fn is_short(error: &io::Error) -> bool {
     matches!(error.raw_os_error(), Some(23 | 24))
 }
@@ -250,7 +247,7 @@
                 }
             }
             () = messages.news() => {}
-            () = tokio::time::sleep_until(stuck_at(waits)), if waits.is_some() => return Down::Broke,
+            () = over(waits, STUCK), if waits.is_some() => return Down::Broke,
         }
         // A reset that came already says that nothing more is read.
         if !matches!(stream.take_error(), Ok(None)) {
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -66,7 +66,7 @@
         // That no attempt is out twice, and nothing unsafe sent again, is checked at each message.
         let world = play(seed, 150);
         for (id, heard) in &world.heard {
-            let finals = heard.answers + heard.refusals + heard.failures;
+            let finals = heard.finals();
             prop_assert!(finals <= 1, "{id}: {heard:?}");
         }
         let sizes = world.engine.sizes();
@@ -94,7 +94,7 @@
         }
         world.run(1_500 * MS);
         for (id, heard) in &world.heard {
-            assert_eq!(heard.answers + heard.refusals + heard.failures, 1, "{seed}: {id}: {heard:?}");
+            assert_eq!(heard.finals(), 1, "{seed}: {id}: {heard:?}");
         }
     }
 }
@@ -580,6 +580,6 @@
     world.run(4 * SECOND);
     for id in 1..=16 {
         let heard = &world.heard[&id];
-        assert_eq!(heard.answers + heard.refusals + heard.failures, 1, "{id}: {heard:?}");
+        assert_eq!(heard.finals(), 1, "{id}: {heard:?}");
     }
 }
--- a/crates/platform/tests/loopback.rs
+++ b/crates/platform/tests/loopback.rs
@@ -6,8 +6,8 @@
 
 use reedring_net::Asked;
 use reedring_platproto::FULL;
-use serde_json::{Value, json};
-use standins::{Board, Host, Mood, Owner, alone, message, placer, setup, soon};
+use serde_json::json;
+use standins::{Board, Host, Mood, Owner, alone, message, obliged, placer, setup, soon};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const ANSWER: u8 = 9;
@@ -61,10 +61,7 @@
 /// What is bad gets a failing release or a close in time, and nothing of it reaches a host.
 #[tokio::test]
 async fn bad_input_is_answered_or_closed_on_and_reaches_no_host() {
-    let host = Host::new().await;
-    let line = host.line("h-1", "east", "active");
-    let mut reached = host.obliging();
-    let placer = placer(vec![line]).await;
+    let (mut reached, placer) = obliged().await;
     let key = b"00000000000000aa".as_slice();
     let figures = b"cores:1;memory:1;service:0000000000000007".as_slice();
     let whole = |id, change: (u8, &[u8])| {
@@ -122,10 +119,7 @@
 /// 60 MB at full speed are cut, and others are served meanwhile.
 #[tokio::test]
 async fn a_body_without_end_is_cut() {
-    let host = Host::new().await;
-    let line = host.line("h-1", "east", "active");
-    let _told = host.obliging();
-    let placer = placer(vec![line]).await;
+    let (_told, placer) = obliged().await;
     let mut flood = Owner::connect(placer.address).await;
     let chunk = vec![0x5a; 64 * 1024];
     let mut sent = 0;
@@ -358,10 +352,7 @@
 
 #[tokio::test]
 async fn an_owner_that_said_all_it_has_to_say_gets_its_answers_and_its_close() {
-    let host = Host::new().await;
-    let line = host.line("h-1", "east", "active");
-    let _told = host.obliging();
-    let placer = placer(vec![line]).await;
+    let (_told, placer) = obliged().await;
     let mut owner = Owner::connect(placer.address).await;
     let asks: Vec<u8> = (1..=3).flat_map(|id| setup(id, "play", 5_000, "")).collect();
     owner.send(&asks).await;
@@ -385,10 +376,7 @@
 
 #[tokio::test]
 async fn who_does_not_read_is_cut() {
-    let host = Host::new().await;
-    let line = host.line("h-1", "east", "active");
-    let _told = host.obliging();
-    let placer = placer(vec![line]).await;
+    let (_told, placer) = obliged().await;
     let mut deaf = Owner::connect(placer.address).await;
     let test = message(52, 2, &[(194, &[0])]).repeat(1_000);
     soon("the cut", async { while deaf.stream.write_all(&test).await.is_ok() {} }).await;
@@ -402,10 +390,7 @@
 /// Descriptors stay bounded, and silence in hundreds keeps nobody out.
 #[tokio::test]
 async fn hundreds_that_say_nothing_keep_nobody_out() {
-    let host = Host::new().await;
-    let line = host.line("h-1", "east", "active");
-    let _told: tokio::sync::mpsc::UnboundedReceiver<Value> = host.obliging();
-    let placer = placer(vec![line]).await;
+    let (_told, placer) = obliged().await;
     let mut silent = Vec::new();
     for _ in 0..200 {
         silent.push(Owner::connect(placer.address).await);
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -341,3 +341,10 @@
     let owner = Owner::connect(placer.address).await;
     (host, placer, owner)
 }
+
+/// A placer with one host that answers every set-up, and what that host was asked.
+pub async fn obliged() -> (mpsc::UnboundedReceiver<Value>, Running) {
+    let host = Host::new().await;
+    let line = host.line("h-1", "east", "active");
+    (host.obliging(), placer(vec![line]).await)
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -81,6 +81,13 @@
     pub ran: bool,
 }
 
+impl Heard {
+    /// Final answers.
+    pub fn finals(&self) -> u32 {
+        self.answers + self.refusals + self.failures
+    }
+}
+
 pub struct World {
     pub engine: Engine,
     pub now: u64,
@@ -352,10 +359,7 @@
                 let id = *id;
                 let heard = self.heard.entry(id).or_default();
                 assert!(!heard.ran || class != "print", "{id} may have run and is sent again");
-                assert!(
-                    heard.answers + heard.refusals + heard.failures == 0,
-                    "{id} is sent after its answer"
-                );
+                assert!(heard.finals() == 0, "{id} is sent after its answer");
                 assert!(!heard.withdrawn, "{id} is sent after its owner went");
                 let other = self.live.insert(id, Live { link, port });
                 assert!(other.is_none(), "{id} is out twice");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -738,16 +738,16 @@
     fn tend_silent(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let aim = self.settings.classes.iter().map(|class| class.aim_us).min();
         let patience = self.patience(aim.unwrap_or(0));
-        for seat in self.seats.values_mut().filter(|_| self.settings.rules.may_probe) {
+        let since = |seat: &Seat| Some((seat.line.id, seat.silent_since(self.awake_since)?));
+        let since: BTreeMap<MachineId, Micros> = self.seats.values().filter_map(since).collect();
+        for (id, since) in since.iter().filter(|_| self.settings.rules.may_probe) {
+            let seat = self.seats.entry(*id).or_default();
             let old = seat.probed_at.is_none_or(|at| at + patience / 4 < now);
-            let since = seat.silent_since(self.awake_since);
-            if old && since.is_some_and(|since| since + patience / 4 < now) {
+            if old && since + patience / 4 < now {
                 seat.probed_at = Some(now);
-                actions.push(Action::Probe(seat.line.id));
+                actions.push(Action::Probe(*id));
             }
         }
-        let since = |seat: &Seat| Some((seat.line.id, seat.silent_since(self.awake_since)?));
-        let since: BTreeMap<MachineId, Micros> = self.seats.values().filter_map(since).collect();
         let patiences = self.settings.classes.iter().map(|class| self.patience(class.aim_us));
         let (patiences, mut stopped): (Vec<Micros>, u32) = (patiences.collect(), 0);
         for (request, entry) in self.entries.iter_mut().filter(|_| self.settings.rules.may_stop) {
--- a/tests/equal.rs
+++ b/tests/equal.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::{SECOND, machine, settings, task, with};
 use rand_core::Rng;
 use rand_pcg::Pcg32;
@@ -14,6 +16,13 @@
     bytes.into_iter().fold(hash, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3))
 }
 
+/// The attempt that an offer makes; `made` counts those of each request.
+fn attempt(made: &mut BTreeMap<RequestId, u16>, request: RequestId) -> AttemptId {
+    let next = made.entry(request).or_default();
+    *next += 1;
+    AttemptId { request, number: *next - 1 }
+}
+
 /// Folds every action of a drawn day into one number.
 fn fingerprint(seed: u64) -> u64 {
     let (mut draw, mut hash) = (Pcg32::new(seed, 5), 0xcbf2_9ce4_8422_2325_u64);
@@ -21,7 +30,7 @@
     let mut now = 100 * SECOND;
     let fleet: Vec<Machine> = (0..12).map(|n| machine(n, (n % 3) as u16)).collect();
     let mut out: Vec<(AttemptId, MachineId)> = Vec::new();
-    let mut counts = std::collections::BTreeMap::<RequestId, u16>::new();
+    let mut counts = BTreeMap::<RequestId, u16>::new();
     let mut events = vec![Event::Listed(Listing::Cached(fleet.clone()))];
     for round in 0..3_000_u64 {
         now += u64::from(draw.next_u32() % 30_000);
@@ -63,9 +72,7 @@
         for action in &actions {
             hash = fold(hash, action);
             if let Action::Offer { request, machine, .. } = action {
-                let number = counts.entry(*request).or_default();
-                out.push((AttemptId { request: *request, number: *number }, *machine));
-                *number += 1;
+                out.push((attempt(&mut counts, *request), *machine));
             }
         }
     }
@@ -115,7 +122,7 @@
     let mut events = vec![Event::Listed(Listing::Cached((0..fleet).map(line).collect()))];
     let (mut out, mut standing) =
         (Vec::<(AttemptId, MachineId)>::new(), Vec::<(AttemptId, MachineId)>::new());
-    let (mut made, mut probes) = (std::collections::BTreeMap::<RequestId, u16>::new(), Vec::new());
+    let (mut made, mut probes) = (BTreeMap::<RequestId, u16>::new(), Vec::new());
     let (mut id, mut offered) = (0, 0);
     for round in 0..rounds {
         now += if below(4) == 0 { 0 } else { u64::from(below(30_000)) };
@@ -226,9 +233,7 @@
             hash = fold(hash, action);
             match action {
                 Action::Offer { request, machine, .. } => {
-                    let number = made.entry(*request).or_default();
-                    out.push((AttemptId { request: *request, number: *number }, *machine));
-                    *number += 1;
+                    out.push((attempt(&mut made, *request), *machine));
                     offered += 1;
                 }
                 Action::Probe(machine) => probes.push(*machine),
