Platform: no connection makes room for one that can't be made

Found on rereading, not seen on the bench: with every place taken, a word for a host that no line names (a task handed over, ended by its owner) closed another host's connection in make_room, and only then make_link found no address (hosts.rs, any_link). place_link asks for the address first.

Test that fails without (tried: one of 24 connections was gone): nothing_makes_room_for_a_connection_that_cannot_be_made.

--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -362,6 +362,8 @@
 
     /// A new connection, once there is room for it.
     fn place_link(&mut self, now: Micros, machine: MachineId, visit: bool) -> Option<LinkId> {
+        // Nobody makes room for one to a host with no address.
+        self.hosts.get(&machine)?.address()?;
         if self.make_room(now, visit) { self.make_link(machine) } else { None }
     }
 
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -583,3 +583,16 @@
         assert_eq!(heard.finals(), 1, "{id}: {heard:?}");
     }
 }
+
+/// Found on rereading: a connection made room for one to a host that no line names, which can't be made.
+#[test]
+fn nothing_makes_room_for_a_connection_that_cannot_be_made() {
+    let mut world = World::new(29, &hosts(24));
+    let conn = world.connect();
+    hand_over(&mut world, conn, 1..=24);
+    let up = world.links_up();
+    assert_eq!(up.len(), world.most_links());
+    world.ask(conn, Setup { at: Some("h-nowhere".to_owned()), ..setup(30, "play", 4_294_967) });
+    world.tell(Input::Owner(conn, Ok(FromOwner::Release { id: 30, cause: GIVEN_UP })));
+    assert_eq!(world.links_up(), up);
+}
