Module in a folder: one concept a file, and settings that may be told while it runs

src/logic.rs is src/logic/: tide, seat, glance, ledger, and placer with list, news, silence, beliefs, pool, offer.

Event::Told is new (docs/design.md, Settings told anew); tests/retold.rs shows that a smaller part of a cold budget binds at once, with what was sent before, and that what was learned stays.

Measured: digests of tests/equal.rs unchanged.

--- a/src/api.rs
+++ b/src/api.rs
@@ -374,6 +374,9 @@
 /// Something that happened, told in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// Its settings changed while it runs. Classes, kinds and tenants keep their numbers: what is gone stays as it
+    /// was, what is new comes after it. All that was learned stays.
+    Told(Box<Settings>),
     /// What a former life of this scheduler learned, as long ago as its times say. Of machines that no list
     /// has named yet nothing is taken in.
     Recalled(Beliefs),
--- /dev/null
+++ b/src/logic/glance.rs
@@ -0,0 +1,33 @@
+//! How machines look to the draws of one step. It holds what was worked out, and decides only what fits.
+
+use super::*;
+
+/// A machine as all draws of one step see it, in one piece of memory: only an own offer changes it.
+pub struct Glance {
+    pub line: Machine,
+    /// Its place in the order that all schedulers share.
+    pub rank: usize,
+    pub tasks: f64,
+    pub limit: Load,
+    pub memory_roof: f64,
+    pub asked: Load,
+    pub used: Option<Load>,
+    pub refused: Option<Load>,
+    pub share: f64,
+    pub heard: bool,
+    /// Back cold or from a failure, or never heard of: it only looks empty.
+    pub floored: bool,
+    pub budget: bool,
+    pub barred: bool,
+    pub shut: bool,
+}
+
+impl Glance {
+    /// Whether the ask fits what the machine accepts and, by reports, its memory.
+    pub fn has_room(&self, ask: Load, ratio: Load) -> bool {
+        let (roof, grown) = (self.memory_roof, ask.memory * ratio.memory);
+        !self.refused.is_some_and(|refused| ask.reaches(refused))
+            && self.asked.plus(ask).share(self.limit) <= 1.0
+            && self.used.is_none_or(|used| roof <= 0.0 || used.memory + grown <= roof)
+    }
+}
--- /dev/null
+++ b/src/logic/mod.rs
@@ -0,0 +1,20 @@
+//! Every decision of reedring, a concept a file; the interface is `src/api.rs`, and `docs/design.md` says
+//! what was kept of the paper's Tidal Water Filling, what was changed and why, and when each exception acts.
+
+mod glance;
+mod ledger;
+mod placer;
+mod seat;
+mod tide;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand_core::Rng;
+use rand_pcg::Pcg32;
+
+pub use self::placer::Placer;
+pub use self::tide::{tidal_probabilities, water_level};
+use self::{glance::*, ledger::*, seat::*};
+use crate::api::*;
+use crate::load::{Load, ONCE};
+use crate::names::mix;
--- /dev/null
+++ b/src/logic/placer/mod.rs
@@ -0,0 +1,198 @@
+//! The placer: folds events in order, then draws for what is due. Each file beside it decides one thing.
+
+mod beliefs;
+mod list;
+mod news;
+mod offer;
+mod pool;
+mod silence;
+
+use self::pool::Draws;
+use super::*;
+
+/// Microseconds between looks at held tasks and silent machines: well under any aim, and a light load.
+const TICK_US: Micros = 100_000;
+/// Answer times remembered: enough to hold a slow one, few enough to forget a jam.
+const ANSWERS: usize = 64;
+/// Microseconds for which a tenant and class avoid a machine that turned them away: only a try brings news.
+const SHUT_US: Micros = 4 * REFUSAL_US;
+/// Microseconds between two lines for the staff.
+const LOG_US: Micros = 2_000_000;
+/// Timer of held tasks and silent machines.
+const TICK: u64 = 1;
+/// Timer of the watch on the machine list.
+const WATCH: u64 = 2;
+
+/// The placement decisions of one scheduler.
+#[derive(Default)]
+pub struct Placer {
+    settings: Settings,
+    rng: Draws,
+    seats: BTreeMap<MachineId, Seat>,
+    /// Places among the seats, from the largest machine down, in an order that all schedulers share.
+    order: Vec<usize>,
+    /// How the seats look at the moment of this step, in their order.
+    glances: Vec<Glance>,
+    entries: BTreeMap<RequestId, Entry>,
+    standing: BTreeMap<AttemptId, Standing>,
+    arrivals: VecDeque<(Micros, f64)>,
+    answers: VecDeque<Micros>,
+    /// Learnt ratio of use to ask.
+    ratio: Load,
+    /// Requests to draw for at the end of this step, in order.
+    due: Vec<RequestId>,
+    held: Vec<RequestId>,
+    /// When the watch on the list is to be asked for again; `None` before the first time.
+    watch_due: Option<Micros>,
+    watch_failures: u32,
+    /// Until when a task may wait for the report of a probe.
+    probing: Micros,
+    /// When this scheduler started or last came back from a gap in its own turns.
+    awake_since: Micros,
+    /// When the next look is due, if any.
+    tick_due: Option<Micros>,
+    /// Its own number for phases that must differ between schedulers.
+    salt: u64,
+    logged_at: Option<Micros>,
+}
+
+impl Placer {
+    /// A fresh scheduler that knows its settings and nothing else.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        // Without news of use, what machines accept tells by how much asks are expected to exceed it.
+        let accepts = accepts(&settings);
+        let ratio = Load { cores: 1.0 / accepts.cores.max(1.0), memory: 1.0 / accepts.memory.max(1.0) };
+        let rng = Draws(Some(Pcg32::new(seed, 0)));
+        Self { settings, rng, ratio, awake_since: Micros::MAX, salt: mix(seed), ..Self::default() }
+    }
+
+    /// Folds a batch of events in order, then draws for the tasks that are due.
+    pub fn step(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        if self.settings.list_on_request && self.watch_due.is_none() {
+            self.watch(now, actions);
+        }
+        if self.awake_since == Micros::MAX || self.tick_due.is_some_and(|due| due + TICK_US < now) {
+            // This scheduler stood still: the silence was its own, and no machine is blamed for it.
+            self.awake_since = now;
+        }
+        events.iter().for_each(|event| self.fold(now, event, actions));
+        let held = self.held.len();
+        if !self.due.is_empty() {
+            let a = self.poured(now);
+            let glance = |seat: &Seat| seat.glance(now, &self.settings, self.salt, self.ratio);
+            self.glances = self.seats.values().map(glance).collect();
+            self.order.iter().zip(0..).for_each(|(at, rank)| self.glances[*at].rank = rank);
+            let due = std::mem::take(&mut self.due);
+            due.into_iter().for_each(|request| self.place(now, request, a, actions));
+        }
+        if self.held.len() > held && self.probing <= now {
+            self.log(now, format!("holding {} tasks: no machine may take them", self.held.len()), actions);
+        }
+        if !self.entries.is_empty() && self.tick_due.is_none() {
+            self.tick_due = Some(now + TICK_US);
+            actions.push(Action::Timer { token: TICK, after_us: TICK_US });
+        }
+    }
+
+    fn log(&mut self, now: Micros, line: String, actions: &mut Vec<Action>) {
+        if self.logged_at.is_none_or(|at| at + LOG_US <= now) {
+            self.logged_at = Some(now);
+            actions.push(Action::Log(line));
+        }
+    }
+
+    fn fold(&mut self, now: Micros, event: &Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Listed(listing) => self.listed(now, listing, actions),
+            Event::Told(settings) => {
+                let seats = std::mem::take(&mut self.seats).into_iter();
+                self.seats = seats.map(|(id, seat)| (id, seat.sized(settings))).collect();
+                self.settings = (**settings).clone();
+                self.rank();
+            }
+            Event::Recalled(beliefs) => self.recalled(now, beliefs),
+            Event::Arrived { task, grace_us } => {
+                self.arrivals.push_back((now, self.mean_size(Load::of(task))));
+                let deadline = now.saturating_add(*grace_us);
+                self.due.push(task.request);
+                let entry = Entry { task: task.clone(), deadline, attempts: Vec::new(), open: None };
+                self.entries.insert(task.request, entry);
+            }
+            Event::Opened { request, machines } => {
+                if let Some(entry) = self.entries.get_mut(request) {
+                    // A held task that gets machines is drawn for at once, not at the next look.
+                    let held = !machines.is_empty() && !self.due.contains(request) && !entry.is_out();
+                    entry.open = Some(machines.clone());
+                    if held {
+                        self.held.retain(|other| other != request);
+                        self.due.push(*request);
+                    }
+                }
+            }
+            Event::Adopted { task, machine } => {
+                let attempt = AttemptId { request: task.request, number: 0 };
+                let (machine, service, load) = (*machine, task.service, Load::of(task));
+                self.stand(attempt, Standing { machine, service, load });
+            }
+            Event::Placed { attempt, machine, took_us } => {
+                self.answers.push_back(*took_us);
+                self.answers.drain(..self.answers.len().saturating_sub(ANSWERS));
+                let entry = self.entries.remove(&attempt.request);
+                if let Some(seat) = self.seats.get_mut(machine) {
+                    seat.answer(now, *attempt);
+                    let whose = entry.as_ref().map(Entry::whose);
+                    seat.shut.retain(|other, until| Some(*other) != whose || *until > now);
+                    if self.settings.yes_when_running {
+                        seat.starting.remove(attempt);
+                    }
+                }
+                // Machines that erred on a task which another one takes turn its tenant or class away.
+                for (erred, whose) in entry.iter().flat_map(Entry::erred) {
+                    let seat = self.seats.get_mut(&erred);
+                    seat.map(|seat| seat.shut.insert(whose, now + SHUT_US));
+                }
+            }
+            Event::Noted { attempt, note, .. } => self.noted(now, *attempt, *note),
+            Event::Ended(end) => {
+                self.report(now, end.machine, &end.report);
+                self.ended(now, end);
+            }
+            Event::Withdrawn(request) => {
+                // What is still out would only take room from a task that is wanted.
+                let entry = self.entries.remove(request);
+                let attempts = entry.iter().flat_map(|entry| entry.attempts.iter().zip(0..));
+                let out = attempts.filter(|(attempt, _)| attempt.run == Run::Out);
+                let stop = out.map(|(_, number)| Action::Stop(AttemptId { request: *request, number }));
+                actions.extend(stop.filter(|_| self.settings.rules.may_stop));
+            }
+            Event::Woken(TICK) => {
+                self.tick_due = None;
+                self.due.append(&mut self.held);
+                self.tend_silent(now, actions);
+            }
+            Event::Woken(WATCH) => match self.watch_due {
+                Some(due) if now < due => actions.push(Action::Timer { token: WATCH, after_us: due - now }),
+                _ => self.watch(now, actions),
+            },
+            Event::Woken(_) | Event::Peer { .. } => {}
+            Event::Probed { machine, answered, took_us, report } => {
+                self.report(now, *machine, report);
+                self.due.append(&mut self.held);
+                if let Some(seat) = self.seats.get_mut(machine) {
+                    seat.asked_for = false;
+                    if *answered {
+                        seat.heard_at = now;
+                        seat.looked_at = seat.looked_at.max(now.saturating_sub(*took_us));
+                    } else {
+                        seat.strike(now, &self.settings);
+                    }
+                }
+            }
+        }
+    }
+
+    /// How many machines, requests and attempts it keeps in mind.
+    pub fn sizes(&self) -> [usize; 3] {
+        [self.seats.len(), self.entries.len(), self.standing.len()]
+    }
+}
--- /dev/null
+++ b/src/logic/seat.rs
@@ -0,0 +1,209 @@
+//! What is known of one machine, and by how much its news lags. It says how a machine looks, not what to do.
+
+use super::*;
+
+/// Microseconds by which list lines lag what they tell; own binds younger than that are added to them.
+const LIST_LAG_US: Micros = 2_500_000;
+/// Microseconds by which load reports lag; they come straight from the machine.
+const REPORT_LAG_US: Micros = 500_000;
+/// Microseconds a refusal counts without newer news: a little over the slowest news.
+pub const REFUSAL_US: Micros = 3_000_000;
+/// Microseconds of the first bar after a failed attempt where no connect time-out is told.
+pub const BAR_US: Micros = 250_000;
+/// Doublings of the bar at most: 2^5 connect time-outs is as long as most troubles last.
+pub const BAR_DOUBLINGS: u32 = 5;
+/// Part of its memory that a machine may use: tasks grow after their start, and a full machine evicts.
+const MEMORY_EASE: f64 = 0.85;
+
+/// The told multiples of its size that a machine accepts.
+pub fn accepts(settings: &Settings) -> Load {
+    let told = |x: Option<f64>| x.filter(|x| x.is_finite() && *x > 0.0).unwrap_or(1.0);
+    let (cores, memory) = (told(settings.accepts_cores), told(settings.accepts_memory));
+    Load { cores, memory }
+}
+
+/// What this scheduler knows of one machine.
+#[derive(Default)]
+pub struct Seat {
+    pub line: Machine,
+    pub size: Load,
+    /// Size, times what a machine accepts.
+    pub limit: Load,
+    /// Size, up to where service starts to fade.
+    pub ease: Load,
+    /// Capacity in tasks of mean size.
+    pub tasks: f64,
+    /// Asked by all, as the list told it.
+    pub asked: Option<(Micros, Load)>,
+    /// Used by all, as a report told it.
+    pub used: Option<(Micros, Load)>,
+    /// Own binds, and ends as negative ones, young enough to be missing from news.
+    pub changes: VecDeque<(Micros, Load)>,
+    /// Asked by own tasks.
+    pub own: Load,
+    /// The last ask refused, and when.
+    pub refused: Option<(Micros, Load)>,
+    /// Own tasks by service, attempts in flight too.
+    pub services: BTreeMap<ServiceId, u32>,
+    /// Own offers while cold.
+    pub cold_offers: Vec<Micros>,
+    /// Offers without an answer.
+    pub waiting: BTreeMap<AttemptId, Micros>,
+    /// Own tasks that are offered or accepted but not known to run.
+    pub starting: BTreeSet<AttemptId>,
+    pub strikes: u32,
+    pub barred_until: Micros,
+    /// When the latest offer or probe was sent that it answered.
+    pub looked_at: Micros,
+    /// When it last answered anything, probes too.
+    pub heard_at: Micros,
+    pub probed_at: Option<Micros>,
+    /// The last probe was for its report, and has not come back.
+    pub asked_for: bool,
+    /// Tenants and classes that it turns away with no shortage named, and until when; a past time is a doubt.
+    pub shut: BTreeMap<(u16, u16), Micros>,
+    /// Since when the list says that it is gone.
+    pub gone_at: Option<Micros>,
+}
+
+impl Seat {
+    pub fn new(line: &Machine, settings: &Settings) -> Self {
+        Self { line: line.clone(), ..Self::default() }.sized(settings)
+    }
+
+    /// What the settings say of its size; all that was learned of it stays.
+    pub fn sized(self, settings: &Settings) -> Self {
+        let kind = settings.kinds.get(usize::from(self.line.kind)).cloned().unwrap_or_default();
+        let size = Load::told(kind.cores.unwrap_or(0.0), kind.memory.unwrap_or(0.0));
+        let limit = size.times(accepts(settings));
+        let calm = settings.classes.iter().filter_map(|class| class.calm).fold(1.0, f64::min);
+        let mean = |of: Option<f64>, room: f64| of.map(|of| room / of);
+        let fill = [mean(settings.mean_cores, limit.cores), mean(settings.mean_memory, limit.memory)];
+        let told = fill.into_iter().flatten().filter(|tasks| tasks.is_finite() && *tasks > 0.0);
+        let ease = size.times(Load { cores: calm, memory: MEMORY_EASE });
+        Self { size, limit, ease, tasks: told.reduce(f64::min).unwrap_or(1.0), ..self }
+    }
+
+    /// A new line of the list. A new start makes all older news void.
+    pub fn tell(&mut self, now: Micros, line: &Machine) {
+        if line.ready_at != self.line.ready_at {
+            (self.asked, self.used, self.refused) = (None, None, None);
+            (self.strikes, self.barred_until) = (0, 0);
+        }
+        if let (Some(cores), Some(memory)) = (line.free_cores, line.free_memory) {
+            let asked = Load::told(self.size.cores - cores, self.size.memory - memory);
+            self.asked = Some((now, asked));
+            // A line as old as the refusal says nothing against it.
+            self.refused = self.refused.filter(|(at, _)| now < at + LIST_LAG_US);
+        }
+        self.line = line.clone();
+    }
+
+    /// A load report: what nobody asked for, or what nobody uses.
+    pub fn report(&mut self, now: Micros, left: Load, counts_asks: bool) {
+        let taken = Load::told(self.size.cores - left.cores, self.size.memory - left.memory);
+        if counts_asks {
+            self.asked = Some((now, taken));
+            self.refused = self.refused.filter(|(at, _)| now < at + REPORT_LAG_US);
+        } else {
+            self.used = Some((now, taken));
+        }
+    }
+
+    pub fn change(&mut self, now: Micros, load: Load) {
+        self.changes.retain(|(at, _)| now < at + 2 * LIST_LAG_US);
+        self.changes.push_back((now, load));
+    }
+
+    /// News plus the own changes that it can't hold yet, so that no bind counts twice.
+    pub fn since(&self, news: (Micros, Load), lag: Micros, ratio: Load) -> Load {
+        let young = self.changes.iter().filter(|(at, _)| at + lag > news.0);
+        young.fold(news.1, |sum, (_, load)| sum.plus(load.times(ratio)))
+    }
+
+    pub fn asked(&self) -> Load {
+        let told = self.asked.map_or(self.own, |news| self.since(news, LIST_LAG_US, ONCE));
+        Load::told(told.cores.max(self.own.cores), told.memory.max(self.own.memory))
+    }
+
+    pub fn used(&self, ratio: Load) -> Option<Load> {
+        self.used.map(|news| self.since(news, REPORT_LAG_US, ratio))
+    }
+
+    /// How it looks at a moment.
+    pub fn glance(&self, now: Micros, settings: &Settings, salt: u64, ratio: Load) -> Glance {
+        let (asked, used) = (self.asked(), self.used(ratio));
+        let heard = self.asked.is_some() || self.used.is_some();
+        let refused = self.refused.filter(|(at, _)| now < at + REFUSAL_US).map(|(_, load)| load);
+        let full = f64::from(u8::from(refused.is_some_and(|refused| Load::default().reaches(refused))));
+        let use_share = used.map_or(0.0, |used| used.share(self.ease));
+        Glance {
+            line: self.line.clone(),
+            rank: 0,
+            tasks: self.tasks,
+            limit: self.limit,
+            memory_roof: self.ease.memory,
+            asked,
+            used,
+            refused,
+            // The fuller share committed: of what may be asked, or of what may be used.
+            share: asked.share(self.limit).max(use_share).max(full),
+            heard,
+            floored: !heard || self.strikes > 0 || self.is_cold(now, &settings.rules),
+            budget: self.cold_budget_left(now, settings, salt),
+            barred: self.barred_until > now,
+            shut: self.shut.values().any(|until| *until > now),
+        }
+    }
+
+    pub fn is_cold(&self, now: Micros, rules: &Rules) -> bool {
+        let warm_after = rules.warm_after_us.unwrap_or(0);
+        self.line.ready_at.is_some_and(|at| now < at.saturating_add(warm_after))
+    }
+
+    /// Guards rule 4: own offers in a window stay under an equal part of what a cold machine bears. Where it
+    /// is under one, turns are rarer and begin at a phase of the scheduler's own, or all would send at once;
+    /// phases fall by chance, so three deviations are kept in hand. Turns of those without tasks pass unused.
+    pub fn cold_budget_left(&self, now: Micros, settings: &Settings, salt: u64) -> bool {
+        let (rules, schedulers) = (&settings.rules, f64::from(settings.schedulers.max(1)));
+        let told = rules.cold_offers.zip(rules.overload_us).zip(self.line.ready_at);
+        let Some(((offers, window), born)) = told.filter(|_| self.is_cold(now, rules)) else { return true };
+        let offers = offers.max(0.0);
+        if offers >= schedulers {
+            let young = self.cold_offers.iter().filter(|at| **at + window > now).count();
+            return (young as f64) < (offers / schedulers).floor();
+        }
+        let root = ((9.0 + 4.0 * offers).sqrt() - 3.0) / 2.0;
+        let turn = (window as f64 * schedulers / (root * root).max(1e-3)) as Micros;
+        let phase = mix(salt ^ mix(self.line.id.0 ^ mix(born))) as f64 / u64::MAX as f64;
+        let first = born.saturating_add((turn as f64 * phase) as Micros);
+        now >= first && self.cold_offers.last().is_none_or(|at| at.saturating_add(turn) <= now)
+    }
+
+    /// A failed connect, probe or attempt: stay away, longer each time.
+    pub fn strike(&mut self, now: Micros, settings: &Settings) {
+        let bar = settings.rules.connect_timeout_us.unwrap_or(BAR_US);
+        self.barred_until = now + (bar << self.strikes.min(BAR_DOUBLINGS));
+        self.strikes += 1;
+    }
+
+    /// An answer: the way back is a step for each, so one lucky answer does not clear a jam.
+    pub fn answer(&mut self, now: Micros, attempt: AttemptId) {
+        let sent = self.waiting.remove(&attempt).unwrap_or(0);
+        self.looked_at = self.looked_at.max(sent);
+        self.heard_at = now;
+        self.strikes /= 2;
+    }
+
+    /// Asks are looked at in order: one sent before the latest answered one was seen and not answered, by a
+    /// machine that does not serve its class. It shows where a yes comes at acceptance, and needs that order.
+    pub fn passed_over(&self, sent: Micros, settings: &Settings) -> bool {
+        !settings.yes_when_running && sent < self.looked_at
+    }
+
+    /// Offers wait and nothing at all came back since: a hang, a stall or a cut link. A machine that still
+    /// answers others or probes is slow, not silent: to give its offers up would only start copies.
+    pub fn silent_since(&self, awake_since: Micros) -> Option<Micros> {
+        self.waiting.values().min().map(|sent| (*sent).max(self.heard_at).max(awake_since))
+    }
+}
