--- /dev/null
+++ b/crates/standin/src/model/offers.rs
@@ -0,0 +1,118 @@
+//! Offers: the line that they wait in, the look that accepts or refuses, and the fall of a cold node.
+
+use rand_core::Rng;
+use reedring_drmaa::JobSpec;
+use reedring_nodeproto::{AttemptId, End, Message, Reason, Repeat, Task};
+
+use super::Node;
+use super::types::{Effect, Job, State, Waiting};
+use crate::groups::Groups;
+
+impl Node {
+    pub(super) fn offered(
+        &mut self,
+        now_us: u64,
+        placer: String,
+        attempt: AttemptId,
+        task: Task,
+        within_ms: u32,
+        groups: &mut Groups,
+    ) {
+        if self.is_cold(now_us) {
+            self.offers.push_back(now_us);
+            let window = self.config.cold_window_ms * 1_000;
+            while self.offers.front().is_some_and(|at| at + window < now_us) {
+                self.offers.pop_front();
+            }
+            if self.config.cold_offers.is_some_and(|most| self.offers.len() > most as usize) {
+                self.fallen = true;
+                return self.effects.push(Effect::FellOver);
+            }
+        }
+        if self.fault.deaf_to.contains(&task.class) {
+            return;
+        }
+        if self.line.len() >= self.config.line {
+            return self.refuse(&placer, attempt, Reason::Crowded);
+        }
+        let too_late_us = match within_ms {
+            0 => u64::MAX,
+            ms => now_us + u64::from(ms) * 1_000,
+        };
+        self.line.push_back(Waiting { attempt, placer, task, too_late_us });
+        if self.looks_until.is_none() {
+            self.looks_until = Some(now_us + self.config.look().as_micros() as u64);
+        }
+        self.tick(now_us, groups);
+    }
+
+    pub(super) fn is_cold(&self, now_us: u64) -> bool {
+        now_us < self.started_us + self.config.warm_ms * 1_000
+    }
+
+    pub(super) fn refuse(&mut self, placer: &str, attempt: AttemptId, reason: Reason) {
+        let (text, report) = (String::new(), self.report());
+        self.tell(placer, Message::Refused { attempt, reason, text, report });
+    }
+
+    pub(super) fn look(&mut self, now_us: u64, waiting: Waiting, groups: &mut Groups) {
+        let Waiting { attempt, placer, task, too_late_us } = waiting;
+        let (cores, memory) = self.asked;
+        let (hall, rack) = (self.config.hall.clone(), self.config.rack.clone());
+        let room = |asked: f64, ask: f64, size: f64, times: f64| asked + ask <= size * times + 1e-9;
+        let refusal = if too_late_us <= now_us {
+            Some(Reason::TooLate)
+        } else if self.drains {
+            Some(Reason::Draining)
+        } else if self.fault.throttles.contains(&task.tenant) {
+            Some(Reason::Untold)
+        } else if task.repeat == Repeat::Keyed && groups.stands(now_us, attempt, &task, &hall, &rack) {
+            Some(Reason::CopyStands)
+        } else if !room(cores, task.cores, self.config.cores, self.config.accepts_cores) {
+            Some(Reason::NoCores)
+        } else if !room(memory, task.memory, self.config.memory, self.config.accepts_memory) {
+            Some(Reason::NoMemory)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            return self.refuse(&placer, attempt, reason);
+        }
+        if task.repeat == Repeat::Keyed {
+            groups.taken(now_us, attempt, &task, &hall, &rack);
+        }
+        let (life_us, end) = self.run_of(&task);
+        let (low, high) = self.config.uses;
+        let uses = task.memory * (low + (high - low) * f64::from(self.rng.next_u32()) / f64::from(u32::MAX));
+        self.asked = (cores + task.cores, memory + task.memory);
+        *self.services.entry(task.service.clone()).or_default() += 1;
+        self.taken += 1;
+        let order = self.taken;
+        let state = State::Queued;
+        let job = Job { placer: placer.clone(), task, state, until_us: 0, life_us, end, uses, order };
+        self.jobs.insert(attempt, job);
+        self.queue.push_back(attempt);
+        if !self.config.yes_when_running {
+            let report = self.report();
+            self.tell(&placer, Message::Accepted { attempt, report });
+        }
+        self.start_next(now_us);
+    }
+
+    /// How long a task runs and how it ends, by its command or its life.
+    pub(super) fn run_of(&self, task: &Task) -> (u64, End) {
+        let spec: JobSpec = serde_json::from_slice(&task.payload).unwrap_or_default();
+        let word = spec.command.rsplit('/').next().unwrap_or_default();
+        let first = spec.args.first().map(String::as_str).unwrap_or_default();
+        let told = if task.life_ms > 0 { task.life_ms } else { self.config.life_ms };
+        match (word, first.parse::<f64>()) {
+            ("sleep", Ok(seconds)) if (0.0..1e9).contains(&seconds) => {
+                ((seconds * 1e6) as u64, End::Exited(0))
+            }
+            ("true", _) => (0, End::Exited(0)),
+            ("false", _) => (0, End::Exited(1)),
+            ("exit", Ok(status)) if (0.0..256.0).contains(&status) => (0, End::Exited(status as u8)),
+            _ => (told * 1_000, End::Exited(0)),
+        }
+    }
+}
