Cold nodes that are late get nothing more; answers go by how far behind the placer is

Checked in traces of failing plays. Rule 4: seven offers of placer-1, killed at 30.694, were read by node-6 at 30.798; its successor's ledger had them as decided some 200 ms earlier and let two more go at 31.59 and 31.73, within a second of the first. What is counted is when an offer was decided; what counts at the node is when it arrives. Ruled out: the disk alone (no write over 105 ms), the input queue (at most 5 waited).

Changed: decide::cold_and_late holds a cold node back while an offer to it is unanswered for longer than the jitter, and for a window after a late answer; decide::former_offer counts what a former life sent as sent when its link is voided. Both reach the module as sets of machines, the way of constraints (holds.rs, one list of reasons). Answers that wait for nothing leave before the module decides (Core::release), turns are shorter, and the margin before an owner gives up follows the measured lag of loop and disk (decide::answer_margin). The audit's excuse for a stall covers an answer that was on its way when it began.

--- a/crates/audit/src/judge/known.rs
+++ b/crates/audit/src/judge/known.rs
@@ -88,10 +88,12 @@
 }
 
 impl Placer {
-    /// The last moment for an answer that is due at `at`.
+    /// The last moment for an answer that is due at `at`: what stands still in the time that an answer has for its
+    /// way can't send it, and has that time again afterwards.
     pub(super) fn due(&self, at: u64) -> u64 {
-        let over = self.stalls.iter().filter(|(from, to)| (*from..*to).contains(&at)).map(|(_, to)| *to);
-        over.max().unwrap_or(at).saturating_add(SLACK_US)
+        let by = at.saturating_add(SLACK_US);
+        let over = self.stalls.iter().filter(|(from, to)| *from <= by && at < *to).map(|(_, to)| *to);
+        over.max().map_or(by, |to| to.saturating_add(SLACK_US))
     }
 
     pub(super) fn closed_since(&self, node: &str) -> Option<u64> {
--- a/crates/core/src/constrain.rs
+++ b/crates/core/src/constrain.rs
@@ -126,6 +126,8 @@
 pub(crate) struct Constrainer {
     fleet: Fleet,
     machines: Vec<MachineId>,
+    /// Machines that get nothing new for now.
+    held: BTreeSet<MachineId>,
     census: Census,
     /// What was worked out for this fleet, by text.
     compiled: BTreeMap<String, Arc<Compiled>>,
@@ -150,8 +152,9 @@
 
 /// Texts that are kept worked out: far more than a site's own, and a bound for clients that make up new ones.
 const MAX_TEXTS: usize = 4_096;
-/// Requests that get their turn in one flush: the rest wait for the next, which comes at once.
-pub(crate) const TURNS: usize = 32;
+/// Requests that get their turn in one flush: the rest wait for the next, which comes at once. Answers that are
+/// ready wait for a flush to end, so it is kept short.
+pub(crate) const TURNS: usize = 8;
 
 impl Constrainer {
     /// The list or a node's health changed.
@@ -197,6 +200,17 @@
         self.doubted.extend(self.standing.keys());
     }
 
+    /// These machines get nothing new for now.
+    pub fn hold(&mut self, held: &BTreeSet<MachineId>) {
+        self.held.clone_from(held);
+        self.dirty.extend(self.waiting.keys());
+    }
+
+    /// Whether a request that waits has a constraint.
+    pub fn has(&self, request: RequestId) -> bool {
+        self.waiting.contains_key(&request)
+    }
+
     /// The node list as constraints see it.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
@@ -222,6 +236,7 @@
     fn ids(&self, answer: &Answer) -> Vec<MachineId> {
         let mut ids: Vec<MachineId> =
             answer.machines.ones().filter_map(|n| self.machines.get(n).copied()).collect();
+        ids.retain(|machine| !self.held.contains(machine));
         ids.sort_unstable();
         ids
     }
@@ -255,6 +270,7 @@
     fn whole(&mut self, subject: &Subject) -> Vec<MachineId> {
         let compiled = self.compiled(&subject.bound);
         let mut ids: Vec<MachineId> = compiled.ever().filter_map(|n| self.machines.get(n).copied()).collect();
+        ids.retain(|machine| !self.held.contains(machine));
         ids.sort_unstable();
         ids
     }
@@ -308,11 +324,16 @@
         self.ghosts.insert(attempt, (node, topics));
     }
 
-    /// A node told what became of an attempt that nobody waits for any more.
-    pub fn ghost_gone(&mut self, attempt: wire::AttemptId) {
-        if let Some((node, topics)) = self.ghosts.remove(&attempt) {
-            self.copy_goes(&topics, node);
-        }
+    /// A node told what became of an attempt that nobody waits for any more; which node, if one was waited for.
+    pub fn ghost_gone(&mut self, attempt: wire::AttemptId) -> Option<NodeNo> {
+        let (node, topics) = self.ghosts.remove(&attempt)?;
+        self.copy_goes(&topics, node);
+        Some(node)
+    }
+
+    /// Whether nobody knows of some attempt at this node what became of it.
+    pub fn has_ghosts(&self, node: NodeNo) -> bool {
+        self.ghosts.values().any(|(at, _)| *at == node)
     }
 
     /// A node told all that it holds: what is not among it does not stand.
@@ -320,14 +341,14 @@
         let gone = |(attempt, (at, _)): &(&wire::AttemptId, &Ghost)| *at == node && !held.contains(attempt);
         let gone: Vec<wire::AttemptId> =
             self.ghosts.iter().filter(gone).map(|(attempt, _)| *attempt).collect();
-        gone.into_iter().for_each(|attempt| self.ghost_gone(attempt));
+        gone.into_iter().for_each(|attempt| drop(self.ghost_gone(attempt)));
     }
 
     /// A node started anew: no copy of before stands there.
     pub fn ghosts_gone(&mut self, node: NodeNo) {
         let there: Vec<wire::AttemptId> =
             self.ghosts.iter().filter(|(_, (at, _))| *at == node).map(|(attempt, _)| *attempt).collect();
-        there.into_iter().for_each(|attempt| self.ghost_gone(attempt));
+        there.into_iter().for_each(|attempt| drop(self.ghost_gone(attempt)));
     }
 
     fn copies_changed(&mut self, topics: &[Topic]) {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -13,7 +13,8 @@
 use reedring_state::Change;
 
 use crate::constrain::{Constrainer, Opened, TURNS};
-use crate::decide::{Known, Loss};
+use crate::decide::{self, Known, Loss};
+use crate::holds::Holds;
 use crate::io::{ConnId, Input, Level, Output};
 use crate::jobs::{Attempt, Ending, JobName, JobNo, Ledger, NodeNo, Outcome, Phase};
 use crate::keep::Keep;
@@ -44,6 +45,9 @@
     pub(crate) sessions: Sessions,
     pub(crate) timers: Timers<Timer>,
     pub(crate) constrain: Constrainer,
+    pub(crate) holds: Holds,
+    /// How far behind the loop and the disk were lately.
+    pub(crate) lag: decide::Lag,
     pub(crate) stats: Stats,
     /// Nanoseconds spent in the module.
     pub(crate) module_ns: u64,
@@ -97,6 +101,8 @@
             sessions: Sessions::default(),
             timers,
             constrain: Constrainer::default(),
+            holds: Holds::default(),
+            lag: decide::Lag::default(),
             stats: Stats::default(),
             module_ns: 0,
             parked: Vec::new(),
@@ -168,9 +174,14 @@
 
     /// Runs the timers that are due and lets the module decide on all that came since the last time.
     pub fn flush(&mut self, now: Micros) {
-        while let Some(timer) = self.timers.pop(now) {
-            self.fire(now, timer);
+        while let Some(due) = self.timers.next().filter(|due| *due <= now) {
+            // Before anything else: answers that this turn gives go by how far behind it is.
+            self.lag.note(now, now - due);
+            if let Some(timer) = self.timers.pop(now) {
+                self.fire(now, timer);
+            }
         }
+        self.tell_holds();
         let (mut actions, mut turns) = (Vec::new(), 0);
         loop {
             if self.events.is_empty() {
@@ -274,6 +285,7 @@
         let (job, id) = (*job, AttemptId { request, number: *number });
         *number += 1;
         let Some(node) = self.nodes.of_machine(machine) else { return };
+        let held = self.holds.has(machine);
         let wire = wire::AttemptId { life: self.start.life, request: request.0, number: id.number };
         let task = self.wire_task(job);
         let Some(entry) = self.ledger.job_mut(job) else { return };
@@ -291,6 +303,10 @@
         let Some(entry) = self.nodes.all.get_mut(&node) else { return };
         entry.attempts.insert(id);
         let up = entry.is_up();
+        if held {
+            // It was held back after the module had drawn.
+            return self.unplaced(now, id, Fate::Unsent, None, Vec::new(), "held back");
+        }
         let effect = self.ledger.jobs.get(&job).map_or(reedring::Effect::Unsafe, |job| self.effect(job));
         if !self.may_leave(effect) {
             return self.cannot_leave(now, id);
@@ -305,6 +321,7 @@
                 let within_ms = u32::try_from(within / 1_000).unwrap_or(u32::MAX);
                 let within_ms = if within > 0 { within_ms.max(1) } else { 0 };
                 self.stats.offers += 1;
+                self.offered_to(now, node);
                 self.stage_send(now, node, Message::Offer { attempt: wire, task: Box::new(task), within_ms });
             }
             _ => self.unplaced(now, id, Fate::Unconnected, None, Vec::new(), "no link"),
@@ -357,10 +374,15 @@
     fn answer(&mut self, now: Micros, request: RequestId, outcome: Outcome, stay_away_us: Option<Micros>) {
         let Some((job, _)) = self.ledger.requests.remove(&request) else { return };
         let mut reason = self.why_not(job, request);
+        let held = self.holds.words();
+        if !held.is_empty() {
+            reason = format!("{reason}; {held}");
+        }
         if let Some(constraint) = self.constrain.why_not(request) {
             reason = format!("{reason}; {constraint}");
         }
         self.constrain.answered(request);
+        self.holds.answered(request);
         self.told(job, outcome);
         let reason = match outcome {
             Outcome::Refused => format!("refused: {reason}"),
@@ -445,6 +467,7 @@
                 }
             }
             Timer::Lines => self.tell_lines(now),
+            Timer::Cold(node) => self.tend_cold(now, node),
             Timer::Probe(nonce) => self.probed(now, nonce, None),
             Timer::Ask(job) => {
                 let waits = self.ledger.jobs.get(&job).is_some_and(|job| matches!(job.phase, Phase::Delayed));
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -235,6 +235,69 @@
     !cold || known || now >= started.saturating_add(window_us.unwrap_or(0))
 }
 
+/// Microseconds before an owner gives up at which the module's time is over: enough to answer on a machine that
+/// keeps up, little beside any class's patience.
+pub const ANSWER_MARGIN_US: u64 = 100_000;
+
+/// How long before its owner gives up a request must be answered by the module: the answer has the loop and the
+/// disk before it, so twice what these were behind lately, and no more than a quarter of the owner's patience.
+pub fn answer_margin(grace_us: u64, lag_us: u64) -> u64 {
+    ANSWER_MARGIN_US.max(lag_us.saturating_mul(2)).min(grace_us / 4)
+}
+
+/// How far behind something was lately: the worst, which counts for half as much after each [`HALF_US`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lag {
+    worst_us: u64,
+    at_us: u64,
+}
+
+/// Microseconds after which a lag counts for half.
+const HALF_US: u64 = 5_000_000;
+
+impl Lag {
+    /// Something was late by so much.
+    pub fn note(&mut self, now: u64, late_us: u64) {
+        if late_us >= self.at(now) {
+            (self.worst_us, self.at_us) = (late_us, now);
+        }
+    }
+
+    /// What counts now.
+    pub fn at(&self, now: u64) -> u64 {
+        let halves = now.saturating_sub(self.at_us) / HALF_US;
+        self.worst_us.checked_shr(u32::try_from(halves).unwrap_or(u32::MAX)).unwrap_or(0)
+    }
+}
+
+/// Whether a cold node gets nothing more for now (rule 4).
+///
+/// The module counts offers to a cold node from when it decided them, with a jitter in hand. A link that stalls or
+/// a node that reads slowly lets more than that pass before the first of them arrives, and then all at once: so a
+/// node with an offer that is unanswered for longer than the jitter gets none, and neither does one that answered
+/// late, for a window after that answer (`late_until`).
+///
+/// | cold | oldest unanswered offer | answered late | held |
+/// | --- | --- | --- | --- |
+/// | no | any | any | no |
+/// | yes | older than the jitter | any | yes |
+/// | yes | younger, or none | less than a window ago | yes |
+/// | yes | younger, or none | longer ago, or never | no |
+pub fn cold_and_late(now: u64, cold: bool, oldest: Option<u64>, late_until: u64, jitter: u64) -> bool {
+    cold && (late_until > now || oldest.is_some_and(|sent| now >= sent.saturating_add(jitter)))
+}
+
+/// How long ago an offer of a former life counts as sent to a cold node, which the ledger has as decided `ago`.
+///
+/// It may have reached its node as late as the former life's link stood, so until its successor greets: within
+/// [`FORMER_US`] of a window it counts as sent just now.
+pub fn former_offer(ago: u64, window: u64) -> u64 {
+    if ago < window.saturating_add(FORMER_US) { 0 } else { ago }
+}
+
+/// Microseconds for which a link of a former life may hold an offer back.
+const FORMER_US: u64 = 2_000_000;
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -352,6 +415,45 @@
         }
     }
 
+    /// Every case of the table.
+    #[test]
+    fn a_cold_node_that_is_late_gets_nothing_until_a_window_after_it_answered() {
+        let (now, jitter) = (1_000, 100);
+        for (cold, oldest, late_until, held) in [
+            (false, Some(0), 2_000, false),
+            (true, Some(900), 0, true),
+            (true, Some(901), 0, false),
+            (true, Some(901), 1_001, true),
+            (true, None, 1_001, true),
+            (true, None, 1_000, false),
+            (true, None, 0, false),
+        ] {
+            let got = cold_and_late(now, cold, oldest, late_until, jitter);
+            assert_eq!(got, held, "{cold} {oldest:?} {late_until}");
+        }
+    }
+
+    #[test]
+    fn the_margin_of_an_answer_follows_the_lag_and_leaves_most_of_the_patience() {
+        assert_eq!(answer_margin(8_000_000, 0), ANSWER_MARGIN_US);
+        assert_eq!(answer_margin(8_000_000, 400_000), 800_000);
+        assert_eq!(answer_margin(2_000_000, 400_000), 500_000);
+        assert_eq!(answer_margin(200_000, 0), 50_000);
+        let mut lag = Lag::default();
+        lag.note(0, 400);
+        lag.note(1, 300);
+        assert_eq!((lag.at(2), lag.at(HALF_US), lag.at(3 * HALF_US), lag.at(u64::MAX)), (400, 200, 50, 0));
+        lag.note(HALF_US, 300);
+        assert_eq!(lag.at(HALF_US), 300);
+    }
+
+    #[test]
+    fn offers_of_a_former_life_count_as_just_sent_while_they_may_still_arrive() {
+        assert_eq!(former_offer(0, 5), 0);
+        assert_eq!(former_offer(FORMER_US + 4, 5), 0);
+        assert_eq!(former_offer(FORMER_US + 5, 5), FORMER_US + 5);
+    }
+
     #[test]
     fn a_repeat_to_a_successor_starts_safe_tasks_alone() {
         let repeats = [Repeat::Held, Repeat::Untold, Repeat::NotHeld];
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -13,10 +13,6 @@
 use crate::sessions::{Sessions, ended};
 use crate::timers::Timer;
 
-/// Microseconds before an owner gives up at which the module's time is over: enough to answer on a busy
-/// machine, little beside any class's patience.
-pub(crate) const ANSWER_MARGIN_US: Micros = 100_000;
-
 impl Core {
     /// An attempt's end is known, or it is `unknown` whether its copy stands still.
     pub(crate) fn close(&mut self, id: AttemptId, fate: &'static str, unknown: bool) -> Option<Attempt> {
@@ -73,6 +69,9 @@
             if unanswered && self.unsend(id) { (Fate::Unsent, "never sent") } else { (fate, word) };
         let unknown = unanswered && fate != Fate::Unsent;
         let Some(attempt) = self.close(id, word, unknown) else { return };
+        if fate != Fate::Unsent {
+            self.answered_at(now, attempt.node, attempt.sent);
+        }
         if (unknown || fate == Fate::Error)
             && let Some(job) = self.ledger.job_mut(attempt.job)
         {
@@ -216,11 +215,16 @@
         (entry.phase, entry.until, entry.may_have_run) = (Phase::Asked(request), now + grace_us, false);
         self.ledger.requests.insert(request, (job, 0));
         // The answer must be with the owner before it gives up, so the module gets a little less time.
-        let margin = ANSWER_MARGIN_US.min(grace_us / 4);
+        let margin = decide::answer_margin(grace_us, self.lag.at(now));
         self.timers.set(now + grace_us - margin / 2, Timer::GiveUp { job, request: request.0 });
         self.events.push(Event::Arrived { task, grace_us: grace_us - margin });
-        let opened = subject.map(|subject| self.constrain.asked(request, subject));
-        self.events.extend(opened.map(opened_event));
+        match subject {
+            Some(subject) => {
+                let opened = self.constrain.asked(request, subject);
+                self.events.push(opened_event(opened));
+            }
+            None => self.narrow(request),
+        }
     }
 
     /// The module is told that nobody wants this job placed any more; it stops what is out.
@@ -233,6 +237,7 @@
     pub(crate) fn take_back(&mut self, request: RequestId) {
         self.ledger.requests.remove(&request);
         self.constrain.answered(request);
+        self.holds.answered(request);
         self.events.push(Event::Withdrawn(request));
     }
 
--- a/crates/core/src/keep.rs
+++ b/crates/core/src/keep.rs
@@ -4,7 +4,7 @@
 //! acknowledged ends, which nodes forget, and offers that a successor must know of: the first of each job,
 //! those of tasks that must not start twice, and those to cold nodes. All else leaves at once.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use reedring::{AttemptId, Beliefs, Effect, Micros, Outcome as Fate};
 use reedring_drmaa::rpc::Answer;
@@ -83,6 +83,8 @@
     whole: bool,
     /// The last batch that did.
     whole_seq: u64,
+    /// When each batch that is not durable yet was made.
+    cuts: VecDeque<(u64, Micros)>,
 }
 
 impl Keep {
@@ -244,6 +246,31 @@
         }
     }
 
+    /// Before the module decides: what waits for nothing that this turn changes leaves, as a turn may be long.
+    pub fn release(&mut self, now: Micros) {
+        let on = self.keep.mode == Mode::On;
+        let (mut kept, mut behind) = (Vec::new(), BTreeSet::new());
+        for staged in std::mem::take(&mut self.keep.staged) {
+            let needs = match staged.waits {
+                Waits::No => Some(0),
+                Waits::For(seq) => Some(if on { seq } else { 0 }),
+                Waits::Now => None,
+            };
+            // Each destination keeps its order.
+            match needs.filter(|_| !behind.contains(&staged.to)) {
+                Some(needs) => {
+                    let passed = self.keep.gate.pass(staged.to, needs, (now, staged.output));
+                    self.outputs.extend(passed.map(|(_, output)| output));
+                }
+                None => {
+                    behind.insert(staged.to);
+                    kept.push(staged);
+                }
+            }
+        }
+        self.keep.staged = kept;
+    }
+
     /// The end of a flush: its changes become a batch, its outputs leave or wait for it.
     pub(crate) fn cut(&mut self, now: Micros) {
         match self.keep.mode {
@@ -307,6 +334,7 @@
     fn keep_batch(&mut self, now: Micros, changes: Vec<Change>, whole: bool) {
         if !changes.is_empty() {
             self.keep.seq += 1;
+            self.keep.cuts.push_back((self.keep.seq, now));
             let batch = Batch { seq: self.keep.seq, at: self.unix_us(now), changes };
             self.outputs.push_back(Output::Keep { batch, whole });
         }
@@ -395,6 +423,10 @@
     // ---- What the disk says ----
 
     pub(crate) fn durable(&mut self, now: Micros, seq: u64) {
+        let done = self.keep.cuts.iter().take_while(|(cut, _)| *cut <= seq).count();
+        for (_, cut) in self.keep.cuts.drain(..done) {
+            self.lag.note(now, now.saturating_sub(cut));
+        }
         for (to, (since, output)) in self.keep.gate.durable(seq) {
             if let (Dest::Node(number), Some(wire)) = (to, offered(&output)) {
                 let ready = self.nodes.all.get(&number).is_some_and(|node| node.health() == Health::Ready);
@@ -422,6 +454,7 @@
             return;
         }
         self.keep.whole = false;
+        self.keep.cuts.clear();
         self.keep.changes.clear();
         if self.keep.mode == Mode::On {
             self.log(Level::Warn, format!("state: {why}; nothing is kept over a restart until it is mended"));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,6 +42,7 @@
 mod core;
 pub mod decide;
 mod fates;
+mod holds;
 mod io;
 mod jobs;
 mod keep;
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -58,6 +58,8 @@
     pub attempts: BTreeSet<AttemptId>,
     /// Its refusals, by reason.
     pub refusals: BTreeMap<Reason, u64>,
+    /// Until when offers that it answered late count against it while it is cold.
+    pub late_until: Micros,
     /// Only a former life's ledger names it so far: where it is the list will say.
     pub remembered: bool,
     /// What the module was told last.
@@ -81,6 +83,7 @@
             told: false,
             attempts: BTreeSet::new(),
             refusals: BTreeMap::new(),
+            late_until: 0,
             remembered: false,
             line: None,
         }
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -12,8 +12,7 @@
 
 use crate::ask::Ask;
 use crate::core::{Core, Start};
-use crate::decide::{self, Known, Recovered};
-use crate::fates::ANSWER_MARGIN_US;
+use crate::decide::{self, ANSWER_MARGIN_US, Known, Recovered};
 use crate::io::Level;
 use crate::jobs::{Attempt, Ending, Job, JobName, JobNo, NodeNo, Outcome, Phase};
 use crate::keep::Restored;
@@ -61,7 +60,9 @@
         }
         for (node, times) in &image.cold {
             let machine = reedring::names::machine_id(node);
-            let cold_offers = times.iter().map(|at| now.saturating_sub(self.at_unix(*at))).collect();
+            let window = self.settings.site.cold_window_us.unwrap_or(0);
+            let ago = |at: &u64| decide::former_offer(now.saturating_sub(self.at_unix(*at)), window);
+            let cold_offers = times.iter().map(ago).collect();
             let belief = Belief { machine, cold_offers, ..Belief::default() };
             self.recall.insert(node.clone(), state::Known { node: node.clone(), life: None, belief });
         }
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -17,6 +17,8 @@
     LinkLost { node: u32, link: u64 },
     /// Nodes that were kept back are told of.
     Lines,
+    /// A cold node's offers are looked at: some may be unanswered for too long, or none any more.
+    Cold(u32),
     /// A probe is overdue.
     Probe(u64),
     /// A job's start time has come, or the wait of a lost one is over.
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -23,6 +23,7 @@
     pub(crate) fn listed(&mut self, now: Micros, list: NodeList) {
         let (relinks, clashes) = self.nodes.list(list.nodes);
         self.constrain.listed(&self.nodes);
+        self.holds_listed();
         self.recheck_waiting(now);
         for name in clashes {
             let line = format!("node {name}: its name can't be told from another's; rename it");
@@ -214,6 +215,7 @@
         }
         let told: BTreeSet<wire::AttemptId> = held.iter().map(|held| held.attempt).collect();
         self.constrain.ghosts_told(number, &told);
+        self.answered_at(now, number, now);
         for held in held {
             if self.ledger.find(self.start.life, held.attempt).is_none() {
                 self.turned_up(now, number, held);
@@ -404,7 +406,7 @@
                 None => self.stage_send(now, number, Message::Stop { attempt }),
             },
             Message::Refused { attempt, reason, report, .. } => {
-                self.constrain.ghost_gone(attempt);
+                self.ghost_gone(now, attempt);
                 if let Some(node) = self.nodes.all.get_mut(&number) {
                     *node.refusals.entry(reason).or_default() += 1;
                 }
@@ -419,7 +421,7 @@
             }
             Message::Ended { attempt, end, ran, report } => {
                 self.stage_send(now, number, Message::Ack { attempt });
-                self.constrain.ghost_gone(attempt);
+                self.ghost_gone(now, attempt);
                 if let Some(id) = find(self, attempt) {
                     self.over(now, id, end, ran, report);
                 }
@@ -440,8 +442,11 @@
         attempt.known = Known::Accepted;
         let told = std::mem::replace(&mut attempt.told, true);
         let (job, machine, took_us) = (attempt.job, attempt.machine, now.saturating_sub(attempt.sent));
+        let (node, sent) = (attempt.node, attempt.sent);
+        self.answered_at(now, node, sent);
         self.ledger.requests.remove(&id.request);
         self.constrain.answered(id.request);
+        self.holds.answered(id.request);
         if told {
             self.events.push(Event::Placed { attempt: id, machine, took_us });
         } else if let Some(task) = self.module_task(job, id.request) {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -151,6 +151,14 @@
     /// Offers that did not keep their constraint, by an evaluation from scratch.
     pub astray: Vec<String>,
     kept: Option<Kept>,
+    /// Until when what is sent to each node waits on its way, and then comes at once.
+    stalled: BTreeMap<usize, u64>,
+    /// Microseconds that each batch takes to become durable, where that is told.
+    pub disk_us: Option<u64>,
+    /// When an offer arrived, and at which node.
+    pub arrivals: Vec<(u64, usize)>,
+    /// When each job's end was told.
+    pub told_at: BTreeMap<String, u64>,
     /// Everything that left the core, folded into a number.
     pub fingerprint: u64,
 }
@@ -209,6 +217,10 @@
             known: BTreeMap::new(),
             astray: Vec::new(),
             kept: None,
+            stalled: BTreeMap::new(),
+            disk_us: None,
+            arrivals: Vec::new(),
+            told_at: BTreeMap::new(),
             fingerprint: 0,
         };
         (0..nodes).for_each(|n| world.start_node(n));
@@ -217,6 +229,17 @@
         world
     }
 
+    /// A world whose nodes are cold for a minute, with more settings of its site.
+    pub fn cold(nodes: usize, seed: u64, site: &str) -> Self {
+        let mut world = Self::new(nodes, seed);
+        world.settings =
+            Settings::parse(&SETTINGS.replace("[site]", &format!("[site]\n{site}")), "world").unwrap();
+        world.restart_placer();
+        // The placer's former life is over and so is the window in which its offers count.
+        world.run_for(5 * SECOND);
+        world
+    }
+
     /// A world whose placer keeps its state on a simulated disk.
     pub fn keeping(nodes: usize, seed: u64) -> Self {
         Self::keeping_as(nodes, seed, "")
@@ -227,7 +250,23 @@
         let mut world = Self::new(nodes, seed);
         let text = format!("{SETTINGS}\n[state]\nfolder = \"s\"\nlearn_every = \"200ms\"\n{more}");
         world.settings = Settings::parse(&text, "world").unwrap();
-        world.kept = Some(Kept {
+        world.keep();
+        world
+    }
+
+    /// The same, with nodes that are cold for a minute.
+    pub fn keeping_cold(nodes: usize, seed: u64, site: &str) -> Self {
+        let mut world = Self::new(nodes, seed);
+        let text =
+            format!("{}\n[state]\nfolder = \"s\"", SETTINGS.replace("[site]", &format!("[site]\n{site}")));
+        world.settings = Settings::parse(&text, "world").unwrap();
+        world.keep();
+        world.run_for(5 * SECOND);
+        world
+    }
+
+    fn keep(&mut self) {
+        self.kept = Some(Kept {
             folder: SimFolder::default(),
             keeper: None,
             queue: Vec::new(),
@@ -236,8 +275,19 @@
             ends_at: None,
             dark: false,
         });
-        world.restart_placer();
-        world
+        self.restart_placer();
+    }
+
+    /// What is sent to a node waits on its way for so long.
+    pub fn stall(&mut self, n: usize, us: u64) {
+        self.stalled.insert(n, self.now + us);
+    }
+
+    /// The most offers that arrived at a node within any window of this length.
+    pub fn most_within(&self, n: usize, window: u64) -> usize {
+        let times: Vec<u64> = self.arrivals.iter().filter(|(_, at)| *at == n).map(|(at, _)| *at).collect();
+        let within = |from: &u64| times.iter().filter(|at| **at >= *from && **at < from + window).count();
+        times.iter().map(within).max().unwrap_or(0)
     }
 
     /// The disk under the state folder.
@@ -350,7 +400,8 @@
     fn over(&mut self, id: LinkId, direction: usize, due: Due) {
         let at = self.now + self.latency();
         let Some(link) = self.links.get_mut(&id) else { return };
-        link.last[direction] = link.last[direction].max(at);
+        let held = self.stalled.get(&link.node).filter(|_| direction == 0).copied().unwrap_or(0);
+        link.last[direction] = link.last[direction].max(at).max(held);
         let after = link.last[direction] - self.now;
         self.later(after, due);
     }
@@ -605,7 +656,7 @@
                 self.later(after, Due::Answer(self.life, Box::new(response)));
             }
             Output::Keep { batch, whole } => {
-                let slow = self.latency() * 4;
+                let slow = self.disk_us.unwrap_or(self.latency() * 4);
                 let kept = self.kept.as_mut().unwrap();
                 kept.queue.push((batch, whole));
                 if kept.keeper.is_some() && !std::mem::replace(&mut kept.busy, true) {
@@ -707,6 +758,9 @@
                 let Some(n) = self.links.get(&id).filter(|link| link.alive).map(|link| link.node) else {
                     return;
                 };
+                if matches!(message, Message::Offer { .. }) {
+                    self.arrivals.push((self.now, n));
+                }
                 let (now, groups) = (self.now, &mut self.groups);
                 if let Some(node) = self.places[n].node.as_mut() {
                     node.message(now, id, message, groups);
@@ -784,6 +838,7 @@
                 self.taken.extend(submitted.jobs);
             }
             (Some(Answer::Ended(info)), None) => {
+                self.told_at.entry(info.job.clone()).or_insert(self.now);
                 let infos = self.told.entry(info.job.clone()).or_default();
                 // A successor may hear of an end once more that the life before it told: the client library
                 // passes it by, and it must be the same.
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -336,6 +336,10 @@
                 }
             }
         }
+        core.release(now());
+        while let Some(output) = core.poll() {
+            shell.carry_out(output);
+        }
         core.flush(now());
         while let Some(output) = core.poll() {
             shell.carry_out(output);
--- a/crates/settings/src/settings/module.rs
+++ b/crates/settings/src/settings/module.rs
@@ -13,6 +13,11 @@
 pub const DISK_WAIT_US: Micros = 50_000;
 
 impl Settings {
+    /// Microseconds by which an offer may reach its node after it was decided, and no offer to a cold node later.
+    pub fn jitter_us(&self) -> Micros {
+        WIRE_JITTER_US + self.state.as_ref().map_or(0, |_| DISK_WAIT_US)
+    }
+
     /// What the decision module is told. `hall` is the number of the placer's own hall.
     pub fn module(&self, hall: Option<u16>) -> module::Settings {
         let class = |class: &Class| module::Class {
@@ -26,7 +31,7 @@
         };
         let kind = |kind: &Kind| module::Kind { cores: Some(kind.cores), memory: Some(kind.memory) };
         let site = &self.site;
-        let jitter = WIRE_JITTER_US + self.state.as_ref().map_or(0, |_| DISK_WAIT_US);
+        let jitter = self.jitter_us();
         module::Settings {
             schedulers: site.placers,
             zone: hall,
--- a/crates/site/tests/badday.rs
+++ b/crates/site/tests/badday.rs
@@ -1,8 +1,14 @@
 //! The bad day, several seeds, judged from what crossed the sockets.
 
+use std::sync::{Mutex, PoisonError};
+
 use reedring_site::badday::{DEFAULT, Script};
 
+/// Days are played one after another: each is a site of its own that keeps several cores busy.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 fn clean(seed: u64) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let script = Script::parse(DEFAULT, "badday.toml").unwrap();
     let day = script.play(Some(seed), None).unwrap();
     eprintln!("seed {seed}: {:?}\n{:?} in {:?}, {} frames", day.report, day.tally, day.took, day.frames);
