--- a/crates/audit/src/judge/nodes.rs
+++ b/crates/audit/src/judge/nodes.rs
@@ -12,7 +12,7 @@
 impl Judge {
     pub(super) fn node_hears(&mut self, frame: &Frame, message: Message) {
         match message {
-            Message::Offer { attempt: id, task, within_ms } => {
+            Message::Offer { attempt: id, task, within_ms, .. } => {
                 self.report.offers += 1;
                 let late_us = match within_ms {
                     0 => u64::MAX,
--- a/crates/audit/tests/rules.rs
+++ b/crates/audit/tests/rules.rs
@@ -72,7 +72,7 @@
     fn offer(&self, job: &str, class: &str, node: &str, request: u64, number: u16) -> AttemptId {
         let attempt = AttemptId { life: 1, request, number };
         let task = Task { job: job.into(), class: class.into(), service: "v".into(), ..Task::default() };
-        let offer = encode(&Message::Offer { attempt, task: Box::new(task), within_ms: 0 });
+        let offer = encode(&Message::Offer { attempt, task: Box::new(task), within_ms: 0, stamp: None });
         self.0.record(Event::ToNode, "p", node, 1, &offer);
         self.0.record(Event::NodeRead, node, "p", 1, &offer);
         attempt
--- a/crates/core/benches/constraints.rs
+++ b/crates/core/benches/constraints.rs
@@ -44,7 +44,10 @@
         for n in 0..nodes {
             let node = format!("n{n}");
             let (called, life, up_ms, can_suspend) = (node.clone(), 1, 0, false);
-            site.core.handle(0, Input::LinkUp { node: node.clone(), called, life, up_ms, can_suspend });
+            site.core.handle(
+                0,
+                Input::LinkUp { node: node.clone(), called, life, up_ms, can_suspend, record: None },
+            );
             site.core
                 .handle(0, Input::Message { node, message: Message::Holds { held: Vec::new(), last: true } });
         }
@@ -55,7 +58,7 @@
 
     fn tell_list(&mut self) {
         let nodes = self.list.clone();
-        self.core.handle(self.now, Input::Listed(NodeList { nodes }));
+        self.core.handle(self.now, Input::Listed(NodeList { revision: 0, nodes }));
     }
 
     fn submit(&mut self, count: u64, constraint: &str) {
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -18,6 +18,7 @@
 use crate::jobs::{Ending, Job, JobName, JobNo, Outcome, Phase, SessionNo};
 use crate::sessions::{Parked, Record, Waiter, Waits, ended};
 use crate::timers::Timer;
+use crate::versions::Versions;
 
 /// Lines of one page of jobs at most.
 const PAGE: usize = 1_000;
@@ -169,6 +170,17 @@
         // A submission that was first sent to a placer of an earlier life may have been carried out there.
         let (earlier, covered) = (key.sent_to != self.start.life, self.covered.contains(&key.sent_to));
         let effect = self.settings.classes[usize::from(ask.class)].effect;
+        if let Some(why) = self.versions.as_ref().and_then(Versions::shut_out) {
+            return Some(Err(error(
+                ErrorCode::TryLater,
+                format!("this placer takes nothing new: {why}; ask another"),
+            )));
+        }
+        if self.settings.classes[usize::from(ask.class)].closed {
+            let class = &self.settings.classes[usize::from(ask.class)].name;
+            let text = format!("class `{class}` takes nothing new: it is not in the plan that is acted by");
+            return Some(Err(error(ErrorCode::TryLater, text)));
+        }
         if let Some(why) = self.keep.lost().filter(|_| !self.may_leave(effect)) {
             let class = &self.settings.classes[usize::from(ask.class)].name;
             let text = format!(
@@ -585,7 +597,8 @@
                     memory += job.ask.memory;
                 }
             }
-            node.node_line(waiting, held, cores, memory, self.nodes.kind(node.entry.kind))
+            let plan = self.nodes.number(&node.name).and_then(|number| self.plan_line(number));
+            node.node_line(waiting, held, (cores, memory), self.nodes.kind(node.entry.kind), plan)
         };
         let known = |node: &&crate::links::Node| !node.remembered || !node.attempts.is_empty();
         self.nodes.all.values().filter(known).map(line).collect()
--- a/crates/core/src/constrain.rs
+++ b/crates/core/src/constrain.rs
@@ -341,14 +341,14 @@
         let gone = |(attempt, (at, _)): &(&wire::AttemptId, &Ghost)| *at == node && !held.contains(attempt);
         let gone: Vec<wire::AttemptId> =
             self.ghosts.iter().filter(gone).map(|(attempt, _)| *attempt).collect();
-        gone.into_iter().for_each(|attempt| drop(self.ghost_gone(attempt)));
+        gone.into_iter().for_each(|attempt| _ = self.ghost_gone(attempt));
     }
 
     /// A node started anew: no copy of before stands there.
     pub fn ghosts_gone(&mut self, node: NodeNo) {
         let there: Vec<wire::AttemptId> =
             self.ghosts.iter().filter(|(_, (at, _))| *at == node).map(|(attempt, _)| *attempt).collect();
-        there.into_iter().for_each(|attempt| drop(self.ghost_gone(attempt)));
+        there.into_iter().for_each(|attempt| _ = self.ghost_gone(attempt));
     }
 
     fn copies_changed(&mut self, topics: &[Topic]) {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -21,6 +21,7 @@
 use crate::links::{Born, Nodes};
 use crate::sessions::{Answered, Parked, Sessions};
 use crate::timers::Timer;
+use crate::versions::Versions;
 
 /// What a core is told at its start.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +47,10 @@
     pub(crate) timers: Timers<Timer>,
     pub(crate) constrain: Constrainer,
     pub(crate) holds: Holds,
+    /// What is known of plans; none where the file has no `[plan]`.
+    pub(crate) versions: Option<Versions>,
+    /// Revision of the node list; 0 where it has none.
+    pub(crate) list_revision: u64,
     /// How far behind the loop and the disk were lately.
     pub(crate) lag: decide::Lag,
     pub(crate) stats: Stats,
@@ -102,6 +107,8 @@
             timers,
             constrain: Constrainer::default(),
             holds: Holds::default(),
+            versions: Versions::new(&settings, start.life),
+            list_revision: 0,
             lag: decide::Lag::default(),
             stats: Stats::default(),
             module_ns: 0,
@@ -160,8 +167,8 @@
                 self.reads.retain(|(of, ..)| *of != conn);
             }
             Input::Listed(list) => self.listed(now, list),
-            Input::LinkUp { node, called, life, up_ms, can_suspend } => {
-                self.link_up(now, &node, &called, life, up_ms, can_suspend);
+            Input::LinkUp { node, called, life, up_ms, can_suspend, record } => {
+                self.link_up(now, &node, &called, life, up_ms, can_suspend, record);
             }
             Input::Message { node, message } => self.message(now, &node, message),
             Input::LinkDown { node, why } => self.link_down(now, &node, &why),
@@ -321,8 +328,13 @@
                 let within_ms = u32::try_from(within / 1_000).unwrap_or(u32::MAX);
                 let within_ms = if within > 0 { within_ms.max(1) } else { 0 };
                 self.stats.offers += 1;
+                let stamp = self.stamp_for(node);
                 self.offered_to(now, node);
-                self.stage_send(now, node, Message::Offer { attempt: wire, task: Box::new(task), within_ms });
+                self.stage_send(
+                    now,
+                    node,
+                    Message::Offer { attempt: wire, task: Box::new(task), within_ms, stamp },
+                );
             }
             _ => self.unplaced(now, id, Fate::Unconnected, None, Vec::new(), "no link"),
         }
@@ -342,7 +354,7 @@
                 reedring::Effect::Keyed => wire::Repeat::Keyed,
                 reedring::Effect::Unsafe => wire::Repeat::Unsafe,
             },
-            group: match class.group {
+            group: match class.drops {
                 reedring::Group::All => wire::Group::All,
                 reedring::Group::Zone => wire::Group::Hall,
                 reedring::Group::Cell => wire::Group::Rack,
@@ -467,6 +479,7 @@
                 }
             }
             Timer::Lines => self.tell_lines(now),
+            Timer::Plans => self.plans_due(now),
             Timer::Cold(node) => self.tend_cold(now, node),
             Timer::Probe(nonce) => self.probed(now, nonce, None),
             Timer::Ask(job) => {
--- a/crates/core/src/holds.rs
+++ b/crates/core/src/holds.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Reason {
     /// It is cold, and offers to it were answered late or not at all: they may all reach it at once.
     ColdAndLate,
+    /// By the plan that is acted by.
+    Plan(reedring_plan::Hold),
 }
 
 impl Reason {
@@ -23,6 +25,7 @@
     pub fn word(self) -> &'static str {
         match self {
             Self::ColdAndLate => "cold, and late to answer",
+            Self::Plan(hold) => hold.word(),
         }
     }
 }
@@ -56,6 +59,19 @@
         }
     }
 
+    /// The reason by the plan, in place of any other of that kind.
+    fn set_plan(&mut self, node: NodeNo, machine: MachineId, hold: Option<reedring_plan::Hold>) {
+        let before = self
+            .by
+            .get(&node)
+            .and_then(|reasons| reasons.iter().copied().find(|reason| matches!(reason, Reason::Plan(_))));
+        let now = hold.map(Reason::Plan);
+        if before != now {
+            now.into_iter().for_each(|reason| self.set(node, machine, reason, true));
+            before.into_iter().for_each(|reason| self.set(node, machine, reason, false));
+        }
+    }
+
     /// A request is answered, or taken back.
     pub fn answered(&mut self, request: RequestId) {
         self.narrowed.remove(&request);
@@ -83,6 +99,13 @@
         }
     }
 
+    /// Holds a node back by the plan, or no longer does.
+    pub(crate) fn hold_by_plan(&mut self, node: NodeNo, hold: Option<reedring_plan::Hold>) {
+        if let Some(machine) = self.nodes.all.get(&node).map(|node| node.machine) {
+            self.holds.set_plan(node, machine, hold);
+        }
+    }
+
     /// The list changed: who was told of some machines is told anew.
     pub(crate) fn holds_listed(&mut self) {
         self.holds.changed |= !self.holds.narrowed.is_empty();
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use reedring_drmaa::rpc::{Call, Response};
-use reedring_nodeproto::Message;
-use reedring_settings::NodeList;
+use reedring_nodeproto::{Message, Record, Stamp};
+use reedring_settings::{NodeList, Settings};
 use reedring_state::{Batch, Learned};
 
 /// A client's connection, as the shell numbers it.
@@ -38,6 +38,8 @@
         up_ms: u64,
         /// It can suspend tasks.
         can_suspend: bool,
+        /// What it keeps of plans; none where it speaks version 1.
+        record: Option<Record>,
     },
     /// A message of a node. Messages of a link come after its `LinkUp` and before its `LinkDown`.
     Message {
@@ -115,6 +117,12 @@
     },
     /// Replace the file of what was learned. Nothing waits for it.
     Learn(Box<Learned>),
+    /// By what the placer acts from now on; it greets nodes with it.
+    Acts(Stamp),
+    /// The settings that it acts by from now on; the node list is read by them.
+    Settings(Box<Settings>),
+    /// It takes nothing new until its staff act, or does again.
+    ShutOut(bool),
     /// A line for the staff.
     Log {
         /// How much it matters.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,9 +50,25 @@
 mod recover;
 mod sessions;
 mod timers;
+mod versions;
 mod words;
 
 pub use crate::core::{Core, Start};
 pub use crate::io::{ConnId, Input, Level, Output};
 pub use crate::keep::Restored;
 pub use reedring::names::{machine_id, service_id};
+
+/// The build of this placer, as nodes are told it.
+pub const BUILD: &str = concat!("reedring ", env!("CARGO_PKG_VERSION"));
+
+/// The build as a number, as offers name it.
+pub fn build() -> u32 {
+    crc32c::crc32c(BUILD.as_bytes())
+}
+
+/// By what a placer of these settings greets nodes before it knows what is in force: the plan of its own file. None
+/// where the file has no `[plan]`.
+pub fn first_stamp(settings: &reedring_settings::Settings) -> Option<reedring_nodeproto::Stamp> {
+    let version = settings.plan().ok().flatten()?.version();
+    Some(reedring_nodeproto::Stamp { version, joint: false, list: 0, build: build() })
+}
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -118,7 +118,14 @@
         same
     }
 
-    pub fn node_line(&self, waiting: usize, held: usize, cores: f64, memory: f64, kind: &str) -> NodeLine {
+    pub fn node_line(
+        &self,
+        waiting: usize,
+        held: usize,
+        asked: (f64, f64),
+        kind: &str,
+        plan: Option<String>,
+    ) -> NodeLine {
         let refusal = |(reason, count): (&Reason, &u64)| (reason.word().to_owned(), *count);
         let listed = if self.listed { self.entry.health } else { Health::Gone };
         NodeLine {
@@ -132,8 +139,9 @@
             linked: self.is_up(),
             waiting,
             held,
-            cores,
-            memory,
+            cores: asked.0,
+            memory: asked.1,
+            plan,
             refusals: self.refusals.iter().map(refusal).collect(),
         }
     }
@@ -173,6 +181,11 @@
         Self { kinds, ..Self::default() }
     }
 
+    /// The names of kinds, where the settings have others now.
+    pub fn name_kinds(&mut self, kinds: Vec<String>) {
+        self.kinds = kinds;
+    }
+
     pub fn kind(&self, kind: u16) -> &str {
         self.kinds.get(usize::from(kind)).map_or("", String::as_str)
     }
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -17,6 +17,8 @@
     LinkLost { node: u32, link: u64 },
     /// Nodes that were kept back are told of.
     Lines,
+    /// What is known of plans is looked at.
+    Plans,
     /// A cold node's offers are looked at: some may be unanswered for too long, or none any more.
     Cold(u32),
     /// A probe is overdue.
--- /dev/null
+++ b/crates/core/src/versions.rs
@@ -0,0 +1,386 @@
+//! By which plan this placer acts: what nodes tell of plans goes to `reedring_plan`, and what that answers becomes
+//! settings for the module, nodes that are held back, orders to nodes and lines for the staff.
+
+use std::collections::BTreeMap;
+
+use reedring::{Event, Micros};
+use reedring_nodeproto::{Message, Order, Record, Stamp, Version};
+use reedring_plan::{
+    Acts, Fleet, Heard, Kept, Kin, Maker, Own, Pace, Standing, Step, Texts, Use, hold, joint, standing,
+};
+use reedring_settings::{Health, Settings};
+
+use crate::core::Core;
+use crate::io::{Level, Output};
+use crate::jobs::NodeNo;
+use crate::timers::Timer;
+
+/// Microseconds between two looks while a change is under way, or a node settles.
+const BUSY_US: Micros = 100_000;
+/// How often all nodes are asked within a lease.
+const ASKS: u64 = 3;
+
+/// What a placer knows of plans. There is none where its file has no `[plan]`.
+pub(crate) struct Versions {
+    own: Kept,
+    pinned: bool,
+    lease_us: Micros,
+    /// The settings of its file.
+    file: Settings,
+    build: u32,
+    maker: Maker,
+    pace: Pace,
+    texts: Texts,
+    kin: BTreeMap<NodeNo, Kin>,
+    /// When each node told last, on a link that may have ended since.
+    heard: BTreeMap<NodeNo, Micros>,
+    /// A majority was heard before in this life.
+    ever: bool,
+    /// The newest plan in force that this life knows of, whatever nodes have forgotten.
+    force: Version,
+    standing: Standing,
+    /// What became of each plan's text: settings, or why it can't be acted by.
+    plans: BTreeMap<Version, Result<Settings, String>>,
+    /// The line that the staff were told last.
+    line: String,
+    /// When the next look is due.
+    due: Micros,
+    asked: Micros,
+}
+
+/// A plan of the file, where there is one.
+fn own_plan(settings: &Settings) -> Option<(Kept, bool, Micros)> {
+    let plan = settings.plan.as_ref()?;
+    let kept = settings.plan().ok().flatten()?;
+    Some((kept, plan.pinned, plan.lease_us))
+}
+
+impl Versions {
+    /// Of a placer that starts with these settings.
+    pub fn new(settings: &Settings, life: u64) -> Option<Self> {
+        let (own, pinned, lease_us) = own_plan(settings)?;
+        let mut texts = Texts::default();
+        texts.add(&own);
+        Some(Self {
+            plans: BTreeMap::from([(own.version(), Ok(settings.clone()))]),
+            own,
+            pinned,
+            lease_us,
+            file: settings.clone(),
+            build: crate::build(),
+            maker: Maker::new(life),
+            pace: Pace::default(),
+            texts,
+            kin: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            ever: false,
+            force: Version::default(),
+            standing: Standing::Waits(reedring_plan::Why::NoMajority),
+            line: String::new(),
+            due: 0,
+            asked: 0,
+        })
+    }
+
+    /// Why nothing is taken, where that does not end by itself.
+    pub fn shut_out(&self) -> Option<&'static str> {
+        match self.standing {
+            Standing::Waits(why) if why.is_shut_out() => Some(why.word()),
+            _ => None,
+        }
+    }
+
+    /// By what it decides now, for a node that reads it.
+    fn stamp(&self, list: u64) -> Stamp {
+        let (version, joint) = match &self.standing {
+            Standing::Acts(acts) => acts.stamp(),
+            _ => (self.own.version(), false),
+        };
+        Stamp { version, joint, list, build: self.build }
+    }
+
+    /// Reads a plan's text as settings, once.
+    fn read(&mut self, version: Version) {
+        if let Some(text) = self.texts.get(version).filter(|_| !self.plans.contains_key(&version)) {
+            let read = self.file.with_plan(text, &format!("plan {version}"));
+            self.plans.insert(version, read.map_err(|problems| problems.to_string()));
+        }
+    }
+
+    /// What can be done with a plan, after another or by itself.
+    fn can(&self, version: Version, force: Version) -> Use {
+        match self.plans.get(&version) {
+            None => Use::Missing,
+            Some(Err(_)) => Use::Bad,
+            Some(Ok(new)) if version != force && force.number > 0 => match self.plans.get(&force) {
+                Some(Ok(old)) if joint(&old.bounds(), &new.bounds()).is_err() => Use::Bad,
+                _ => Use::Good,
+            },
+            Some(Ok(_)) => Use::Good,
+        }
+    }
+
+    /// The settings by which to act, in the numbers of those in use.
+    fn settings(&self, acts: &Acts, linked: u32, used: &Settings) -> Option<Settings> {
+        let read = |version: Version| self.plans.get(&version)?.as_ref().ok();
+        let base = read(acts.next.unwrap_or(acts.force))?;
+        let mut bounds = base.bounds();
+        if let Some(old) = acts.next.and_then(|_| read(acts.force)) {
+            bounds = joint(&old.bounds(), &bounds).ok()?;
+        }
+        if let Some(stricter) = acts.ahead.and_then(read).and_then(|own| joint(&bounds, &own.bounds()).ok()) {
+            // Classes that only the own file has are not open yet, and none is closed for its sake.
+            let open: BTreeMap<String, bool> =
+                bounds.classes.iter().map(|(name, class)| (name.clone(), class.open)).collect();
+            bounds = stricter;
+            bounds.classes.retain(|name, _| open.contains_key(name));
+            bounds.classes.iter_mut().for_each(|(name, class)| class.open = open[name]);
+        }
+        // A plan that names fewer placers than nodes hear is no leave to act for fewer.
+        bounds.placers = bounds.placers.max(linked);
+        Some(base.bound_by(&bounds).in_numbers_of(used))
+    }
+
+    /// The own plan, where it may be brought in now; else why not, where that is for the staff.
+    fn proposes(&self, force: Version, linked: u32) -> Result<Option<&Kept>, String> {
+        let own = self.own.version();
+        if own.number <= force.number {
+            return Ok(None);
+        }
+        if force.number > 0 && own.number != force.number + 1 {
+            let next = force.number + 1;
+            return Err(format!(
+                "plan.number: plan {own} of the file does not follow plan {force}; number it {next}"
+            ));
+        }
+        let placers = self.file.site.placers;
+        if placers < linked {
+            return Err(format!(
+                "site.placers: plan {own} of the file is for {placers} placers, nodes hear {linked}"
+            ));
+        }
+        let joint_form = match self.plans.get(&force) {
+            Some(Ok(old)) => joint(&old.bounds(), &self.file.bounds()).map(drop),
+            _ => Ok(()),
+        };
+        match joint_form {
+            Ok(()) => Ok(Some(&self.own)),
+            Err(wrong) => {
+                Err(format!("plan {own} of the file can't follow plan {force}: {}", wrong.join("; ")))
+            }
+        }
+    }
+}
+
+impl Core {
+    /// What a node keeps of plans, from its greeting; none where it speaks version 1.
+    pub(crate) fn node_greets(&mut self, now: Micros, number: NodeNo, record: Option<Record>) {
+        let Some(versions) = &mut self.versions else { return };
+        versions.pace.forget(number);
+        match record {
+            Some(record) => self.node_records(now, number, record),
+            None => {
+                versions.kin.insert(number, Kin::Old);
+                versions.heard.insert(number, now);
+                self.tend_plans(now);
+            }
+        }
+    }
+
+    /// What a node keeps of plans has changed, or was asked for.
+    pub(crate) fn node_records(&mut self, now: Micros, number: NodeNo, record: Record) {
+        let Some(versions) = &mut self.versions else { return };
+        let before = versions.kin.insert(number, Kin::Told(record));
+        versions.heard.insert(number, now);
+        // What only says that the node is there need not be thought over at once.
+        let same = |old: &Record| Record { floor_ms: record.floor_ms, ..*old } == record;
+        if !before.as_ref().and_then(Kin::record).is_some_and(same) {
+            self.tend_plans(now);
+        }
+    }
+
+    /// A node tells the text of a plan.
+    pub(crate) fn plan_text(&mut self, now: Micros, number: NodeNo, version: Version, text: &str) {
+        let Some(versions) = &mut self.versions else { return };
+        if text.is_empty() {
+            return;
+        }
+        match Kept::checked(version, text) {
+            Ok(kept) => {
+                versions.texts.add(&kept);
+                self.tend_plans(now);
+            }
+            Err(wrong) => {
+                let node = self.node_name(number);
+                self.log(Level::Warn, format!("plans: node {node}: {wrong}"));
+            }
+        }
+    }
+
+    /// By what an offer to this node is decided, where the node can read it.
+    pub(crate) fn stamp_for(&self, number: NodeNo) -> Option<Stamp> {
+        let versions = self.versions.as_ref().filter(|versions| versions.standing != Standing::Unkept)?;
+        let old = versions.kin.get(&number).is_none_or(|kin| *kin == Kin::Old);
+        (!old).then(|| versions.stamp(self.list_revision))
+    }
+
+    /// The fleet as the list and the nodes tell of it.
+    fn fleet(&self, versions: &Versions) -> Fleet {
+        let listed = self.nodes.all.iter().filter(|(_, node)| node.listed && node.health() != Health::Gone);
+        let kin = |number: &NodeNo| versions.kin.get(number).copied().unwrap_or_default();
+        Fleet { list: self.list_revision, nodes: listed.map(|(number, _)| (*number, kin(number))).collect() }
+    }
+
+    /// The time for a look has come.
+    pub(crate) fn plans_due(&mut self, now: Micros) {
+        if self.versions.as_ref().is_some_and(|versions| versions.due <= now) {
+            self.tend_plans(now);
+        }
+    }
+
+    /// Looks at all that is known of plans, and does what follows.
+    pub(crate) fn tend_plans(&mut self, now: Micros) {
+        let Some(mut versions) = self.versions.take() else { return };
+        let fleet = self.fleet(&versions);
+        let lately = |number: &&NodeNo| {
+            versions.heard.get(*number).is_some_and(|at| now < at.saturating_add(versions.lease_us))
+        };
+        let heard = match fleet.nodes.keys().filter(lately).count() >= fleet.majority() {
+            true => Heard::Lately,
+            false if versions.ever => Heard::LongAgo,
+            false => Heard::Never,
+        };
+        versions.ever |= heard == Heard::Lately;
+        versions.force = versions.force.max(fleet.force());
+        let force = versions.force;
+        versions.read(force);
+        let decided = fleet.decided(force);
+        decided.into_iter().for_each(|next| versions.read(next));
+        let own = Own { version: versions.own.version(), pinned: versions.pinned };
+        let before = versions.stamp(self.list_revision);
+        let can = |version| versions.can(version, force);
+        versions.standing = standing(own, &fleet, force, heard, can);
+        if let Standing::Acts(acts) = versions.standing {
+            let settings = versions.settings(&acts, fleet.linked(), &self.settings);
+            settings.into_iter().for_each(|settings| self.retell(settings));
+        }
+        let proposes = versions.proposes(force, fleet.linked()).map(|own| own.cloned());
+        self.tell_standing(&mut versions, proposes.as_ref().err());
+        let own = proposes.ok().flatten().filter(|_| heard == Heard::Lately);
+        let may_outbid = versions.pace.may_outbid(now, self.start.life, &fleet);
+        let (step, mut orders) = if heard == Heard::Lately {
+            versions.maker.next(may_outbid, &fleet, force, own.as_ref(), &versions.texts)
+        } else {
+            (Step::Quiet, Vec::new())
+        };
+        let stamp = versions.stamp(self.list_revision);
+        let every = versions.lease_us / ASKS;
+        if (stamp.version, stamp.joint) != (before.version, before.joint) || now >= versions.asked + every {
+            // Nodes hear by what this placer acts now, and it hears that they are there.
+            versions.asked = now;
+            orders.extend(fleet.nodes.keys().map(|node| (*node, Order::Ask { stamp })));
+            self.outputs.push_back(Output::Acts(stamp));
+        }
+        let mut orders = versions.pace.due(now, orders);
+        orders.retain(|(node, _)| versions.kin.get(node).is_some_and(|kin| kin.record().is_some()));
+        let settles = self.hold_by_plans(now, &versions);
+        let busy = step != Step::Quiet || settles || matches!(versions.standing, Standing::Waits(_));
+        versions.due = now + if busy { BUSY_US } else { every };
+        versions.texts.forget_before(force.number);
+        versions
+            .plans
+            .retain(|version, _| version.number >= force.number || *version == versions.own.version());
+        self.timers.set(versions.due, Timer::Plans);
+        self.versions = Some(versions);
+        for (node, order) in orders {
+            self.stage_send(now, node, Message::Plan(order));
+        }
+    }
+
+    /// Holds back the nodes to which nothing may be sent by the plan acted by; whether some will be open soon.
+    fn hold_by_plans(&mut self, now: Micros, versions: &Versions) -> bool {
+        let window = self.settings.site.cold_window_us.unwrap_or(0) + self.settings.jitter_us();
+        let mut settles = false;
+        let numbers: Vec<NodeNo> = self.nodes.all.keys().copied().collect();
+        for number in numbers {
+            let mut kin = versions.kin.get(&number).copied().unwrap_or_default();
+            if let Kin::Told(record) = &mut kin {
+                let since = versions.heard.get(&number).map_or(0, |at| now.saturating_sub(*at));
+                record.floor_ms = record.floor_ms.saturating_add(since / 1_000);
+            }
+            let cold = self.nodes.is_cold(number, now, &self.settings.site);
+            let held = hold(&versions.standing, &kin, cold, window / 1_000);
+            settles |= held.is_some();
+            self.hold_by_plan(number, held);
+        }
+        settles
+    }
+
+    /// Takes other settings in while the placer runs.
+    fn retell(&mut self, settings: Settings) {
+        if settings == self.settings {
+            return;
+        }
+        self.nodes.name_kinds(settings.kinds.iter().map(|kind| kind.name.clone()).collect());
+        self.settings = settings;
+        let hall = self.settings.hall.clone().map(|hall| self.nodes.halls.number(&hall));
+        self.events.push(Event::Told(Box::new(self.settings.module(hall))));
+        self.outputs.push_back(Output::Settings(Box::new(self.settings.clone())));
+    }
+
+    /// One line for the staff each time that something else is so.
+    fn tell_standing(&mut self, versions: &mut Versions, refused: Option<&String>) {
+        let (own, force) = (versions.own.version(), versions.force);
+        let why = |version: &Version| match versions.plans.get(version) {
+            Some(Err(why)) => format!(": {}", why.replace('\n', "; ")),
+            _ => String::new(),
+        };
+        let (level, mut line) = match &versions.standing {
+            Standing::Unkept => (Level::Warn, "plans: most nodes keep none; acts by its file".to_owned()),
+            Standing::Waits(reason) if reason.is_shut_out() => {
+                let line = format!(
+                    "plans: shut out: {}; plan {force} is in force, its file has {own}",
+                    reason.word()
+                );
+                (Level::Warn, format!("{line}{}", why(&force)))
+            }
+            Standing::Waits(reason) => (Level::Warn, format!("plans: sends nothing: {}", reason.word())),
+            Standing::Acts(Acts { force, next: Some(next), .. }) => {
+                (Level::Info, format!("plans: plan {next} follows {force}; acts by the stricter of both"))
+            }
+            Standing::Acts(Acts { force, .. }) => (Level::Info, format!("plans: acts by plan {force}")),
+        };
+        if force.number > 0 && own != force && own.number <= force.number && versions.shut_out().is_none() {
+            line = format!("{line}; plan {own} of its file is not the one in force");
+        }
+        refused.into_iter().for_each(|why| line = format!("{line}; {why}"));
+        if line != versions.line {
+            versions.line.clone_from(&line);
+            let shut_out = versions.shut_out().is_some();
+            self.outputs.push_back(Output::ShutOut(shut_out));
+            self.log(level, line);
+        }
+    }
+
+    /// What operators see of a node's plans.
+    pub(crate) fn plan_line(&self, number: NodeNo) -> Option<String> {
+        let versions = self.versions.as_ref()?;
+        let record = match versions.kin.get(&number)? {
+            Kin::Unmet => return None,
+            Kin::Old => return Some("keeps none".to_owned()),
+            Kin::Told(record) => record,
+        };
+        let mut line = record.force.to_string();
+        if let Some(next) = &record.next {
+            let word = if next.joint { "joint with" } else { "offered" };
+            line = format!("{line}, {word} {}", next.version);
+        }
+        if record.stuck {
+            line.push_str(", can't keep more");
+        }
+        if record.behind > 0 {
+            line = format!("{line}, {} of {} placers behind", record.behind, record.linked);
+        }
+        Some(line)
+    }
+}
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -6,7 +6,7 @@
 use reedring::{AttemptId, Event, Listing, Micros, Note, Outcome as Fate, Reason};
 use reedring_drmaa::End;
 use reedring_drmaa::info::signal_name;
-use reedring_nodeproto::{self as wire, Held, HeldState, Message, Topic};
+use reedring_nodeproto::{self as wire, Held, HeldState, Message, Record, Topic};
 use reedring_settings::{Health, NodeList};
 
 use crate::constrain::News;
@@ -21,6 +21,13 @@
     // ---- The node list and the links ----
 
     pub(crate) fn listed(&mut self, now: Micros, list: NodeList) {
+        if list.revision < self.list_revision {
+            let (told, known) = (list.revision, self.list_revision);
+            let line =
+                format!("the node list goes back from revision {known} to {told}; the newer one holds");
+            return self.log(Level::Warn, line);
+        }
+        self.list_revision = list.revision;
         let (relinks, clashes) = self.nodes.list(list.nodes);
         self.constrain.listed(&self.nodes);
         self.holds_listed();
@@ -41,6 +48,7 @@
             }
         }
         self.tell_lines(now);
+        self.tend_plans(now);
     }
 
     /// Constraints that broke or were mended, told once each.
@@ -102,6 +110,7 @@
         self.recall(number);
     }
 
+    #[allow(clippy::too_many_arguments)]
     pub(crate) fn link_up(
         &mut self,
         now: Micros,
@@ -110,6 +119,7 @@
         life: u64,
         up_ms: u64,
         can_suspend: bool,
+        record: Option<Record>,
     ) {
         let Some((number, node)) = self.nodes.named(name) else { return };
         if called != name {
@@ -136,6 +146,7 @@
             }
             self.constrain.ghosts_gone(number);
         }
+        self.node_greets(now, number, record);
         self.tell_line(now, number);
     }
 
@@ -427,6 +438,8 @@
                 }
             }
             Message::Report { nonce, report } => self.probed(now, nonce, Some(report)),
+            Message::Record(record) => self.node_records(now, number, record),
+            Message::PlanText { version, text } => self.plan_text(now, number, version, &text),
             // The rest is what placers say; the shell reads greetings itself.
             _ => {}
         }
@@ -509,6 +522,10 @@
             | wire::Reason::CopyStands
             | wire::Reason::TooLate
             | wire::Reason::NotHere => Some(Reason::NotHere),
+            // It was never looked at: the node has told what it keeps, and is held back until that is caught up with.
+            wire::Reason::Superseded => {
+                return self.unplaced(now, id, Fate::Unsent, None, report, reason.word());
+            }
         };
         if self.ledger.attempts.get(&id).is_some_and(|attempt| attempt.known != Known::Accepted) {
             self.unplaced(now, id, Fate::Refused, told, report, reason.word());
--- a/crates/core/tests/restart.rs
+++ b/crates/core/tests/restart.rs
@@ -386,7 +386,7 @@
     use reedring_nodeproto::Message;
     use reedring_standin::{Config, Effect, Groups, Node};
     let (mut node, mut groups) = (Node::new(Config::named("n"), 1, 1, 0), Groups::default());
-    let hello = |life, link| Message::Hello { placer: "p".to_owned(), life, link };
+    let hello = |life, link| Message::Hello { placer: "p".to_owned(), life, link, acts: None };
     node.message(1, 10, hello(6, 1), &mut groups);
     node.message(2, 11, hello(5, 99), &mut groups);
     let closed: Vec<u64> = node
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -482,7 +482,7 @@
             }
         }
         let listed = self.list.iter().enumerate().filter(|(n, _)| !self.unlisted.contains(n));
-        let list = NodeList { nodes: listed.map(|(_, entry)| entry.clone()).collect() };
+        let list = NodeList { revision: 0, nodes: listed.map(|(_, entry)| entry.clone()).collect() };
         self.input(Input::Listed(list));
     }
 
@@ -667,6 +667,7 @@
             Output::Learn(learned) => {
                 let _ = self.kept.as_ref().and_then(|kept| kept.keeper.as_ref()?.learn(&learned).ok());
             }
+            Output::Acts(_) | Output::Settings(_) | Output::ShutOut(_) => {}
             Output::Log { line, .. } => self.lines.push(line),
         }
     }
@@ -775,8 +776,8 @@
                 let first = !link.greeted;
                 link.greeted = true;
                 match message {
-                    Message::Welcome { node: called, life, up_ms, can_suspend } if first => {
-                        self.input(Input::LinkUp { node, called, life, up_ms, can_suspend });
+                    Message::Welcome { node: called, life, up_ms, can_suspend, record } if first => {
+                        self.input(Input::LinkUp { node, called, life, up_ms, can_suspend, record });
                     }
                     message => {
                         if let Message::Refused { attempt, .. } | Message::Ended { attempt, .. } = &message {
@@ -799,7 +800,12 @@
                 let id = self.made;
                 self.links
                     .insert(id, Link { node: n, known: true, alive: true, greeted: false, last: [0; 2] });
-                let hello = Message::Hello { placer: "p".to_owned(), life: self.life, link: id };
+                let hello = Message::Hello {
+                    placer: "p".to_owned(),
+                    life: self.life,
+                    link: id,
+                    acts: reedring_core::first_stamp(&self.settings).map(|stamp| (stamp, "test".to_owned())),
+                };
                 self.over(id, 0, Due::AtNode(id, hello));
             }
             Due::Down(id) => {
--- a/crates/drmaa/src/rpc.rs
+++ b/crates/drmaa/src/rpc.rs
@@ -412,6 +412,9 @@
 /// One node as a placer sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeLine {
+    /// What it keeps of plans, where placers tell plans: in force, introduced, and how many placers are behind.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub plan: Option<String>,
     /// Its name.
     pub node: String,
     /// Where it listens.
--- a/crates/nodeproto/src/codec.rs
+++ b/crates/nodeproto/src/codec.rs
@@ -6,7 +6,8 @@
 
 use crate::frame::{FrameError, Reader};
 use crate::message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
-use crate::{MAX_NAME, MAX_PAYLOAD, MAX_REPORT, MAX_TEXT};
+use crate::versions::{Ballot, Digest, Introduced, Order, Record, Stamp, Version};
+use crate::{MAX_NAME, MAX_PAYLOAD, MAX_PLAN, MAX_REPORT, MAX_TEXT};
 
 mod kind {
     pub const HELLO: u8 = 1;
@@ -16,6 +17,7 @@
     pub const SUSPEND: u8 = 5;
     pub const RESUME: u8 = 6;
     pub const ACK: u8 = 7;
+    pub const PLAN: u8 = 8;
     pub const WELCOME: u8 = 65;
     pub const HOLDS: u8 = 66;
     pub const ACCEPTED: u8 = 67;
@@ -23,6 +25,8 @@
     pub const NOTE: u8 = 69;
     pub const ENDED: u8 = 70;
     pub const REPORT: u8 = 71;
+    pub const RECORD: u8 = 72;
+    pub const PLAN_TEXT: u8 = 73;
 }
 
 // ---- Writing ----
@@ -88,19 +92,115 @@
     put_text(out, text, MAX_TEXT);
 }
 
-/// Appends the body of a message and returns its kind.
-pub(crate) fn write(message: &Message, out: &mut Vec<u8>) -> u8 {
+fn put_version(out: &mut Vec<u8>, version: &Version) {
+    out.extend_from_slice(&version.number.to_be_bytes());
+    out.extend_from_slice(&version.digest.0);
+}
+
+fn put_ballot(out: &mut Vec<u8>, ballot: &Ballot) {
+    out.extend_from_slice(&ballot.round.to_be_bytes());
+    out.extend_from_slice(&ballot.by.to_be_bytes());
+}
+
+fn put_stamp(out: &mut Vec<u8>, stamp: &Stamp) {
+    put_version(out, &stamp.version);
+    out.push(u8::from(stamp.joint));
+    out.extend_from_slice(&stamp.list.to_be_bytes());
+    out.extend_from_slice(&stamp.build.to_be_bytes());
+}
+
+fn put_record(out: &mut Vec<u8>, record: &Record) {
+    put_version(out, &record.force);
+    out.push(u8::from(record.next.is_some()));
+    if let Some(next) = &record.next {
+        put_ballot(out, &next.ballot);
+        put_version(out, &next.version);
+        out.push(u8::from(next.joint));
+    }
+    put_ballot(out, &record.promised);
+    out.extend_from_slice(&record.list.to_be_bytes());
+    out.extend_from_slice(&record.floor_ms.to_be_bytes());
+    out.extend_from_slice(&record.linked.to_be_bytes());
+    out.extend_from_slice(&record.behind.to_be_bytes());
+    out.push(u8::from(record.stuck));
+}
+
+fn put_order(out: &mut Vec<u8>, order: &Order) {
+    match order {
+        Order::Ask { stamp } => {
+            out.push(0);
+            put_stamp(out, stamp);
+        }
+        Order::Fetch { version } => {
+            out.push(1);
+            put_version(out, version);
+        }
+        Order::Prepare { follows, ballot, list } => {
+            out.push(2);
+            put_version(out, follows);
+            put_ballot(out, ballot);
+            out.extend_from_slice(&list.to_be_bytes());
+        }
+        Order::Accept { follows, ballot, version, text, list } => {
+            out.push(3);
+            put_version(out, follows);
+            put_ballot(out, ballot);
+            put_version(out, version);
+            put_text(out, text, MAX_PLAN);
+            out.extend_from_slice(&list.to_be_bytes());
+        }
+        Order::Joint { follows, version, text, list } => {
+            out.push(4);
+            put_version(out, follows);
+            put_version(out, version);
+            put_text(out, text, MAX_PLAN);
+            out.extend_from_slice(&list.to_be_bytes());
+        }
+        Order::Force { version, text, list } => {
+            out.push(5);
+            put_version(out, version);
+            put_text(out, text, MAX_PLAN);
+            out.extend_from_slice(&list.to_be_bytes());
+        }
+    }
+}
+
+/// The version of the protocol that a message needs.
+fn needs(message: &Message) -> u8 {
     match message {
-        Message::Hello { placer, life, link } => {
+        Message::Hello { acts: Some(_), .. }
+        | Message::Offer { stamp: Some(_), .. }
+        | Message::Welcome { record: Some(_), .. }
+        | Message::Refused { reason: Reason::Superseded, .. }
+        | Message::Plan(_)
+        | Message::Record(_)
+        | Message::PlanText { .. } => 2,
+        _ => 1,
+    }
+}
+
+/// Appends the body of a message; returns its kind and version.
+pub(crate) fn write(message: &Message, out: &mut Vec<u8>) -> (u8, u8) {
+    (write_body(message, out), needs(message))
+}
+
+fn write_body(message: &Message, out: &mut Vec<u8>) -> u8 {
+    match message {
+        Message::Hello { placer, life, link, acts } => {
             put_text(out, placer, MAX_NAME);
             out.extend_from_slice(&life.to_be_bytes());
             out.extend_from_slice(&link.to_be_bytes());
+            if let Some((stamp, build)) = acts {
+                put_stamp(out, stamp);
+                put_text(out, build, MAX_NAME);
+            }
             kind::HELLO
         }
-        Message::Offer { attempt, task, within_ms } => {
+        Message::Offer { attempt, task, within_ms, stamp } => {
             put_attempt(out, *attempt);
             out.extend_from_slice(&within_ms.to_be_bytes());
             put_task(out, task);
+            stamp.iter().for_each(|stamp| put_stamp(out, stamp));
             kind::OFFER
         }
         Message::Stop { attempt } => {
@@ -123,11 +223,12 @@
             put_attempt(out, *attempt);
             kind::ACK
         }
-        Message::Welcome { node, life, up_ms, can_suspend } => {
+        Message::Welcome { node, life, up_ms, can_suspend, record } => {
             put_text(out, node, MAX_NAME);
             out.extend_from_slice(&life.to_be_bytes());
             out.extend_from_slice(&up_ms.to_be_bytes());
             out.push(u8::from(*can_suspend));
+            record.iter().for_each(|record| put_record(out, record));
             kind::WELCOME
         }
         Message::Holds { held, last } => {
@@ -179,6 +280,19 @@
             put_report(out, report);
             kind::REPORT
         }
+        Message::Plan(order) => {
+            put_order(out, order);
+            kind::PLAN
+        }
+        Message::Record(record) => {
+            put_record(out, record);
+            kind::RECORD
+        }
+        Message::PlanText { version, text } => {
+            put_version(out, version);
+            put_text(out, text, MAX_PLAN);
+            kind::PLAN_TEXT
+        }
     }
 }
 
@@ -295,15 +409,85 @@
     Ok(Held { attempt, task, state })
 }
 
-fn body(kind: u8, input: &mut Input<'_>) -> ModalResult<Option<Message>> {
+fn plan_version(input: &mut Input<'_>) -> ModalResult<Version> {
+    let digest =
+        winnow::token::take(16_usize).map(|bytes: &[u8]| Digest(bytes.try_into().unwrap_or_default()));
+    let version = (be_u64, digest).map(|(number, digest)| Version { number, digest });
+    version.context(label("the plan's version")).parse_next(input)
+}
+
+fn ballot(input: &mut Input<'_>) -> ModalResult<Ballot> {
+    (be_u64, be_u64).map(|(round, by)| Ballot { round, by }).context(label("the ballot")).parse_next(input)
+}
+
+fn stamp(input: &mut Input<'_>) -> ModalResult<Stamp> {
+    let (version, joint, list, build) = (plan_version, flag, be_u64, be_u32).parse_next(input)?;
+    Ok(Stamp { version, joint, list, build })
+}
+
+fn record(input: &mut Input<'_>) -> ModalResult<Record> {
+    let force = plan_version(input)?;
+    let next = if flag(input)? {
+        let (ballot, version, joint) = (ballot, plan_version, flag).parse_next(input)?;
+        Some(Introduced { ballot, version, joint })
+    } else {
+        None
+    };
+    let (promised, list, floor_ms, linked, behind, stuck) =
+        (ballot, be_u64, be_u64, be_u16, be_u16, flag).context(label("the record")).parse_next(input)?;
+    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck })
+}
+
+fn plan_text(input: &mut Input<'_>) -> ModalResult<String> {
+    text(MAX_PLAN).context(label("the plan's text")).parse_next(input)
+}
+
+fn order(input: &mut Input<'_>) -> ModalResult<Order> {
+    Ok(match u8.context(label("the order")).parse_next(input)? {
+        0 => Order::Ask { stamp: stamp(input)? },
+        1 => Order::Fetch { version: plan_version(input)? },
+        2 => {
+            let (follows, ballot, list) = (plan_version, ballot, be_u64).parse_next(input)?;
+            Order::Prepare { follows, ballot, list }
+        }
+        3 => {
+            let (follows, ballot, version, text, list) =
+                (plan_version, ballot, plan_version, plan_text, be_u64).parse_next(input)?;
+            Order::Accept { follows, ballot, version, text, list }
+        }
+        4 => {
+            let (follows, version, text, list) =
+                (plan_version, plan_version, plan_text, be_u64).parse_next(input)?;
+            Order::Joint { follows, version, text, list }
+        }
+        5 => {
+            let (version, text, list) = (plan_version, plan_text, be_u64).parse_next(input)?;
+            Order::Force { version, text, list }
+        }
+        _ => return Err(ErrMode::Backtrack(ContextError::new())),
+    })
+}
+
+/// What only version 2 tells.
+fn from_two<T>(
+    version: u8,
+    read: impl Fn(&mut Input<'_>) -> ModalResult<T>,
+    input: &mut Input<'_>,
+) -> ModalResult<Option<T>> {
+    if version < 2 { Ok(None) } else { read(input).map(Some) }
+}
+
+fn body(version: u8, kind: u8, input: &mut Input<'_>) -> ModalResult<Option<Message>> {
     Ok(Some(match kind {
         kind::HELLO => {
             let (placer, life, link) = (name, be_u64, be_u64).parse_next(input)?;
-            Message::Hello { placer, life, link }
+            let acts = from_two(version, |input| (stamp, name).parse_next(input), input)?;
+            Message::Hello { placer, life, link, acts }
         }
         kind::OFFER => {
             let (attempt, within_ms, task) = (attempt, be_u32, task).parse_next(input)?;
-            Message::Offer { attempt, task: Box::new(task), within_ms }
+            let stamp = from_two(version, stamp, input)?;
+            Message::Offer { attempt, task: Box::new(task), within_ms, stamp }
         }
         kind::STOP => Message::Stop { attempt: attempt(input)? },
         kind::PROBE => Message::Probe { nonce: be_u64.parse_next(input)? },
@@ -312,7 +496,8 @@
         kind::ACK => Message::Ack { attempt: attempt(input)? },
         kind::WELCOME => {
             let (node, life, up_ms, can_suspend) = (name, be_u64, be_u64, flag).parse_next(input)?;
-            Message::Welcome { node, life, up_ms, can_suspend }
+            let record = from_two(version, record, input)?;
+            Message::Welcome { node, life, up_ms, can_suspend, record }
         }
         kind::HOLDS => {
             let (last, count) = (flag, be_u16).parse_next(input)?;
@@ -345,15 +530,21 @@
             let (nonce, report) = (be_u64, report).parse_next(input)?;
             Message::Report { nonce, report }
         }
+        kind::PLAN if version >= 2 => Message::Plan(order(input)?),
+        kind::RECORD if version >= 2 => Message::Record(record(input)?),
+        kind::PLAN_TEXT if version >= 2 => {
+            let (version, text) = (plan_version, plan_text).parse_next(input)?;
+            Message::PlanText { version, text }
+        }
         _ => return Ok(None),
     }))
 }
 
 /// Reads the body of a frame.
-pub(crate) fn read(kind: u8, bytes: &[u8]) -> Result<Message, FrameError> {
+pub(crate) fn read(version: u8, kind: u8, bytes: &[u8]) -> Result<Message, FrameError> {
     let mut input = bytes;
     let fault = |field: String| FrameError::Field { kind, field };
-    match body(kind, &mut input) {
+    match body(version, kind, &mut input) {
         Ok(Some(message)) if input.is_empty() => Ok(message),
         Ok(Some(_)) => Err(fault(format!("{} bytes are left over", input.len()))),
         Ok(None) => Err(FrameError::Kind(kind)),
--- a/crates/nodeproto/src/frame.rs
+++ b/crates/nodeproto/src/frame.rs
@@ -16,7 +16,7 @@
     #[error("frame: a body of {0} bytes, at most {MAX_BODY} fit")]
     Long(u32),
     /// Another version.
-    #[error("frame: version {0}, this end speaks {VERSION}")]
+    #[error("frame: version {0}, this end speaks 1 to {VERSION}")]
     Version(u8),
     /// The checksum does not fit.
     #[error("frame: the checksum does not fit")]
@@ -39,10 +39,10 @@
 /// Names, texts and payloads over their limits are cut to them; the core refuses such at the door.
 pub fn encode(message: &Message) -> Vec<u8> {
     let mut out = vec![0; HEADER];
-    let kind = codec::write(message, &mut out);
+    let (kind, version) = codec::write(message, &mut out);
     let length = (out.len() - HEADER) as u32;
     out[..4].copy_from_slice(&length.to_be_bytes());
-    (out[4], out[5]) = (VERSION, kind);
+    (out[4], out[5]) = (version, kind);
     let sum = crc32c::crc32c(&out);
     out.extend_from_slice(&sum.to_be_bytes());
     out
@@ -82,7 +82,7 @@
         if length as usize > MAX_BODY {
             return Err(FrameError::Long(length));
         }
-        if version != VERSION {
+        if !(1..=VERSION).contains(&version) {
             return Err(FrameError::Version(version));
         }
         let body = HEADER + length as usize;
@@ -93,7 +93,7 @@
         if rest[body..body + TRAILER] != sum {
             return Err(FrameError::Checksum);
         }
-        let message = codec::read(kind, &rest[HEADER..body])?;
+        let message = codec::read(version, kind, &rest[HEADER..body])?;
         let from = self.at;
         self.at += body + TRAILER;
         Ok(Some((message, &self.buffer[from..self.at])))
--- a/crates/nodeproto/src/lib.rs
+++ b/crates/nodeproto/src/lib.rs
@@ -11,19 +11,24 @@
 mod codec;
 mod frame;
 mod message;
+mod versions;
 
 pub use codec::decode;
 pub use frame::{FrameError, Reader, encode};
 pub use message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
+pub use versions::{Ballot, Digest, Introduced, Order, Record, Stamp, Version, level};
 
-/// The version of the protocol that this crate speaks.
-pub const VERSION: u8 = 1;
+/// The newest version of the protocol that this crate speaks. A frame has version 1 unless it says what only
+/// version 2 can, so that who tells nothing of plans is read by every node.
+pub const VERSION: u8 = 2;
 /// Bytes of a frame's body at most.
 pub const MAX_BODY: usize = 64 * 1024;
 /// Bytes of a name at most: placers, nodes, jobs, classes, tenants, services, sessions.
 pub const MAX_NAME: usize = 256;
 /// Bytes of a text at most: reasons for the staff.
 pub const MAX_TEXT: usize = 1024;
+/// Bytes of a plan's text at most.
+pub const MAX_PLAN: usize = 48 * 1024;
 /// Bytes of a task's payload at most.
 pub const MAX_PAYLOAD: usize = 32 * 1024;
 /// Values of a load report at most.
--- a/crates/nodeproto/src/message.rs
+++ b/crates/nodeproto/src/message.rs
@@ -1,5 +1,7 @@
 //! The messages, in the words of the field.
 
+use crate::versions::{Order, Record, Stamp, Version};
+
 /// One attempt to place a task: the life of the placer that made it, its request there, its number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
@@ -86,11 +88,14 @@
     TooLate,
     /// The offer is not for this node: kind, class or form.
     NotHere,
+    /// The offer was decided by a plan that is under the node's floor, or that the node was not told of yet.
+    /// Told only to placers that say by which plan they decide.
+    Superseded,
 }
 
 impl Reason {
     /// Every reason, in the order of its code on the wire.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Untold,
         Self::NoCores,
         Self::NoMemory,
@@ -99,6 +104,7 @@
         Self::CopyStands,
         Self::TooLate,
         Self::NotHere,
+        Self::Superseded,
     ];
 
     /// The word for operators.
@@ -112,6 +118,7 @@
             Self::CopyStands => "copy stands",
             Self::TooLate => "too late",
             Self::NotHere => "not here",
+            Self::Superseded => "superseded",
         }
     }
 }
@@ -205,6 +212,8 @@
         life: u64,
         /// Counts its links to this node, from 1; larger is newer.
         link: u64,
+        /// By what it decides, and its build; from version 2 on.
+        acts: Option<(Stamp, String)>,
     },
     /// Placer to node: take this task?
     Offer {
@@ -214,7 +223,11 @@
         task: Box<Task>,
         /// Milliseconds within which an answer is of use; 0 without a bound.
         within_ms: u32,
+        /// By what it was decided; from version 2 on.
+        stamp: Option<Stamp>,
     },
+    /// Placer to node, from version 2 on: what concerns the plans that the node keeps.
+    Plan(Order),
     /// Placer to node: give the attempt up. It is answered by [`Message::Ended`].
     Stop {
         /// The attempt.
@@ -250,6 +263,17 @@
         up_ms: u64,
         /// It can suspend tasks.
         can_suspend: bool,
+        /// What it keeps of plans; from version 2 on.
+        record: Option<Record>,
+    },
+    /// Node to placer, from version 2 on: what it keeps of plans, each time that changes and when it is asked.
+    Record(Record),
+    /// Node to placer, from version 2 on: the text of a plan; empty where it has none of that digest.
+    PlanText {
+        /// The plan.
+        version: Version,
+        /// Its text.
+        text: String,
     },
     /// Node to placer, after the welcome: what it holds for this placer, in as many messages as it takes.
     Holds {
--- a/crates/nodeproto/tests/frames.rs
+++ b/crates/nodeproto/tests/frames.rs
@@ -60,23 +60,90 @@
     prop::collection::vec(-1e9..1e9, 0..MAX_REPORT)
 }
 
+fn version() -> impl Strategy<Value = Version> {
+    (any::<u64>(), any::<[u8; 16]>()).prop_map(|(number, digest)| Version { number, digest: Digest(digest) })
+}
+
+fn ballot() -> impl Strategy<Value = Ballot> {
+    (any::<u64>(), any::<u64>()).prop_map(|(round, by)| Ballot { round, by })
+}
+
+fn stamp() -> impl Strategy<Value = Stamp> {
+    (version(), any::<bool>(), any::<u64>(), any::<u32>()).prop_map(|(version, joint, list, build)| Stamp {
+        version,
+        joint,
+        list,
+        build,
+    })
+}
+
+fn record() -> impl Strategy<Value = Record> {
+    let next = (ballot(), version(), any::<bool>());
+    let next = next.prop_map(|(ballot, version, joint)| Introduced { ballot, version, joint });
+    let rest = (any::<u64>(), any::<u64>(), any::<u16>(), any::<u16>(), any::<bool>());
+    (version(), prop::option::of(next), ballot(), rest).prop_map(
+        |(force, next, promised, (list, floor_ms, linked, behind, stuck))| Record {
+            force,
+            next,
+            promised,
+            list,
+            floor_ms,
+            linked,
+            behind,
+            stuck,
+        },
+    )
+}
+
+fn order() -> impl Strategy<Value = Order> {
+    let all = (0..6, stamp(), version(), ballot(), "[a-z\n =]{0,40}", any::<u64>());
+    all.prop_map(|(kind, stamp, version, ballot, text, list)| match kind {
+        0 => Order::Ask { stamp },
+        1 => Order::Fetch { version },
+        2 => Order::Prepare { follows: stamp.version, ballot, list },
+        3 => Order::Accept { follows: stamp.version, ballot, version, text, list },
+        4 => Order::Joint { follows: stamp.version, version, text, list },
+        _ => Order::Force { version, text, list },
+    })
+}
+
 fn message() -> impl Strategy<Value = Message> {
     prop_oneof![
         ("[a-z]{0,9}", any::<u64>(), any::<u64>()).prop_map(|(placer, life, link)| Message::Hello {
             placer,
             life,
-            link
+            link,
+            acts: None,
         }),
-        (attempt(), task(), any::<u32>()).prop_map(|(attempt, task, within_ms)| Message::Offer {
-            attempt,
-            task: Box::new(task),
-            within_ms
+        ("[a-z]{0,9}", any::<u64>(), stamp()).prop_map(|(placer, life, stamp)| Message::Hello {
+            placer,
+            life,
+            link: life ^ 5,
+            acts: Some((stamp, "0.2.0".to_owned())),
         }),
+        order().prop_map(Message::Plan),
+        record().prop_map(Message::Record),
+        (version(), "[a-z ]{0,40}").prop_map(|(version, text)| Message::PlanText { version, text }),
+        (attempt(), task(), any::<u32>(), prop::option::of(stamp())).prop_map(
+            |(attempt, task, within_ms, stamp)| Message::Offer {
+                attempt,
+                task: Box::new(task),
+                within_ms,
+                stamp
+            }
+        ),
         attempt().prop_map(|attempt| Message::Stop { attempt }),
         attempt().prop_map(|attempt| Message::Ack { attempt }),
         any::<u64>().prop_map(|nonce| Message::Probe { nonce }),
-        ("[a-z]{0,9}", any::<u64>(), any::<u64>(), any::<bool>())
-            .prop_map(|(node, life, up_ms, can_suspend)| Message::Welcome { node, life, up_ms, can_suspend }),
+        ("[a-z]{0,9}", any::<u64>(), any::<u64>(), any::<bool>(), prop::option::of(record())).prop_map(
+            |(node, life, up_ms, can_suspend, record)| Message::Welcome {
+                node,
+                life,
+                up_ms,
+                can_suspend,
+                record
+            }
+        ),
         (prop::collection::vec(held(), 0..5), any::<bool>())
             .prop_map(|(held, last)| Message::Holds { held, last }),
         (attempt(), report()).prop_map(|(attempt, report)| Message::Accepted { attempt, report }),
@@ -143,7 +210,7 @@
     let mut reader = Reader::default();
     reader.push(&[0, 0, 0, 8, 9, 4, 0, 0]);
     assert_eq!(reader.next_message().unwrap_err(), FrameError::Version(9));
-    let long = Message::Hello { placer: "ä".repeat(MAX_NAME), life: 1, link: 1 };
+    let long = Message::Hello { placer: "ä".repeat(MAX_NAME), life: 1, link: 1, acts: None };
     let Message::Hello { placer, .. } = decode(&encode(&long)).unwrap() else { panic!("no hello") };
     assert_eq!(placer.len(), MAX_NAME);
 }
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use reedring_audit::Event;
@@ -23,6 +23,24 @@
 /// Between two tries to connect.
 const WAITS: Backoff = Backoff::new(Duration::from_millis(50), Duration::from_secs(2));
 
+/// Greetings that a node closes on before it is greeted in version 1: one may be a node that ends.
+const CLOSED_ON: u32 = 2;
+/// What a node says that does not read the greeting.
+const UNGREETED: &str = "the link ended before its greeting";
+
+/// Why a link never stood.
+struct End {
+    why: String,
+    /// The node closed it on reading the greeting.
+    closed_on: bool,
+}
+
+impl From<String> for End {
+    fn from(why: String) -> Self {
+        Self { why, closed_on: false }
+    }
+}
+
 /// A message, and the number of the link that the core meant it for.
 type Meant = (u64, Message);
 
@@ -114,14 +132,23 @@
 impl Keeper {
     async fn keep(mut self, mut messages: mpsc::Receiver<Meant>) {
         let mut waits = WAITS;
+        // Greetings in version 2 that were closed on without a word: a node that speaks version 1 alone does so.
+        let mut closed_on = 0;
         loop {
             self.number += 1;
-            let why = match self.link(&mut messages).await {
+            let plain = closed_on >= CLOSED_ON;
+            let why = match self.link(&mut messages, plain).await {
                 Ok(why) => {
                     waits.reset();
+                    // The node may be another program by the next time.
+                    closed_on = 0;
+                    why
+                }
+                Err(End { why, closed_on: true }) if !plain => {
+                    closed_on += 1;
                     why
                 }
-                Err(why) => why,
+                Err(End { why, .. }) => why,
             };
             self.shared.record_link(Event::LinkDown, &self.node, self.number, why.as_bytes());
             let down = Input::LinkDown { node: self.node.clone(), why };
@@ -133,7 +160,7 @@
     }
 
     /// One link from its start to its end: why it ended, or why it never stood.
-    async fn link(&mut self, messages: &mut mpsc::Receiver<Meant>) -> Result<String, String> {
+    async fn link(&mut self, messages: &mut mpsc::Receiver<Meant>, plain: bool) -> Result<String, End> {
         let limit = self.shared.connect_timeout;
         let connect = tokio::time::timeout(limit, TcpStream::connect(self.address)).await;
         let stream = connect.map_err(|_| "no connection in time".to_owned())?;
@@ -141,11 +168,16 @@
         let _ = stream.set_nodelay(true);
         let (mut read, mut write) = stream.into_split();
         let shared = &self.shared;
-        let hello = Message::Hello { placer: shared.name.clone(), life: shared.life, link: self.number };
+        let acts = if plain { None } else { *shared.acts.lock().unwrap_or_else(PoisonError::into_inner) };
+        let acts = acts.map(|stamp| (stamp, reedring_core::BUILD.to_owned()));
+        let told = acts.is_some();
+        let hello =
+            Message::Hello { placer: shared.name.clone(), life: shared.life, link: self.number, acts };
         self.write(&mut write, &[hello]).await.map_err(|error| format!("no greeting: {error}"))?;
         let mut reader = Reader::default();
         let greeting = tokio::time::timeout(limit, self.greeted(&mut read, &mut reader)).await;
-        let up = greeting.map_err(|_| "no greeting in time".to_owned())??;
+        let up = greeting.map_err(|_| "no greeting in time".to_owned())?;
+        let up = up.map_err(|why| End { closed_on: told && why == UNGREETED, why })?;
         let up = Came::LinkUp(self.number, up);
         self.came.send(up).await.map_err(|_| "the placer ends".to_owned())?;
         let why = tokio::select! {
@@ -161,18 +193,18 @@
             match reader.next_message() {
                 Ok(Some((message, bytes))) => {
                     self.shared.record_link(Event::FromNode, &self.node, self.number, bytes);
-                    let Message::Welcome { node: called, life, up_ms, can_suspend } = message else {
+                    let Message::Welcome { node: called, life, up_ms, can_suspend, record } = message else {
                         return Err("it did not greet".to_owned());
                     };
                     let node = self.node.clone();
-                    return Ok(Input::LinkUp { node, called, life, up_ms, can_suspend });
+                    return Ok(Input::LinkUp { node, called, life, up_ms, can_suspend, record });
                 }
                 Ok(None) => {}
                 Err(error) => return Err(error.to_string()),
             }
             let mut buffer = [0; 4096];
             match read.read(&mut buffer).await {
-                Ok(0) => return Err("the link ended before its greeting".to_owned()),
+                Ok(0) => return Err(UNGREETED.to_owned()),
                 Ok(count) => reader.push(&buffer[..count]),
                 Err(error) => return Err(format!("no greeting: {error}")),
             }
@@ -251,7 +283,8 @@
         out.send((4, Message::Probe { nonce: 1 })).await.unwrap();
         let keeping = tokio::spawn(keeper.keep(messages));
         let (mut node, _) = listener.accept().await.unwrap();
-        let welcome = Message::Welcome { node: "n".into(), life: 1, up_ms: 0, can_suspend: false };
+        let welcome =
+            Message::Welcome { node: "n".into(), life: 1, up_ms: 0, can_suspend: false, record: None };
         node.write_all(&encode(&welcome)).await.unwrap();
         let Some(Came::LinkUp(number, _)) = coming.recv().await else { panic!("no link") };
         out.send((4, Message::Probe { nonce: 2 })).await.unwrap();
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -3,16 +3,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc as blocking;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use reedring_audit::{Event, Recorder};
 use reedring_core::{Core, Input, Level, Output, Start};
+use reedring_nodeproto::Stamp;
 use reedring_settings::{Address, Settings};
 use tokio::net::{TcpListener, UnixListener};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::clients::{self, Came, Clients, Listener};
 use crate::links::Links;
@@ -72,13 +74,21 @@
     pub name: String,
     pub life: u64,
     pub connect_timeout: Duration,
+    /// By what it acts, where it tells nodes: each greeting says so.
+    pub acts: Mutex<Option<Stamp>>,
     recorder: Option<Arc<Recorder>>,
 }
 
 impl Shared {
     #[cfg(test)]
     pub fn for_tests() -> Self {
-        Self { name: "p".to_owned(), life: 1, connect_timeout: Duration::from_secs(10), recorder: None }
+        Self {
+            name: "p".to_owned(),
+            life: 1,
+            connect_timeout: Duration::from_secs(10),
+            acts: Mutex::default(),
+            recorder: None,
+        }
     }
 
     pub fn record(&self, event: Event, peer: &str, link: u64, bytes: &[u8]) {
@@ -122,6 +132,7 @@
     thread: Option<JoinHandle<()>>,
     recorder: Option<Arc<Recorder>>,
     socket: Option<PathBuf>,
+    shut_out: Arc<AtomicBool>,
 }
 
 impl Placer {
@@ -156,6 +167,8 @@
             Address::Tcp(_) => None,
         };
         let recorder = options.recorder.clone();
+        let shut_out = Arc::new(AtomicBool::new(false));
+        let told = Arc::clone(&shut_out);
         let thread = std::thread::Builder::new().name(name.clone()).spawn(move || {
             let begin = async {
                 let (listener, contact) = match listen(&settings).await {
@@ -164,7 +177,7 @@
                 };
                 let _ = ready.send(Ok(contact));
                 let life = (life, unix);
-                run(settings, options, listener, life, folder, ordered, stopped).await;
+                run(settings, options, listener, life, folder, (ordered, stopped), told).await;
             };
             runtime.block_on(begin);
             // What still runs ends here, and its sockets with it.
@@ -172,7 +185,8 @@
         });
         let thread = thread.map_err(runtime_error)?;
         let contact = started.recv().map_err(|_| runtime_error(io::Error::other("its thread ended")))??;
-        Ok(Self { name, contact, life, orders, stop: Some(stop), thread: Some(thread), recorder, socket })
+        let (stop, thread) = (Some(stop), Some(thread));
+        Ok(Self { name, contact, life, orders, stop, thread, recorder, socket, shut_out })
     }
 
     /// Its name.
@@ -190,6 +204,11 @@
         self.life
     }
 
+    /// It takes nothing new until its staff act: its plan is not the fleet's, and it can't take that.
+    pub fn is_shut_out(&self) -> bool {
+        self.shut_out.load(Ordering::Relaxed)
+    }
+
     /// Makes it stand still.
     pub fn stall(&self, time: Duration) {
         let _ = self.orders.send(Order::Stall(time));
@@ -261,8 +280,8 @@
     listener: Listener,
     (life, unix): (u64, Duration),
     folder: Option<Folder>,
-    mut orders: mpsc::UnboundedReceiver<Order>,
-    mut stopped: oneshot::Receiver<End>,
+    (mut orders, mut stopped): (mpsc::UnboundedReceiver<Order>, oneshot::Receiver<End>),
+    shut_out: Arc<AtomicBool>,
 ) {
     // The core's clock starts at the time of day, so that it can name moments before its start.
     let (clock, unix_us) = (Instant::now(), unix.as_micros() as u64);
@@ -271,6 +290,7 @@
         name: settings.name.clone(),
         life,
         connect_timeout: Duration::from_micros(settings.links.connect_us),
+        acts: Mutex::new(reedring_core::first_stamp(&settings)),
         recorder: options.recorder,
     });
     shared.record(Event::PlacerStarted, "", life, options.settings_text.as_bytes());
@@ -291,8 +311,10 @@
     core.time_module(monotonic_ns);
     let (listed, mut lists) = mpsc::channel(4);
     tokio::spawn(clients::accept(listener, limit, Arc::clone(&shared), came.clone()));
+    let known = options.source.settings();
     tokio::spawn(options.source.run(listed));
-    let mut shell = Shell { clients: Clients::default(), links: Links::default(), shared, came, writer };
+    let (clients, links) = (Clients::default(), Links::default());
+    let mut shell = Shell { clients, links, shared, came, writer, known, shut_out };
     let mut batch = Vec::with_capacity(BATCH);
     loop {
         let wake = core.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
@@ -353,6 +375,9 @@
     shared: Arc<Shared>,
     came: mpsc::Sender<Came>,
     writer: Option<Writer>,
+    /// The settings by which the list is read, where its source shares them.
+    known: Option<watch::Sender<Settings>>,
+    shut_out: Arc<AtomicBool>,
 }
 
 impl Shell {
@@ -389,6 +414,15 @@
                     writer.learn(learned);
                 }
             }
+            Output::Acts(stamp) => {
+                *self.shared.acts.lock().unwrap_or_else(PoisonError::into_inner) = Some(stamp);
+            }
+            Output::Settings(settings) => {
+                if let Some(known) = &self.known {
+                    known.send_replace(*settings);
+                }
+            }
+            Output::ShutOut(shut_out) => self.shut_out.store(shut_out, Ordering::Relaxed),
             Output::Log { level: Level::Warn, line } => tracing::warn!(placer = self.shared.name, "{line}"),
             Output::Log { level: Level::Info, line } => tracing::info!(placer = self.shared.name, "{line}"),
         }
--- /dev/null
+++ b/crates/plan/src/hold.rs
@@ -0,0 +1,145 @@
+//! Which nodes a placer may send to: a node refuses what is under its floor, and is not pushed over between two plans.
+
+use crate::fleet::Kin;
+use crate::standing::{Standing, Why};
+
+/// Why a node gets nothing from a placer for now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Hold {
+    /// The placer sends nothing to any node.
+    Waits(Why),
+    /// The node has not told what it keeps.
+    Untold,
+    /// Its floor is over the plan that the placer acts by.
+    Behind,
+    /// It was not told yet of the plan that the placer acts by.
+    NotThere,
+    /// It is cold, and its floor rose less than a window ago: it may have got offers by the plan before.
+    Settling,
+    /// It is cold, and the plan of the placer's own file, by which there may be more placers, is not there yet.
+    Ahead,
+}
+
+impl Hold {
+    /// In words, for the staff.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Waits(why) => why.word(),
+            Self::Untold => "not told yet what it keeps of plans",
+            Self::Behind => "its floor is over the plan acted by",
+            Self::NotThere => "the plan acted by is not there yet",
+            Self::Settling => "cold, and its floor rose a moment ago",
+            Self::Ahead => "cold, and the plan of the own file is not there yet",
+        }
+    }
+}
+
+/// Whether a node is held back from a placer.
+///
+/// | standing | node | cold | its floor, beside the level acted by | held |
+/// | --- | --- | --- | --- | --- |
+/// | unkept | any | any | any | no |
+/// | waits | any | any | any | waits |
+/// | acts | unmet | any | | untold |
+/// | acts | of version 1 | any | | no: it checks nothing, as before |
+/// | acts | told | any | over it | behind |
+/// | acts | told | any | more than half a step under it, or nothing is in force nor decided there | not there |
+/// | acts by two plans | told | yes | half a step under it | not there |
+/// | acts, ahead | told | yes | the own plan is not at least joint there | ahead |
+/// | acts | told | yes | rose less than a window ago | settling |
+/// | acts | told | no, or its floor stands | the same, or half a step under it | no |
+pub fn hold(standing: &Standing, kin: &Kin, cold: bool, window_ms: u64) -> Option<Hold> {
+    let acts = match standing {
+        Standing::Unkept => return None,
+        Standing::Waits(why) => return Some(Hold::Waits(*why)),
+        Standing::Acts(acts) => acts,
+    };
+    let record = match kin {
+        Kin::Unmet => return Some(Hold::Untold),
+        Kin::Old => return None,
+        Kin::Told(record) => record,
+    };
+    let (level, floor) = (acts.level(), record.floor());
+    if floor > level {
+        return Some(Hold::Behind);
+    }
+    if floor == 0 || floor + 1 < level {
+        return Some(Hold::NotThere);
+    }
+    if cold && floor < level && acts.next.is_some() {
+        // Others may send there by the plan before alone, and as many as that allows.
+        return Some(Hold::NotThere);
+    }
+    if cold && acts.ahead.is_some() {
+        return Some(Hold::Ahead);
+    }
+    (cold && record.floor_ms < window_ms).then_some(Hold::Settling)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::standing::Acts;
+    use reedring_nodeproto::{Ballot, Digest, Introduced, Record, Version};
+
+    fn version(number: u64) -> Version {
+        Version { number, digest: Digest([number as u8; 16]) }
+    }
+
+    fn record(force: u64, joint: Option<u64>, floor_ms: u64) -> Kin {
+        let ballot = Ballot { round: 1, by: 1 };
+        let next = joint.map(|number| Introduced { ballot, version: version(number), joint: true });
+        let force = if force > 0 { version(force) } else { Version::default() };
+        Kin::Told(Record { force, next, floor_ms, ..Record::default() })
+    }
+
+    /// Every floor from none to two plans on, beside every level.
+    #[test]
+    fn a_placer_and_a_node_are_never_more_than_half_a_step_apart() {
+        let acts = [(1, None), (1, Some(2)), (2, None), (2, Some(3)), (3, None)];
+        let floors = [(0, None), (1, None), (1, Some(2)), (2, None), (2, Some(3)), (3, None)];
+        for (force, next) in acts {
+            let acts = Acts { force: version(force), next: next.map(version), ahead: None };
+            for (at, joint) in floors {
+                let kin = record(at, joint, 9_999);
+                let floor = kin.record().unwrap().floor();
+                let want = if floor > acts.level() {
+                    Some(Hold::Behind)
+                } else if floor == 0 || acts.level() - floor > 1 {
+                    Some(Hold::NotThere)
+                } else {
+                    None
+                };
+                assert_eq!(hold(&Standing::Acts(acts), &kin, false, 2_000), want, "{acts:?} {kin:?}");
+                // A cold node must be told of both before it gets anything by both.
+                let half = acts.next.is_some() && floor < acts.level();
+                let want = want.or(half.then_some(Hold::NotThere));
+                assert_eq!(hold(&Standing::Acts(acts), &kin, true, 2_000), want, "{acts:?} {kin:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_cold_node_settles_for_a_window_after_its_floor_rose_and_gets_nothing_from_who_is_ahead() {
+        let acts = Acts { force: version(1), next: None, ahead: None };
+        let stands = Standing::Acts(acts);
+        assert_eq!(hold(&stands, &record(1, None, 1_999), true, 2_000), Some(Hold::Settling));
+        assert_eq!(hold(&stands, &record(1, None, 2_000), true, 2_000), None);
+        assert_eq!(hold(&stands, &record(1, None, 0), false, 2_000), None);
+        let ahead = Standing::Acts(Acts { ahead: Some(version(2)), ..acts });
+        assert_eq!(hold(&ahead, &record(1, None, 9_999), true, 2_000), Some(Hold::Ahead));
+        assert_eq!(hold(&ahead, &record(1, None, 9_999), false, 2_000), None);
+    }
+
+    #[test]
+    fn who_waits_sends_nowhere_and_old_nodes_check_nothing() {
+        let waits = Standing::Waits(Why::NoPlan);
+        for kin in [Kin::Unmet, Kin::Old, record(1, None, 9)] {
+            assert_eq!(hold(&waits, &kin, false, 0), Some(Hold::Waits(Why::NoPlan)));
+            assert_eq!(hold(&Standing::Unkept, &kin, true, 9), None);
+        }
+        let acts = Standing::Acts(Acts { force: version(1), next: None, ahead: None });
+        assert_eq!(hold(&acts, &Kin::Old, true, 9), None);
+        assert_eq!(hold(&acts, &Kin::Unmet, false, 9), Some(Hold::Untold));
+    }
+}
--- /dev/null
+++ b/crates/plan/src/pace.rs
@@ -0,0 +1,104 @@
+//! When a placer may ask again, and when it may outbid another: so that many of them neither flood nodes nor outbid
+//! each other for ever.
+
+use std::collections::BTreeMap;
+
+use reedring_nodeproto::{Ballot, Order};
+
+use crate::fleet::{Fleet, Kin};
+
+/// Microseconds after which an order that nothing came of is sent again.
+const AGAIN_US: u64 = 500_000;
+/// Microseconds for which a ballot of another placer is left alone; each placer adds up to as much again, by its
+/// own life.
+const LEAVE_US: u64 = 300_000;
+
+/// The pace of one placer's orders.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    /// The greatest ballot that was seen, and since when.
+    rival: (Ballot, u64),
+    /// What was sent to each node last, and when.
+    sent: BTreeMap<u32, (u64, u64)>,
+}
+
+/// Tells two orders to a node apart.
+fn mark(order: &Order) -> u64 {
+    match order {
+        Order::Ask { stamp } => 1 + (stamp.level() << 3),
+        Order::Fetch { version } => 2 + (version.number << 3),
+        Order::Prepare { ballot, .. } => 3 + (ballot.round << 3),
+        Order::Accept { ballot, .. } => 4 + (ballot.round << 3),
+        Order::Joint { version, .. } => 5 + (version.number << 3),
+        Order::Force { version, .. } => 6 + (version.number << 3),
+    }
+}
+
+impl Pace {
+    /// Whether the greatest ballot has had its time. A first ballot may be made at once.
+    pub fn may_outbid(&mut self, now: u64, life: u64, fleet: &Fleet) -> bool {
+        let promised = fleet.nodes.values().filter_map(Kin::record).map(|record| record.promised);
+        let greatest = promised.max().unwrap_or_default();
+        if greatest > self.rival.0 {
+            self.rival = (greatest, now);
+        }
+        let own = life.wrapping_mul(0x9e37_79b9_7f4a_7c15) % LEAVE_US;
+        greatest.round == 0 || now >= self.rival.1 + LEAVE_US + own
+    }
+
+    /// Leaves out what was asked of a node last, and has not had its time.
+    pub fn due(&mut self, now: u64, orders: Vec<(u32, Order)>) -> Vec<(u32, Order)> {
+        let mut due = orders;
+        due.retain(|(node, order)| {
+            let this = mark(order);
+            let again = self.sent.get(node).is_none_or(|(last, at)| *last != this || now >= at + AGAIN_US);
+            if again {
+                self.sent.insert(*node, (this, now));
+            }
+            again
+        });
+        due
+    }
+
+    /// A node's link is another now: what was asked on the one before may be lost.
+    pub fn forget(&mut self, node: u32) {
+        self.sent.remove(&node);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use reedring_nodeproto::Record;
+
+    #[test]
+    fn the_same_is_not_asked_again_before_its_time_and_something_else_is() {
+        let mut pace = Pace::default();
+        let one = Order::Ask { stamp: reedring_nodeproto::Stamp::default() };
+        let ask = || vec![(1, one.clone()), (2, one.clone())];
+        assert_eq!(pace.due(0, ask()).len(), 2);
+        assert_eq!(pace.due(AGAIN_US - 1, ask()).len(), 0);
+        pace.forget(2);
+        assert_eq!(pace.due(AGAIN_US - 1, ask()), [(2, one.clone())]);
+        assert_eq!(pace.due(AGAIN_US, ask()), [(1, one.clone())]);
+        let fetch = Order::Fetch { version: reedring_nodeproto::Version::default() };
+        assert_eq!(pace.due(AGAIN_US, vec![(1, fetch)]).len(), 1);
+    }
+
+    #[test]
+    fn a_ballot_is_left_alone_and_two_placers_do_not_wait_for_the_same_time() {
+        let told = |round, by| {
+            let record = Record { promised: Ballot { round, by }, ..Record::default() };
+            Fleet { list: 0, nodes: [(0, Kin::Told(record))].into() }
+        };
+        let first = |life| {
+            let mut pace = Pace::default();
+            assert!(pace.may_outbid(0, life, &told(0, 0)), "nothing to outbid");
+            let at = (0..700).find(|ms| pace.may_outbid(ms * 1_000, life, &told(1, 9))).unwrap();
+            assert!((300..=600).contains(&at), "{at}");
+            assert!(!pace.may_outbid(at * 1_000, life, &told(2, 9)), "a new one has its own time");
+            at
+        };
+        assert_ne!(first(1), first(2));
+    }
+}
--- /dev/null
+++ b/crates/plan/src/standing.rs
@@ -0,0 +1,273 @@
+//! How a placer stands: by which plan it acts, or why it sends nothing.
+
+use reedring_nodeproto::Version;
+
+use crate::fleet::Fleet;
+
+/// What a placer can do with a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// Its text is not here yet.
+    Missing,
+    /// It can act by it, and by it and the one before.
+    Good,
+    /// It can't: the text says what this build does not know, or two plans have no joint form here.
+    Bad,
+}
+
+/// What a placer's own file says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// The plan of its file.
+    pub version: Version,
+    /// It takes no other.
+    pub pinned: bool,
+}
+
+/// When a majority of the list was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Never in this life.
+    Never,
+    /// Within the lease.
+    Lately,
+    /// Longer ago.
+    LongAgo,
+}
+
+/// Why nothing may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Too few nodes have told what they keep.
+    NoMajority,
+    /// No plan is in force yet, and none is decided.
+    NoPlan,
+    /// The text of the plan in force is being fetched.
+    Fetching,
+    /// Its own file is pinned to another plan than the one in force.
+    Pinned,
+    /// It can't act by the plan in force.
+    Unusable,
+}
+
+impl Why {
+    /// In words, for the staff.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NoMajority => "no majority of the listed nodes was heard within the lease",
+            Self::NoPlan => "no plan is in force yet",
+            Self::Fetching => "the text of the plan in force is being fetched",
+            Self::Pinned => "its file is pinned to another plan than the one in force",
+            Self::Unusable => "it can't act by the plan in force",
+        }
+    }
+
+    /// It does not end by itself: the placer is shut out until its staff act.
+    pub const fn is_shut_out(self) -> bool {
+        matches!(self, Self::Pinned | Self::Unusable)
+    }
+}
+
+/// By what a placer acts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acts {
+    /// The plan in force; number 0 where the first one is only decided.
+    pub force: Version,
+    /// The one decided to follow: it acts by the stricter of both.
+    pub next: Option<Version>,
+    /// Its own file has a plan that is not in force yet, and that it stays under as well.
+    pub ahead: Option<Version>,
+}
+
+impl Acts {
+    /// The plan that its offers name, and whether it is joint with the one before.
+    pub fn stamp(&self) -> (Version, bool) {
+        self.next.map_or((self.force, false), |next| (next, true))
+    }
+
+    /// The level of its offers.
+    pub fn level(&self) -> u64 {
+        let (version, joint) = self.stamp();
+        reedring_nodeproto::level(version, joint)
+    }
+}
+
+/// How a placer stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Most nodes keep no plans: it acts by its own file, as placers did before there were plans.
+    Unkept,
+    /// It sends nothing.
+    Waits(Why),
+    /// It acts by a plan.
+    Acts(Acts),
+}
+
+/// How a placer stands.
+///
+/// | most nodes keep nothing | majority heard | in force | decided | own file | is |
+/// | --- | --- | --- | --- | --- | --- |
+/// | yes | any | any | any | any | unkept: by its own file |
+/// | no | never, or long ago | any | any | any | waits: no majority |
+/// | no | lately | none | none | any | waits: no plan |
+/// | no | lately | none | text missing | any | waits: fetching |
+/// | no | lately | text missing | any | any | waits: fetching |
+/// | no | lately | bad | any | any | shut out: unusable |
+/// | no | lately | not the own one, nor the one that it follows | any | pinned | shut out: pinned |
+/// | no | lately | none | bad, or not the own one and pinned | any | waits: no plan, until it is in force |
+/// | no | lately | good | missing, bad, or not the own one and pinned | any | acts by the one in force |
+/// | no | lately | good or none | good | any | acts by both |
+/// | no | lately | good | none | any | acts by the one in force |
+///
+/// Where it acts and its own file has a later plan than the one that it acts by, it is ahead of it.
+pub fn standing(
+    own: Own,
+    fleet: &Fleet,
+    force: Version,
+    heard: Heard,
+    can: impl Fn(Version) -> Use,
+) -> Standing {
+    if fleet.is_old() {
+        return Standing::Unkept;
+    }
+    if heard != Heard::Lately {
+        return Standing::Waits(Why::NoMajority);
+    }
+    let force = force.max(fleet.force());
+    let next = fleet.decided(force);
+    if force.number > 0 {
+        let follows = own.version.number == force.number + 1;
+        if own.pinned && own.version != force && !follows {
+            return Standing::Waits(Why::Pinned);
+        }
+        match can(force) {
+            Use::Missing => return Standing::Waits(Why::Fetching),
+            Use::Bad => return Standing::Waits(Why::Unusable),
+            Use::Good => {}
+        }
+    }
+    let refused = |next: Version| own.pinned && next != own.version;
+    let next = match next.map(|next| (next, can(next))) {
+        Some((next, Use::Good)) if !refused(next) => Some(next),
+        Some((_, Use::Missing)) if force.number == 0 => return Standing::Waits(Why::Fetching),
+        _ => None,
+    };
+    if force.number == 0 && next.is_none() {
+        return Standing::Waits(Why::NoPlan);
+    }
+    let ahead = (own.version.number > next.unwrap_or(force).number).then_some(own.version);
+    Standing::Acts(Acts { force, next, ahead })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::Kin;
+    use reedring_nodeproto::{Ballot, Digest, Introduced, Record};
+
+    fn version(number: u64, name: u8) -> Version {
+        Version { number, digest: Digest([name; 16]) }
+    }
+
+    /// Three nodes that all tell the same.
+    fn fleet(force: Version, next: Option<Version>, joint: bool) -> Fleet {
+        let ballot = Ballot { round: 1, by: 1 };
+        let next = next.map(|version| Introduced { ballot, version, joint });
+        let record = Record { force, next, ..Record::default() };
+        Fleet { list: 0, nodes: (0..3).map(|n| (n, Kin::Told(record))).collect() }
+    }
+
+    /// Every case of the table, against what must hold whatever it says.
+    #[test]
+    fn a_placer_acts_only_by_plans_that_it_can_use_and_that_a_majority_stands_behind() {
+        let (none, one, two, rival) = (Version::default(), version(1, 1), version(2, 2), version(2, 3));
+        for force in [none, one] {
+            for next in [None, Some(two), Some(rival)] {
+                for own in [one, two, version(5, 5)] {
+                    for pinned in [false, true] {
+                        for heard in [Heard::Never, Heard::Lately, Heard::LongAgo] {
+                            for first in [Use::Missing, Use::Good, Use::Bad] {
+                                for second in [Use::Missing, Use::Good, Use::Bad] {
+                                    let fleet = fleet(force, next, false);
+                                    let can = |v: Version| if v.number == 1 { first } else { second };
+                                    let own = Own { version: own, pinned };
+                                    let got = standing(own, &fleet, none, heard, can);
+                                    let case =
+                                        format!("{force} {next:?} {own:?} {heard:?} {first:?} {second:?}");
+                                    check(got, own, force, next, heard, can, &case);
+                                }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn check(
+        got: Standing,
+        own: Own,
+        force: Version,
+        next: Option<Version>,
+        heard: Heard,
+        can: impl Fn(Version) -> Use,
+        case: &str,
+    ) {
+        match got {
+            Standing::Unkept => panic!("nodes keep plans: {case}"),
+            Standing::Acts(acts) => {
+                assert_eq!(heard, Heard::Lately, "{case}");
+                assert_eq!(acts.force, force, "{case}");
+                assert!(force.number == 0 || can(force) == Use::Good, "{case}");
+                assert!(acts.next.is_none() || acts.next == next, "{case}");
+                assert!(acts.next.is_none_or(|next| can(next) == Use::Good), "{case}");
+                assert!(acts.stamp().0.number > 0, "it always acts by some plan: {case}");
+                let named = acts.stamp().0;
+                assert!(
+                    !own.pinned || named == own.version || named.number + 1 == own.version.number,
+                    "{case}"
+                );
+            }
+            Standing::Waits(why) => {
+                assert_eq!(why == Why::NoMajority, heard != Heard::Lately, "{case}");
+                if heard == Heard::Lately {
+                    let stuck = can(force) != Use::Good && force.number > 0;
+                    let pinned = own.pinned && own.version != force;
+                    let begins = force.number == 0;
+                    assert!(stuck || pinned || begins, "{case}: {why:?}");
+                    assert!(!why.is_shut_out() || force.number > 0, "{case}: {why:?}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn most_nodes_of_version_1_leave_each_placer_to_its_own_file() {
+        let mut fleet = fleet(version(1, 1), None, false);
+        fleet.nodes.insert(0, Kin::Old);
+        let own = Own { version: version(7, 7), pinned: false };
+        let stands = |fleet: &Fleet| standing(own, fleet, Version::default(), Heard::Lately, |_| Use::Good);
+        assert!(matches!(stands(&fleet), Standing::Acts(_)), "one of three");
+        fleet.nodes.insert(1, Kin::Old);
+        assert_eq!(stands(&fleet), Standing::Unkept);
+    }
+
+    #[test]
+    fn a_plan_that_the_placer_itself_learned_holds_where_all_nodes_have_lost_it() {
+        let own = Own { version: version(1, 1), pinned: false };
+        let empty = fleet(Version::default(), None, false);
+        let got = standing(own, &empty, version(2, 2), Heard::Lately, |_| Use::Good);
+        assert!(matches!(got, Standing::Acts(acts) if acts.force == version(2, 2)), "{got:?}");
+    }
+
+    #[test]
+    fn a_file_with_the_next_plan_is_ahead_until_that_is_joint() {
+        let (one, two) = (version(1, 1), version(2, 2));
+        let own = Own { version: two, pinned: true };
+        let stands =
+            |next| standing(own, &fleet(one, next, true), Version::default(), Heard::Lately, |_| Use::Good);
+        let acts = |next, ahead| Standing::Acts(Acts { force: one, next, ahead });
+        assert_eq!(stands(None), acts(None, Some(two)));
+        assert_eq!(stands(Some(two)), acts(Some(two), None));
+    }
+}
--- /dev/null
+++ b/crates/plan/src/text.rs
@@ -0,0 +1,86 @@
+//! A plan's text and its digest. What the text says is not for here: whoever acts by it checks it as a whole.
+
+use std::sync::Arc;
+
+use reedring_nodeproto::{Digest, MAX_PLAN, Version};
+use sha2::{Digest as _, Sha256};
+
+/// A plan whose text fits its version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Kept {
+    version: Version,
+    text: Arc<str>,
+}
+
+/// Why a text is not that of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WrongText {
+    /// It is over the bound.
+    #[error("plan {number}: a text of {bytes} bytes, at most {MAX_PLAN} fit")]
+    Long {
+        /// The plan's number.
+        number: u64,
+        /// Bytes of the text.
+        bytes: usize,
+    },
+    /// It has another digest.
+    #[error("plan {number}: the text has digest {found}, not {wanted}")]
+    Digest {
+        /// The plan's number.
+        number: u64,
+        /// That of the text.
+        found: Digest,
+        /// That of the version.
+        wanted: Digest,
+    },
+    /// Plans are numbered from 1.
+    #[error("plan 0: plans are numbered from 1")]
+    Number,
+}
+
+/// The digest of a text.
+fn digest(text: &str) -> Digest {
+    let whole: [u8; 32] = Sha256::digest(text.as_bytes()).into();
+    let mut half = [0; 16];
+    half.copy_from_slice(&whole[..16]);
+    Digest(half)
+}
+
+impl Kept {
+    /// The plan of this number and text.
+    ///
+    /// # Errors
+    /// Where the text is over its bound, or the number is 0.
+    pub fn new(number: u64, text: &str) -> Result<Self, WrongText> {
+        Self::checked(Version { number, digest: digest(text) }, text)
+    }
+
+    /// The plan of this version, if the text is its.
+    ///
+    /// # Errors
+    /// See [`WrongText`].
+    pub fn checked(version: Version, text: &str) -> Result<Self, WrongText> {
+        let (number, bytes) = (version.number, text.len());
+        if number == 0 {
+            return Err(WrongText::Number);
+        }
+        if bytes > MAX_PLAN {
+            return Err(WrongText::Long { number, bytes });
+        }
+        let found = digest(text);
+        if found != version.digest {
+            return Err(WrongText::Digest { number, found, wanted: version.digest });
+        }
+        Ok(Self { version, text: text.into() })
+    }
+
+    /// Its version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Its text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+}
--- a/crates/settings/src/nodes.rs
+++ b/crates/settings/src/nodes.rs
@@ -60,6 +60,8 @@
 /// A whole list. A node that it lacks is gone.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NodeList {
+    /// Its revision: a later list has a greater one. 0 where the file does not number its lists.
+    pub revision: u64,
     /// The lines.
     pub nodes: Vec<NodeEntry>,
 }
@@ -67,6 +69,8 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct File {
+    #[serde(default)]
+    revision: u64,
     #[serde(default)]
     node: Vec<NodeTable>,
 }
@@ -157,6 +161,6 @@
                 free_memory: node.free_memory,
             });
         }
-        check.finish(Self { nodes })
+        check.finish(Self { revision: read.revision, nodes })
     }
 }
--- a/crates/settings/src/problem.rs
+++ b/crates/settings/src/problem.rs
@@ -21,6 +21,13 @@
     pub message: String,
 }
 
+impl Problem {
+    /// One that no line of the text shows.
+    pub(crate) fn of(file: &str, key: &str, message: String) -> Self {
+        Self { file: file.to_owned(), line: 1, key: key.to_owned(), message }
+    }
+}
+
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let key = if self.key.is_empty() { String::new() } else { format!("{}: ", self.key) };
--- a/crates/settings/src/settings/class.rs
+++ b/crates/settings/src/settings/class.rs
@@ -46,6 +46,11 @@
             check.wrong(spread.most.span(), key("spread.most"), "0 lets nothing stand; it is at least 1");
         }
         let value = |value: &Option<Spanned<f64>>| value.as_ref().map(|value| *value.get_ref());
+        let group = match self.group.as_ref().map(Spanned::get_ref) {
+            Some(GroupWord::All) => Group::All,
+            Some(GroupWord::Hall) => Group::Zone,
+            Some(GroupWord::Rack) | None => Group::Cell,
+        };
         Class {
             name: self.name.get_ref().clone(),
             effect: match self.repeat {
@@ -53,11 +58,8 @@
                 Repeat::Keyed => Effect::Keyed,
                 Repeat::Unsafe => Effect::Unsafe,
             },
-            group: match self.group.as_ref().map(Spanned::get_ref) {
-                Some(GroupWord::All) => Group::All,
-                Some(GroupWord::Hall) => Group::Zone,
-                Some(GroupWord::Rack) | None => Group::Cell,
-            },
+            group,
+            drops: group,
             window_us: self.window.as_ref().map(|window| window.get_ref().0),
             aim_us: aim.0,
             give_up_us: self.give_up.0,
@@ -75,6 +77,7 @@
             again_after_us: self.again_after.map_or(1_000_000, |time| time.0),
             cores: value(&self.cores).or(site.mean_cores).unwrap_or(1.0),
             memory: value(&self.memory).or(site.mean_memory).unwrap_or(1.0),
+            closed: false,
         }
     }
 }
--- a/crates/settings/src/settings/mod.rs
+++ b/crates/settings/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod class;
 mod module;
+mod plan;
 mod site;
 mod tables;
 mod types;
@@ -15,10 +16,11 @@
 use toml::Spanned;
 
 pub use self::module::DISK_WAIT_US;
+pub use self::plan::{OWN_TABLES, PLAN_TABLES, whose_tables};
 use self::tables::{ClassTable, File, KindTable};
 pub use self::types::{
-    Address, Category, Class, ComesAgain, Kind, Limits, Links, Reports, Settings, Site, Spread, State,
-    WhenLost,
+    Address, Category, Class, ComesAgain, Kind, Limits, Links, PlanOwn, Reports, Settings, Site, Spread,
+    State, WhenLost,
 };
 use crate::problem::{Checker, Problems};
 
@@ -95,7 +97,8 @@
             if let Some(name) = named(&native.tenant) {
                 check.find(&name, &tenant_names, &key, "tenant");
             }
-            categories.push(Category { name: category.name.get_ref().clone(), native });
+            let (name, text) = (category.name.get_ref().clone(), category.native.get_ref().clone());
+            categories.push(Category { name, native, text });
         }
         let kind = |kind: &KindTable| Kind {
             name: kind.name.get_ref().clone(),
@@ -104,8 +107,11 @@
         };
         let (limits, links) = (read.limits, read.links);
         let state = read.state.map(|state| state.check(&mut check));
+        let plan = read.plan.map(|plan| plan.check(&mut check));
         let settings = Self {
             state,
+            plan,
+            own: plan::own_text(text),
             name: read.placer.name.get_ref().clone(),
             listen,
             nodes: read.placer.nodes,
--- /dev/null
+++ b/crates/settings/src/settings/plan.rs
@@ -0,0 +1,305 @@
+//! The plan: the part of the settings that the whole fleet must share, told apart from what is a placer's own.
+//!
+//! `[site]`, `[[kind]]`, `[[class]]`, `[[tenant]]`, `[[category]]` and `[[constraint]]` are the plan; `[placer]`,
+//! `[plan]`, `[limits]`, `[links]` and `[state]` are the placer's own. A plan's canonical text says every value, also
+//! those that the file left out, so that two files that mean the same have one digest.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use reedring::{Effect, Group, Place, ReportField, ReportStyle};
+use reedring_nodeproto as wire;
+use reedring_plan::{Again, Bounds, ClassBounds, Kept, Over};
+
+use super::types::{Class, ComesAgain, Settings, Spread};
+use crate::problem::{Problem, Problems};
+
+/// Tables of the file that are a placer's own.
+pub const OWN_TABLES: [&str; 5] = ["placer", "plan", "limits", "links", "state"];
+/// Tables of the file that are the plan.
+pub const PLAN_TABLES: [&str; 6] = ["site", "kind", "class", "tenant", "category", "constraint"];
+
+fn time(us: u64) -> String {
+    format!("\"{}ms\"", us as f64 / 1_000.0)
+}
+
+fn text(value: &str) -> String {
+    toml::Value::from(value).to_string()
+}
+
+/// The own tables of a file, as they stand there.
+pub(super) fn own_text(file: &str) -> String {
+    let mut tables: toml::Table = toml::from_str(file).unwrap_or_default();
+    tables.retain(|name, _| OWN_TABLES.contains(&name));
+    toml::to_string(&tables).unwrap_or_default()
+}
+
+impl Settings {
+    /// The plan's canonical text.
+    pub fn plan_text(&self) -> String {
+        let (mut out, site) = (String::from("[site]\n"), &self.site);
+        let mut line = |key: &str, value: String| {
+            let _ = writeln!(out, "{key} = {value}");
+        };
+        line("placers", site.placers.to_string());
+        line("accepts_cores", format!("{:?}", site.accepts_cores));
+        line("accepts_memory", format!("{:?}", site.accepts_memory));
+        site.mean_cores.iter().for_each(|mean| line("mean_cores", format!("{mean:?}")));
+        site.mean_memory.iter().for_each(|mean| line("mean_memory", format!("{mean:?}")));
+        line("yes_when", text(if site.yes_when_running { "running" } else { "accepted" }));
+        let reports = match site.reports.style {
+            ReportStyle::Never => "never",
+            ReportStyle::Answers => "answers",
+            ReportStyle::Probes => "probes",
+        };
+        line("reports", text(reports));
+        let field = |field: &ReportField| match field {
+            ReportField::Cores => "\"cores\"",
+            ReportField::Memory => "\"memory\"",
+            ReportField::Other => "\"other\"",
+        };
+        let fields: Vec<&str> = site.reports.fields.iter().map(field).collect();
+        line("report_fields", format!("[{}]", fields.join(", ")));
+        line("report_counts", text(if site.reports.counts_asks { "asked" } else { "used" }));
+        line("max_attempts", site.max_attempts.to_string());
+        line("may_probe", site.may_probe.to_string());
+        line("drain_grace", time(site.drain_grace_us));
+        site.warm_after_us.iter().for_each(|us| line("warm_after", time(*us)));
+        site.cold_window_us.iter().for_each(|us| line("cold_window", time(*us)));
+        site.cold_offers.iter().for_each(|offers| line("cold_offers", format!("{offers:?}")));
+        site.price_fleet.iter().for_each(|price| line("price_fleet", format!("{price:?}")));
+        site.price_cross_hall.iter().for_each(|price| line("price_cross_hall", format!("{price:?}")));
+        for kind in &self.kinds {
+            let _ = writeln!(out, "\n[[kind]]\nname = {}", text(&kind.name));
+            let _ = writeln!(out, "cores = {:?}\nmemory = {:?}", kind.cores, kind.memory);
+        }
+        self.classes.iter().for_each(|class| class_text(class, &self.kinds, &mut out));
+        for tenant in &self.tenants {
+            let _ = writeln!(out, "\n[[tenant]]\nname = {}", text(tenant));
+        }
+        for category in &self.categories {
+            let (name, native) = (text(&category.name), text(&category.text));
+            let _ = writeln!(out, "\n[[category]]\nname = {name}\nnative = {native}");
+        }
+        for (name, constraint) in &self.constraints {
+            let _ = writeln!(out, "\n[[constraint]]\nname = {}\ntext = {}", text(name), text(constraint));
+        }
+        out
+    }
+
+    /// The plan of this file, where it has a `[plan]` table.
+    ///
+    /// # Errors
+    /// Where its text is over the bound.
+    pub fn plan(&self) -> Result<Option<Kept>, Problems> {
+        let Some(plan) = &self.plan else { return Ok(None) };
+        let kept = Kept::new(plan.number, &self.plan_text());
+        let wrong = |message: String| Problems(vec![Problem::of("plan", "plan.number", message)]);
+        kept.map(Some).map_err(|error| wrong(error.to_string()))
+    }
+
+    /// These settings with the plan of another text, checked as a whole.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it; `from` is the name under which it speaks of the text.
+    pub fn with_plan(&self, plan: &str, from: &str) -> Result<Self, Problems> {
+        let tables: toml::Table = toml::from_str(plan)
+            .map_err(|error| Problems(vec![Problem::of(from, "", error.message().to_owned())]))?;
+        if let Some(name) = tables.keys().find(|name| !PLAN_TABLES.contains(&name.as_str())) {
+            let message = format!("a plan has no table `{name}`; it has {}", PLAN_TABLES.join(", "));
+            return Err(Problems(vec![Problem::of(from, name, message)]));
+        }
+        // The plan stands first, so that its lines are those of the error.
+        let new = Self::parse(&format!("{plan}\n{}", self.own), from)?;
+        Ok(Self { own: self.own.clone(), state: self.state.clone(), ..new })
+    }
+
+    /// What the plan binds.
+    pub fn bounds(&self) -> Bounds {
+        let class = |class: &Class| {
+            let kind = class.kind.and_then(|kind| self.kinds.get(usize::from(kind)));
+            let bounds = ClassBounds {
+                repeat: match class.effect {
+                    Effect::Safe => wire::Repeat::Safe,
+                    Effect::Keyed => wire::Repeat::Keyed,
+                    Effect::Unsafe => wire::Repeat::Unsafe,
+                },
+                resend: group(class.group),
+                drops: group(class.drops),
+                window_us: class.window_us,
+                kind: kind.map(|kind| kind.name.clone()),
+                spread: class.spread.map(|spread| (over(spread.over), spread.most)),
+                again: match class.comes_again {
+                    ComesAgain::Always => Again::Always,
+                    ComesAgain::Ended => Again::Ended,
+                    ComesAgain::Never => Again::Never,
+                },
+                open: !class.closed,
+            };
+            (class.name.clone(), bounds)
+        };
+        let site = &self.site;
+        Bounds {
+            placers: site.placers,
+            accepts: (site.accepts_cores, site.accepts_memory),
+            max_attempts: site.max_attempts,
+            drain_grace_us: site.drain_grace_us,
+            warm_after_us: site.warm_after_us,
+            cold_window_us: site.cold_window_us,
+            cold_offers: site.cold_offers,
+            yes_when_running: site.yes_when_running,
+            classes: self.classes.iter().map(class).collect(),
+            kinds: self.kinds.iter().map(|kind| (kind.name.clone(), (kind.cores, kind.memory))).collect(),
+        }
+    }
+
+    /// These settings under stricter bounds.
+    pub fn bound_by(&self, bounds: &Bounds) -> Self {
+        let mut new = self.clone();
+        for kind in &mut new.kinds {
+            if let Some((cores, memory)) = bounds.kinds.get(&kind.name) {
+                (kind.cores, kind.memory) = (*cores, *memory);
+            }
+        }
+        let kinds: Vec<String> = new.kinds.iter().map(|kind| kind.name.clone()).collect();
+        for class in &mut new.classes {
+            let Some(bound) = bounds.classes.get(&class.name) else { continue };
+            class.effect = match bound.repeat {
+                wire::Repeat::Safe => Effect::Safe,
+                wire::Repeat::Keyed => Effect::Keyed,
+                wire::Repeat::Unsafe => Effect::Unsafe,
+            };
+            (class.group, class.drops) = (ungroup(bound.resend), ungroup(bound.drops));
+            class.window_us = bound.window_us;
+            let kind = bound.kind.as_ref().and_then(|name| kinds.iter().position(|kind| kind == name));
+            class.kind = kind.map(|kind| kind as u16);
+            class.spread = bound.spread.map(|(over, most)| Spread { over: unover(over), most });
+            class.comes_again = match bound.again {
+                Again::Always => ComesAgain::Always,
+                Again::Ended => ComesAgain::Ended,
+                Again::Never => ComesAgain::Never,
+            };
+            class.closed = !bound.open;
+        }
+        let site = &mut new.site;
+        site.placers = bounds.placers;
+        (site.accepts_cores, site.accepts_memory) = bounds.accepts;
+        (site.max_attempts, site.drain_grace_us) = (bounds.max_attempts, bounds.drain_grace_us);
+        (site.warm_after_us, site.cold_window_us) = (bounds.warm_after_us, bounds.cold_window_us);
+        site.cold_offers = bounds.cold_offers;
+        new
+    }
+
+    /// These settings in the numbers of those in use: what stands there keeps its number, what is gone stays, closed,
+    /// for the tasks that stand, and what is new comes after it.
+    pub fn in_numbers_of(&self, used: &Self) -> Self {
+        let mut new = self.clone();
+        let mut kinds = used.kinds.clone();
+        for kind in &self.kinds {
+            match kinds.iter_mut().find(|old| old.name == kind.name) {
+                Some(old) => old.clone_from(kind),
+                None => kinds.push(kind.clone()),
+            }
+        }
+        let number = |kind: u16| {
+            let name = &self.kinds[usize::from(kind)].name;
+            kinds.iter().position(|kind| kind.name == *name).unwrap_or(0) as u16
+        };
+        let mut classes: Vec<Class> =
+            used.classes.iter().map(|class| Class { closed: true, ..class.clone() }).collect();
+        for class in &self.classes {
+            let class = Class { kind: class.kind.map(number), ..class.clone() };
+            match classes.iter_mut().find(|old| old.name == class.name) {
+                Some(old) => *old = class,
+                None => classes.push(class),
+            }
+        }
+        let mut tenants = used.tenants.clone();
+        tenants.extend(self.tenants.iter().filter(|tenant| !used.tenants.contains(tenant)).cloned());
+        (new.kinds, new.classes, new.tenants) = (kinds, classes, tenants);
+        new
+    }
+}
+
+fn class_text(class: &Class, kinds: &[super::Kind], out: &mut String) {
+    let mut line = |key: &str, value: String| {
+        let _ = writeln!(out, "{key} = {value}");
+    };
+    line("\n[[class]]\nname", text(&class.name));
+    let repeat = match class.effect {
+        Effect::Safe => "safe",
+        Effect::Keyed => "keyed",
+        Effect::Unsafe => "unsafe",
+    };
+    line("repeat", text(repeat));
+    if class.effect == Effect::Keyed {
+        let group = match class.group {
+            Group::All => "all",
+            Group::Zone => "hall",
+            Group::Cell => "rack",
+        };
+        line("group", text(group));
+        class.window_us.iter().for_each(|us| line("window", time(*us)));
+    }
+    line("aim", time(class.aim_us));
+    line("give_up", time(class.give_up_us));
+    let kind = class.kind.and_then(|kind| kinds.get(usize::from(kind)));
+    kind.into_iter().for_each(|kind| line("kind", text(&kind.name)));
+    if let Some(spread) = class.spread {
+        let over = match spread.over {
+            Place::Machine => "machine",
+            Place::Cell => "rack",
+            Place::Zone => "hall",
+        };
+        line("spread", format!("{{ over = {}, most = {} }}", text(over), spread.most));
+    }
+    class.calm.iter().for_each(|calm| line("calm", format!("{calm:?}")));
+    let again = match class.comes_again {
+        ComesAgain::Always => "always",
+        ComesAgain::Ended => "ended",
+        ComesAgain::Never => "never",
+    };
+    line("comes_again", text(again));
+    line("again_after", time(class.again_after_us));
+    line("cores", format!("{:?}", class.cores));
+    line("memory", format!("{:?}", class.memory));
+}
+
+fn group(group: Group) -> wire::Group {
+    match group {
+        Group::All => wire::Group::All,
+        Group::Zone => wire::Group::Hall,
+        Group::Cell => wire::Group::Rack,
+    }
+}
+
+fn ungroup(group: wire::Group) -> Group {
+    match group {
+        wire::Group::All => Group::All,
+        wire::Group::Hall => Group::Zone,
+        wire::Group::Rack => Group::Cell,
+    }
+}
+
+fn over(place: Place) -> Over {
+    match place {
+        Place::Machine => Over::Machine,
+        Place::Cell => Over::Rack,
+        Place::Zone => Over::Hall,
+    }
+}
+
+fn unover(over: Over) -> Place {
+    match over {
+        Over::Machine => Place::Machine,
+        Over::Rack => Place::Cell,
+        Over::Hall => Place::Zone,
+    }
+}
+
+/// The names of the tables and whose they are, for whoever checks a file.
+pub fn whose_tables(file: &str) -> BTreeMap<String, &'static str> {
+    let tables: toml::Table = toml::from_str(file).unwrap_or_default();
+    let whose = |name: &str| if PLAN_TABLES.contains(&name) { "the plan" } else { "the placer's own" };
+    tables.keys().map(|name| (name.clone(), whose(name))).collect()
+}
--- a/crates/settings/src/settings/site.rs
+++ b/crates/settings/src/settings/site.rs
@@ -3,8 +3,8 @@
 use reedring::{ReportField, ReportStyle};
 use toml::Spanned;
 
-use super::tables::{CountsWord, FieldWord, ReportsWord, SiteTable, StateTable, YesWhen};
-use super::types::{Reports, Site, State};
+use super::tables::{CountsWord, FieldWord, PlanTable, ReportsWord, SiteTable, StateTable, YesWhen};
+use super::types::{PlanOwn, Reports, Site, State};
 use crate::problem::{Checker, Time};
 
 impl SiteTable {
@@ -77,6 +77,20 @@
     }
 }
 
+impl PlanTable {
+    pub(super) fn check(self, check: &mut Checker<'_>) -> PlanOwn {
+        if *self.number.get_ref() == 0 {
+            check.wrong(self.number.span(), "plan.number", "plans are numbered from 1");
+        }
+        if let Some(lease) = self.lease.as_ref().filter(|lease| lease.get_ref().0 < 1_000_000) {
+            let fix = "under 1s a busy node would shut the placer up; write `30s`";
+            check.wrong(lease.span(), "plan.lease", fix);
+        }
+        let lease_us = self.lease.map_or(30_000_000, |lease| lease.get_ref().0);
+        PlanOwn { number: *self.number.get_ref(), pinned: self.pinned, lease_us }
+    }
+}
+
 impl StateTable {
     pub(super) fn check(self, check: &mut Checker<'_>) -> State {
         for (key, time) in [("state.learn_every", &self.learn_every), ("state.retry", &self.retry)] {
--- a/crates/settings/src/settings/tables.rs
+++ b/crates/settings/src/settings/tables.rs
@@ -19,6 +19,7 @@
     #[serde(default)]
     pub(super) links: LinksTable,
     pub(super) state: Option<StateTable>,
+    pub(super) plan: Option<PlanTable>,
     #[serde(default)]
     pub(super) class: Vec<ClassTable>,
     #[serde(default)]
@@ -174,6 +175,15 @@
     pub(super) retry: Option<Spanned<Time>>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PlanTable {
+    pub(super) number: Spanned<u64>,
+    #[serde(default)]
+    pub(super) pinned: bool,
+    pub(super) lease: Option<Spanned<Time>>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct ClassTable {
--- a/crates/settings/src/settings/types.rs
+++ b/crates/settings/src/settings/types.rs
@@ -45,8 +45,10 @@
     pub name: String,
     /// What a second start may do.
     pub effect: Effect,
-    /// Who drops repeats of a keyed task.
+    /// Within which group of its first attempt a keyed task may be sent again.
     pub group: Group,
+    /// Which nodes drop repeats of a keyed task: the same group, but between two plans.
+    pub drops: Group,
     /// For how long, from the first send that may have run.
     pub window_us: Option<Micros>,
     /// A start within this time is in time.
@@ -67,6 +69,8 @@
     pub cores: f64,
     /// Memory that a task asks for where its submission does not say.
     pub memory: f64,
+    /// It takes nothing new: no plan has it any more, or not yet.
+    pub closed: bool,
 }
 
 /// A kind of machine.
@@ -87,6 +91,8 @@
     pub name: String,
     /// What a job of it says where its own specification is silent.
     pub native: Native,
+    /// The specification as it was written.
+    pub text: String,
 }
 
 /// How machines tell their load.
@@ -198,6 +204,17 @@
     }
 }
 
+/// Which plan a placer's file holds, and how it takes others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlanOwn {
+    /// The plan's number; a changed plan has the next one.
+    pub number: u64,
+    /// It takes no other plan than that of its file.
+    pub pinned: bool,
+    /// For how long it goes on by its plan without a word of a majority of the listed nodes.
+    pub lease_us: Micros,
+}
+
 /// The settings of one placer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -221,6 +238,10 @@
     pub links: Links,
     /// What is kept over restarts; nothing where it is not told.
     pub state: Option<State>,
+    /// Which plan the rest is. Without it, the placer tells nodes nothing of plans and takes none from them.
+    pub plan: Option<PlanOwn>,
+    /// The tables of the file that are the placer's own, as they stand there.
+    pub(crate) own: String,
     /// Classes, in order.
     pub classes: Vec<Class>,
     /// Kinds, in order.
--- a/crates/standin/src/config.rs
+++ b/crates/standin/src/config.rs
@@ -1,6 +1,7 @@
 //! What a stand-in is like.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -82,6 +83,14 @@
     /// Milliseconds that a task lives where neither its offer nor its command tells.
     #[serde(default = "life")]
     pub life_ms: u64,
+    /// It keeps plans, and speaks version 2 of the protocol; else version 1 alone.
+    #[serde(default = "yes")]
+    pub plans: bool,
+    /// Where it keeps plans over restarts; without a folder a restart loses them.
+    pub plan_dir: Option<PathBuf>,
+    /// Milliseconds after its start for which a node that came without memory votes for no plan.
+    #[serde(default = "vote_after")]
+    pub vote_after_ms: u64,
 }
 
 /// How a stand-in tells its load: cores left, then memory left, of what was asked.
@@ -144,6 +153,9 @@
 fn yes() -> bool {
     true
 }
+fn vote_after() -> u64 {
+    30_000
+}
 fn life() -> u64 {
     1_000
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,8 +9,10 @@
 mod groups;
 mod model;
 mod serve;
+mod slots;
 
 pub use config::{Config, ConfigError, DrainStyle, Fleet, Reports};
 pub use groups::Groups;
-pub use model::{Effect, Fault, LinkId, Node};
+pub use model::{Effect, Fault, Keep, LinkId, Node};
 pub use serve::{Handle, ServeError, serve};
+pub use slots::{Opened, Slots};
--- a/crates/standin/src/model/links.rs
+++ b/crates/standin/src/model/links.rs
@@ -1,6 +1,6 @@
 //! Links: greetings, what a placer is told that is held for it, and which link may speak.
 
-use reedring_nodeproto::{Held, HeldState, Message};
+use reedring_nodeproto::{Held, HeldState, Message, Stamp};
 
 use super::types::{Effect, LinkId, State};
 use super::{Node, PAGE};
@@ -24,8 +24,12 @@
         if self.fallen {
             return;
         }
-        if let Message::Hello { placer, life, link: number } = message {
-            return self.hello(now_us, link, placer, life, number);
+        if let Message::Hello { placer, life, link: number, acts } = message {
+            if acts.is_some() && !self.config.plans {
+                // It speaks version 1 alone.
+                return self.effects.push(Effect::Close(link));
+            }
+            return self.hello(now_us, link, &placer, (life, number), acts.map(|(stamp, _)| stamp));
         }
         let Some(placer) = self.links.get(&link).cloned() else {
             // Nothing but a greeting may come first.
@@ -39,9 +43,10 @@
             return self.backlog.push_back((link, message));
         }
         match message {
-            Message::Offer { attempt, task, within_ms } => {
-                self.offered(now_us, placer, attempt, *task, within_ms, groups);
+            Message::Offer { attempt, task, within_ms, stamp } => {
+                self.offered(now_us, placer, attempt, *task, within_ms, stamp, groups);
             }
+            Message::Plan(order) => self.ordered(now_us, link, &order),
             Message::Stop { attempt } => self.stop(now_us, &placer, attempt, groups),
             Message::Probe { nonce } => {
                 let report = if self.config.reports == Reports::Never { Vec::new() } else { self.load() };
@@ -59,22 +64,32 @@
         self.tick(now_us, groups);
     }
 
-    pub(super) fn hello(&mut self, now_us: u64, link: LinkId, name: String, life: u64, number: u64) {
-        let placer = self.placers.entry(name.clone()).or_default();
-        if (life, number) < placer.newest {
+    pub(super) fn hello(
+        &mut self,
+        now_us: u64,
+        link: LinkId,
+        name: &str,
+        newest: (u64, u64),
+        stamp: Option<Stamp>,
+    ) {
+        let placer = self.placers.entry(name.to_owned()).or_default();
+        if newest < placer.newest {
             return self.effects.push(Effect::Close(link));
         }
-        placer.newest = (life, number);
+        (placer.newest, placer.stamp) = (newest, stamp);
         if let Some(old) = placer.link.replace(link).filter(|old| *old != link) {
             self.links.remove(&old);
             self.effects.push(Effect::Close(old));
         }
         let up_ms = now_us.saturating_sub(self.started_us) / 1_000;
+        self.sees(now_us, name, stamp);
+        let record = stamp.is_some().then(|| self.record(now_us));
         let welcome = Message::Welcome {
             node: self.config.name.clone(),
             life: self.life,
             up_ms,
             can_suspend: self.config.can_suspend,
+            record,
         };
         self.effects.push(Effect::Send(link, welcome));
         let mut held: Vec<Held> = Vec::new();
@@ -94,7 +109,7 @@
                 State::Suspended { .. } => HeldState::Suspended,
             },
         }));
-        let ends = &self.placers[&name].ends;
+        let ends = &self.placers[name].ends;
         held.extend(ends.iter().map(|(attempt, (task, end, ran))| Held {
             attempt: *attempt,
             task: task.clone(),
@@ -112,7 +127,7 @@
             }
         }
         self.effects.push(Effect::Send(link, Message::Holds { held: page, last: true }));
-        self.links.insert(link, name);
+        self.links.insert(link, name.to_owned());
     }
 
     pub(super) fn tell(&mut self, placer: &str, message: Message) {
--- a/crates/standin/src/model/mod.rs
+++ b/crates/standin/src/model/mod.rs
@@ -3,6 +3,7 @@
 mod jobs;
 mod links;
 mod offers;
+mod plans;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -10,6 +11,8 @@
 use rand_pcg::Pcg32;
 use reedring_nodeproto::{AttemptId, Message, Task};
 
+pub use self::plans::Keep;
+use self::plans::Plans;
 pub use self::types::{Effect, Fault, LinkId};
 use self::types::{Job, Placer, Waiting};
 use crate::config::{Config, Reports};
@@ -47,6 +50,7 @@
     offers: VecDeque<u64>,
     taken: u64,
     fallen: bool,
+    plans: Plans,
     effects: Vec<Effect>,
 }
 
@@ -79,6 +83,7 @@
             offers: VecDeque::new(),
             taken: 0,
             fallen: false,
+            plans: Plans::default(),
             effects: Vec::new(),
         }
     }
--- a/crates/standin/src/model/offers.rs
+++ b/crates/standin/src/model/offers.rs
@@ -2,13 +2,14 @@
 
 use rand_core::Rng;
 use reedring_drmaa::JobSpec;
-use reedring_nodeproto::{AttemptId, End, Message, Reason, Repeat, Task};
+use reedring_nodeproto::{AttemptId, End, Message, Reason, Repeat, Stamp, Task};
 
 use super::Node;
 use super::types::{Effect, Job, State, Waiting};
 use crate::groups::Groups;
 
 impl Node {
+    #[allow(clippy::too_many_arguments)]
     pub(super) fn offered(
         &mut self,
         now_us: u64,
@@ -16,8 +17,17 @@
         attempt: AttemptId,
         task: Task,
         within_ms: u32,
+        stamp: Option<Stamp>,
         groups: &mut Groups,
     ) {
+        if self.placers.get(&placer).is_some_and(|placer| placer.stamp != stamp) && stamp.is_some() {
+            self.sees(now_us, &placer, stamp);
+            self.placers.entry(placer.clone()).or_default().stamp = stamp;
+        }
+        // Turned away at the door: it costs the node nothing.
+        if let Some(reason) = self.superseded(now_us, &placer, stamp.as_ref()) {
+            return self.refuse(&placer, attempt, reason);
+        }
         if self.is_cold(now_us) {
             self.offers.push_back(now_us);
             let window = self.config.cold_window_ms * 1_000;
@@ -39,7 +49,7 @@
             0 => u64::MAX,
             ms => now_us + u64::from(ms) * 1_000,
         };
-        self.line.push_back(Waiting { attempt, placer, task, too_late_us });
+        self.line.push_back(Waiting { attempt, placer, task, too_late_us, stamp });
         if self.looks_until.is_none() {
             self.looks_until = Some(now_us + self.config.look().as_micros() as u64);
         }
@@ -56,11 +66,15 @@
     }
 
     pub(super) fn look(&mut self, now_us: u64, waiting: Waiting, groups: &mut Groups) {
-        let Waiting { attempt, placer, task, too_late_us } = waiting;
+        let Waiting { attempt, placer, task, too_late_us, stamp } = waiting;
         let (cores, memory) = self.asked;
         let (hall, rack) = (self.config.hall.clone(), self.config.rack.clone());
         let room = |asked: f64, ask: f64, size: f64, times: f64| asked + ask <= size * times + 1e-9;
-        let refusal = if too_late_us <= now_us {
+        let superseded = self.superseded(now_us, &placer, stamp.as_ref());
+        let refusal = if superseded.is_some() {
+            // The floor rose while it was in line.
+            superseded
+        } else if too_late_us <= now_us {
             Some(Reason::TooLate)
         } else if self.drains {
             Some(Reason::Draining)
--- /dev/null
+++ b/crates/standin/src/model/plans.rs
@@ -0,0 +1,160 @@
+//! Plans: what the node keeps of them, whom it tells, and which offers it admits by them.
+
+use std::io;
+
+use reedring::names::machine_id;
+use reedring_nodeproto::{Message, Order, Reason, Record, Stamp};
+use reedring_plan::{Declined, Memory, Seen};
+
+use super::Node;
+use super::types::{Effect, LinkId};
+
+/// Where a node keeps its memory of plans: what it was given is durable once this returns.
+pub trait Keep: Send {
+    /// Keeps these bytes in place of those before, whole or not at all.
+    ///
+    /// # Errors
+    /// Where they could not be made durable; those before still are.
+    fn keep(&mut self, bytes: &[u8]) -> io::Result<()>;
+}
+
+/// A memory of plans, and what of it could not be written.
+#[derive(Default)]
+pub(super) struct Plans {
+    /// What is durable, or would be, where nothing keeps it.
+    kept: Memory,
+    /// What is acted by: further than `kept` where that could not be written.
+    acts: Memory,
+    keep: Option<Box<dyn Keep>>,
+    /// What should be kept can't be written.
+    stuck: bool,
+    /// Since when the floor is what it is.
+    floor_us: u64,
+    /// Seconds since 1970 when the node's clock was 0.
+    epoch_s: u64,
+    /// How much was written, for whoever measures.
+    pub(super) writes: (u64, u64),
+}
+
+impl Plans {
+    /// Makes this the memory, durable first. Whether it is.
+    fn keep(&mut self, memory: Memory) -> bool {
+        if let Some(keep) = &mut self.keep {
+            let bytes = reedring_plan::write(&memory);
+            self.writes = (self.writes.0 + 1, self.writes.1 + bytes.len() as u64);
+            self.stuck = keep.keep(&bytes).is_err();
+            if self.stuck {
+                return false;
+            }
+        }
+        self.kept.clone_from(&memory);
+        self.acts = memory;
+        true
+    }
+}
+
+impl Node {
+    /// Gives the node what a life before kept, and where it keeps what comes. `unix_s` is the time of day, in seconds
+    /// since 1970, when the node's clock was 0.
+    pub fn remembers(&mut self, memory: Memory, keep: Option<Box<dyn Keep>>, unix_s: u64) {
+        let (acts, floor_us) = (memory.clone(), self.started_us);
+        self.plans =
+            Plans { kept: memory, acts, keep, stuck: false, floor_us, epoch_s: unix_s, writes: (0, 0) };
+    }
+
+    /// What it keeps of plans, as placers are told.
+    pub fn record(&self, now_us: u64) -> Record {
+        let floor = self.plans.acts.floor();
+        let linked = self.placers.values().filter(|placer| placer.link.is_some());
+        let stamps = linked.filter_map(|placer| placer.stamp);
+        let (mut linked, mut behind) = (0, 0);
+        for stamp in stamps {
+            linked += 1;
+            behind += u16::from(stamp.level() < floor);
+        }
+        let floor_ms = now_us.saturating_sub(self.plans.floor_us) / 1_000;
+        let stuck = self.plans.stuck || self.plans.acts.taught && !self.has_settled(now_us);
+        Record { floor_ms, linked, behind, stuck, ..self.plans.acts.record() }
+    }
+
+    /// Writes of its memory of plans, and their bytes.
+    pub fn plan_writes(&self) -> (u64, u64) {
+        self.plans.writes
+    }
+
+    /// It is up for longer than any change takes, so what it may have voted for in a life before is over.
+    fn has_settled(&self, now_us: u64) -> bool {
+        now_us.saturating_sub(self.started_us) >= self.config.vote_after_ms * 1_000
+    }
+
+    /// Remembers by what a placer acts; a row that can't be written is no reason to turn it away.
+    pub(super) fn sees(&mut self, now_us: u64, placer: &str, stamp: Option<Stamp>) {
+        let (level, build) = stamp.map_or((0, 0), |stamp| (stamp.level(), stamp.build));
+        let at_s = self.plans.epoch_s + now_us / 1_000_000;
+        let mut memory = self.plans.acts.clone();
+        let worth = memory.sees(machine_id(placer).0, Seen { level, at_s, build });
+        if worth && !self.plans.stuck {
+            self.plans.keep(memory);
+        }
+    }
+
+    /// Tells every placer that knows plans what is kept now.
+    fn tell_record(&mut self, now_us: u64) {
+        let record = self.record(now_us);
+        let links: Vec<LinkId> =
+            self.placers.values().filter(|placer| placer.stamp.is_some()).filter_map(|p| p.link).collect();
+        self.effects.extend(links.into_iter().map(|link| Effect::Send(link, Message::Record(record))));
+    }
+
+    /// An order to the node's memory.
+    pub(super) fn ordered(&mut self, now_us: u64, link: LinkId, order: &Order) {
+        if let Order::Fetch { version } = order {
+            let text = self.plans.acts.text(*version).unwrap_or_default().to_owned();
+            return self.effects.push(Effect::Send(link, Message::PlanText { version: *version, text }));
+        }
+        if let Order::Ask { stamp } = order
+            && let Some(name) = self.links.get(&link).cloned()
+        {
+            self.sees(now_us, &name, Some(*stamp));
+            self.placers.entry(name).or_default().stamp = Some(*stamp);
+        }
+        let floor = self.plans.acts.floor();
+        match self.plans.acts.after(order, self.has_settled(now_us)) {
+            Ok(new) => {
+                let vote = matches!(order, Order::Prepare { .. } | Order::Accept { .. });
+                if !self.plans.keep(new.clone()) && !vote {
+                    // What a majority has kept is acted by all the same; it only counts for nothing here.
+                    self.plans.acts = new;
+                }
+                if self.plans.acts.floor() != floor {
+                    self.plans.floor_us = now_us;
+                }
+                self.tell_record(now_us);
+            }
+            Err(Declined::Same) if self.plans.stuck => {
+                // The same again, and there may be room now.
+                let memory = self.plans.acts.clone();
+                self.plans.keep(memory);
+                self.tell_record(now_us);
+            }
+            Err(_) => {
+                let record = self.record(now_us);
+                self.effects.push(Effect::Send(link, Message::Record(record)));
+            }
+        }
+    }
+
+    /// Why an offer is not admitted, if it is not. Its placer is told what is kept here, so that it can catch up.
+    pub(super) fn superseded(&mut self, now_us: u64, placer: &str, stamp: Option<&Stamp>) -> Option<Reason> {
+        if !self.config.plans || self.plans.acts.admits(stamp).is_ok() {
+            return None;
+        }
+        if stamp.is_none() {
+            // Who knows no plans knows no such reason.
+            return Some(Reason::NotHere);
+        }
+        let record = self.record(now_us);
+        self.tell(placer, Message::Record(record));
+        Some(Reason::Superseded)
+    }
+}
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -4,10 +4,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use reedring_audit::{Event, Recorder};
 use reedring_nodeproto::{Message, Reader, encode};
+use reedring_plan::Memory;
+use reedring_state::Disk;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,6 +19,7 @@
 use crate::config::Config;
 use crate::groups::Groups;
 use crate::model::{Effect, Fault, LinkId, Node};
+use crate::slots::Slots;
 
 /// Links at once; more are closed as they come.
 const MAX_LINKS: usize = 1_024;
@@ -123,6 +126,29 @@
     came: mpsc::Sender<Came>,
 }
 
+/// Gives a node what its folder kept of plans.
+fn remember(node: &mut Node, config: &Config, now_us: u64) {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let epoch_s = unix.as_secs().saturating_sub(now_us / 1_000_000);
+    let opened = config.plan_dir.as_ref().map(|dir| {
+        let disk = Disk::lock(dir).map_err(|error| error.to_string())?;
+        Slots::open(disk).map_err(|error| format!("{}: {error}", dir.display()))
+    });
+    match opened {
+        Some(Ok(opened)) => {
+            for why in &opened.passed_by {
+                tracing::warn!(node = config.name, "plans: {why}; the last whole state holds");
+            }
+            node.remembers(opened.memory, Some(Box::new(opened.slots)), epoch_s);
+        }
+        Some(Err(why)) => {
+            tracing::warn!(node = config.name, "plans: {why}; it keeps none over a restart");
+            node.remembers(Memory::default(), None, epoch_s);
+        }
+        None => node.remembers(Memory::default(), None, epoch_s),
+    }
+}
+
 /// Starts a stand-in. `life` must be another at each start; `clock` is shared by the nodes that share
 /// `groups`.
 ///
@@ -143,7 +169,8 @@
     let (commands, orders) = mpsc::unbounded_channel();
     let (came, coming) = mpsc::channel(256);
     let now = clock.elapsed().as_micros() as u64;
-    let node = Node::new(config, life, seed, now);
+    let mut node = Node::new(config.clone(), life, seed, now);
+    remember(&mut node, &config, now);
     if let Some(recorder) = &recorder {
         recorder.record(Event::NodeStarted, &name, "", life, b"");
     }
