--- a/crates/audit/src/judge/mod.rs
+++ b/crates/audit/src/judge/mod.rs
@@ -13,6 +13,7 @@
 mod second;
 mod spread;
 mod told;
+mod versions;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,6 +43,8 @@
     ColdNodes = 4,
     /// Services stay spread.
     Spread = 5,
+    /// Beside the five: nobody acts by a plan that is not the fleet's.
+    Versions = 6,
 }
 
 /// A broken rule.
@@ -78,6 +81,8 @@
     pub offers: usize,
     /// Offers to nodes that were cold.
     pub cold_offers: usize,
+    /// What became of each plan, and by what each placer acted, in lines.
+    pub plans: Vec<String>,
 }
 
 #[derive(Default)]
@@ -101,6 +106,7 @@
     ran: BTreeMap<String, Vec<(AttemptId, usize)>>,
     last_us: u64,
     even: Vec<Even>,
+    versions: versions::Versions,
     /// Every attempt of a placer's service, for spreads.
     of_service: BTreeMap<(String, String, String), Vec<AttemptId>>,
 }
@@ -113,6 +119,7 @@
         judge.frame(frame);
     }
     judge.at_the_end();
+    judge.plans_at_the_end();
     judge.report
 }
 
@@ -168,7 +175,7 @@
                 let stall = (frame.time_us, frame.time_us + frame.link + SLACK_US);
                 self.placers.entry(frame.place.clone()).or_default().stalls.push(stall);
             }
-            Event::Script => {}
+            Event::Script | Event::Clock => {}
         }
     }
 
--- a/crates/audit/src/judge/nodes.rs
+++ b/crates/audit/src/judge/nodes.rs
@@ -11,6 +11,7 @@
 
 impl Judge {
     pub(super) fn node_hears(&mut self, frame: &Frame, message: Message) {
+        self.plan_sent(frame, &message);
         match message {
             Message::Offer { attempt: id, task, within_ms, .. } => {
                 self.report.offers += 1;
@@ -115,19 +116,24 @@
     }
 
     pub(super) fn node_read(&mut self, frame: &Frame, message: Message) {
-        let Message::Offer { attempt, task, .. } = message else { return };
+        self.plan_read(frame, &message);
+        let Message::Offer { attempt, task, stamp, .. } = message else { return };
         if task.repeat == Repeat::Unsafe {
             self.unsafe_read.insert(attempt, task.job);
         }
         if let Some(placer) = self.lives.get(&attempt.life).cloned() {
             let sent = self.attempts.get(&attempt).map(|attempt| attempt.frame);
             self.drain(frame, &placer, &frame.place.clone(), sent);
-            self.cold(frame, &placer);
+            // What is turned away at the door costs a cold node nothing.
+            if !self.versions.turned_away(&frame.place, stamp.as_ref()) {
+                self.cold(frame, &placer);
+            }
         }
     }
 
     /// Rule 2 where it counts: an unsafe task that two nodes, or one twice, took and ran.
     pub(super) fn node_wrote(&mut self, frame: &Frame, message: Message) {
+        self.plan_told(frame, &message);
         match message {
             Message::Accepted { attempt, .. } => {
                 let sent = self.attempts.get(&attempt);
--- /dev/null
+++ b/crates/audit/src/judge/versions.rs
@@ -0,0 +1,292 @@
+//! The check of plans, beside the five rules: no node accepts what is under its floor, no plan is in force without a
+//! majority, nobody acts by less than the stricter of two plans. Judged from records, stamps and texts alone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use reedring_nodeproto::{AttemptId, Message, Order, Reason, Record, Stamp, Version};
+use serde::Deserialize;
+
+use super::told::time;
+use super::{Judge, Rule};
+use crate::trace::Frame;
+
+/// What a plan's text says of cold nodes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cold {
+    placers: u32,
+    offers: Option<f64>,
+    window_us: Option<u64>,
+    warm_us: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Text {
+    site: TextSite,
+}
+
+#[derive(Deserialize)]
+struct TextSite {
+    placers: u32,
+    cold_offers: Option<f64>,
+    cold_window: Option<String>,
+    warm_after: Option<String>,
+}
+
+/// What one node told of itself last.
+#[derive(Debug, Default)]
+struct Node {
+    record: Option<Record>,
+    /// The first plan that it told to be in force.
+    first: Option<Version>,
+    /// Plans that it told to have kept as joint, or as in force.
+    joint: BTreeSet<Version>,
+}
+
+/// By what a placer acted, since when.
+#[derive(Debug)]
+struct Acted {
+    time_us: u64,
+    stamp: Stamp,
+}
+
+#[derive(Debug, Default)]
+struct Placer {
+    acted: Vec<Acted>,
+    superseded: usize,
+    /// Offers to cold nodes, by node and in their order.
+    cold: BTreeMap<String, Vec<(u64, usize)>>,
+}
+
+/// What the trace told of plans so far.
+#[derive(Debug, Default)]
+pub(super) struct Versions {
+    nodes: BTreeMap<String, Node>,
+    placers: BTreeMap<String, Placer>,
+    texts: BTreeMap<Version, Cold>,
+    /// When a plan was first offered, joint anywhere, and in force anywhere.
+    steps: BTreeMap<Version, [Option<u64>; 3]>,
+    /// Stamps of offers as nodes read them, with the floor there and then.
+    read: BTreeMap<AttemptId, (Option<Stamp>, u64, usize)>,
+}
+
+impl Versions {
+    fn step(&mut self, version: Version, step: usize, time_us: u64) {
+        if version.number > 0 {
+            self.steps.entry(version).or_default()[step].get_or_insert(time_us);
+        }
+    }
+
+    fn text(&mut self, version: Version, text: &str) {
+        if self.texts.contains_key(&version) {
+            return;
+        }
+        if let Ok(Text { site }) = toml::from_str(text) {
+            let window_us = time(site.cold_window.as_ref());
+            let warm_us = time(site.warm_after.as_ref());
+            let cold = Cold { placers: site.placers, offers: site.cold_offers, window_us, warm_us };
+            self.texts.insert(version, cold);
+        }
+    }
+
+    /// The stricter of a plan and, where joint, the one before.
+    fn bound(&self, stamp: &Stamp) -> Option<Cold> {
+        let new = *self.texts.get(&stamp.version)?;
+        let before = |version: &&Version| version.number + 1 == stamp.version.number;
+        let old = self.texts.keys().find(before).filter(|_| stamp.joint).map(|version| self.texts[version]);
+        let Some(old) = old else { return Some(new) };
+        Some(Cold {
+            placers: new.placers.max(old.placers),
+            offers: new.offers.into_iter().chain(old.offers).reduce(f64::min),
+            window_us: new.window_us.max(old.window_us),
+            warm_us: new.warm_us.max(old.warm_us),
+        })
+    }
+
+    /// Offers of a stamp that is under this node's floor are turned away at the door.
+    pub(super) fn turned_away(&self, node: &str, stamp: Option<&Stamp>) -> bool {
+        let floor = self.nodes.get(node).and_then(|node| node.record).map_or(0, |record| record.floor());
+        stamp.is_some_and(|stamp| stamp.level() < floor)
+    }
+}
+
+impl Judge {
+    /// What a placer sent to a node.
+    pub(super) fn plan_sent(&mut self, frame: &Frame, message: &Message) {
+        let versions = &mut self.versions;
+        match message {
+            Message::Hello { acts: Some((stamp, _)), .. } | Message::Plan(Order::Ask { stamp }) => {
+                acts(versions, frame, stamp);
+            }
+            Message::Offer { stamp: Some(stamp), .. } => {
+                acts(versions, frame, stamp);
+                self.cold_part(frame, *stamp);
+            }
+            Message::Plan(Order::Accept { version, text, .. }) => {
+                versions.text(*version, text);
+                versions.step(*version, 0, frame.time_us);
+            }
+            Message::Plan(Order::Joint { version, text, .. } | Order::Force { version, text, .. }) => {
+                versions.text(*version, text);
+            }
+            _ => {}
+        }
+    }
+
+    /// Its part of a cold node's budget, by the stricter of the plans that it acts by.
+    fn cold_part(&mut self, frame: &Frame, stamp: Stamp) {
+        let born = self.nodes.get(&frame.peer).map(|life| life.started_us);
+        let Some((bound, born)) = self.versions.bound(&stamp).zip(born) else { return };
+        let Some(((offers, window), warm)) = bound.offers.zip(bound.window_us).zip(bound.warm_us) else {
+            return;
+        };
+        if frame.time_us >= born + warm {
+            return;
+        }
+        let placer = self.versions.placers.entry(frame.place.clone()).or_default();
+        let sent = placer.cold.entry(frame.peer.clone()).or_default();
+        sent.retain(|(at, _)| at + window > frame.time_us);
+        sent.push((frame.time_us, frame.number));
+        let part = (offers / f64::from(bound.placers.max(1))).floor().max(1.0);
+        if sent.len() as f64 > part {
+            let frames = sent.iter().map(|(_, number)| *number).collect();
+            let text = format!(
+                "placer {} sent {} offers to cold {} in a window, its part by plan {} is {part}",
+                frame.place,
+                sent.len(),
+                frame.peer,
+                stamp.version
+            );
+            self.breach(Rule::Versions, frames, text);
+        }
+    }
+
+    /// What a node read.
+    pub(super) fn plan_read(&mut self, frame: &Frame, message: &Message) {
+        if let Message::Offer { attempt, stamp, .. } = message {
+            let record = self.versions.nodes.get(&frame.place).and_then(|node| node.record);
+            let floor = record.map_or(0, |record| record.floor());
+            self.versions.read.insert(*attempt, (*stamp, floor, frame.number));
+        }
+    }
+
+    /// What a node told.
+    pub(super) fn plan_told(&mut self, frame: &Frame, message: &Message) {
+        match message {
+            Message::Welcome { record: Some(record), .. } | Message::Record(record) => {
+                self.recorded(frame, record)
+            }
+            Message::Accepted { attempt, .. } => {
+                let Some((stamp, floor, read)) = self.versions.read.get(attempt).copied() else { return };
+                let node = self.versions.nodes.get(&frame.place);
+                let replaced = node.is_some_and(|node| {
+                    node.record.is_some_and(|record| Some(record.force) != node.first && node.first.is_some())
+                });
+                let level = stamp.map(|stamp| stamp.level());
+                if level.is_some_and(|level| level < floor) || level.is_none() && replaced {
+                    let told = level.map_or("no plan".to_owned(), |level| format!("level {level}"));
+                    let text = format!("{} accepted an offer by {told}, its floor was {floor}", frame.place);
+                    self.breach(Rule::Versions, vec![read, frame.number], text);
+                }
+            }
+            Message::Refused { reason: Reason::Superseded, attempt, .. } => {
+                if let Some(placer) = self.lives.get(&attempt.life).cloned() {
+                    self.versions.placers.entry(placer).or_default().superseded += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn recorded(&mut self, frame: &Frame, record: &Record) {
+        let versions = &mut self.versions;
+        let node = versions.nodes.entry(frame.place.clone()).or_default();
+        let before = node.record.replace(*record);
+        if record.force.number > 0 {
+            node.first.get_or_insert(record.force);
+        }
+        if let Some(next) = record.next.filter(|next| next.joint) {
+            versions.step(next.version, 1, frame.time_us);
+        }
+        let node = versions.nodes.entry(frame.place.clone()).or_default();
+        if !record.stuck {
+            node.joint.extend(record.next.filter(|next| next.joint).map(|next| next.version));
+        }
+        let rose = before.is_some_and(|before| before.force.number < record.force.number);
+        let new = versions.steps.get(&record.force).is_none_or(|steps| steps[2].is_none());
+        versions.step(record.force, 2, frame.time_us);
+        if rose && new {
+            // The first node at which it is in force: a majority had kept it as joint by then.
+            let listed: BTreeSet<&String> =
+                self.placers.values().flat_map(|placer| placer.spots.keys()).collect();
+            let kept = self.versions.nodes.iter().filter(|(_, node)| node.joint.contains(&record.force));
+            let kept: Vec<&String> =
+                kept.map(|(name, _)| name).filter(|name| listed.contains(name)).collect();
+            if kept.len() < listed.len() / 2 + 1 {
+                let text = format!(
+                    "plan {} was in force at {} when {} of {} listed nodes had kept it",
+                    record.force,
+                    frame.place,
+                    kept.len(),
+                    listed.len()
+                );
+                self.breach(Rule::Versions, vec![frame.number], text);
+            }
+        }
+    }
+
+    /// One plan a number, and what became of each plan and placer, in lines.
+    pub(super) fn plans_at_the_end(&mut self) {
+        let in_force: Vec<Version> =
+            self.versions.steps.iter().filter(|(_, steps)| steps[2].is_some()).map(|(v, _)| *v).collect();
+        for two in in_force.windows(2).filter(|two| two[0].number == two[1].number) {
+            self.breach(
+                Rule::Versions,
+                Vec::new(),
+                format!("plans {} and {} were both in force", two[0], two[1]),
+            );
+        }
+        let at =
+            |time: Option<u64>| time.map_or("never".to_owned(), |us| format!("{:.3} s", us as f64 / 1e6));
+        let mut lines: Vec<String> = Vec::new();
+        for (version, [offered, joint, force]) in &self.versions.steps {
+            let (offered, joint, force) = (at(*offered), at(*joint), at(*force));
+            lines.push(format!("plan {version}: offered {offered}, joint {joint}, in force {force}"));
+        }
+        for (name, placer) in &self.versions.placers {
+            let acted = placer.acted.iter().map(|acted| {
+                let joint = if acted.stamp.joint { "joint " } else { "" };
+                let Acted { time_us, stamp } = acted;
+                format!("{joint}{} from {:.3} s (list {})", stamp.version, *time_us as f64 / 1e6, stamp.list)
+            });
+            let acted: Vec<String> = acted.collect();
+            let behind = self.behind(placer);
+            lines.push(format!(
+                "placer {name}: {}; behind for {:.3} s, {} offers superseded",
+                acted.join(", "),
+                behind as f64 / 1e6,
+                placer.superseded
+            ));
+        }
+        self.report.plans = lines;
+    }
+
+    /// For how long a placer acted by a plan that another had replaced.
+    fn behind(&self, placer: &Placer) -> u64 {
+        let ends = placer.acted.iter().skip(1).map(|next| next.time_us).chain([self.last_us]);
+        let spans = placer.acted.iter().zip(ends);
+        let late = spans.map(|(acted, end)| {
+            let newer = self.versions.steps.iter().filter(|(v, _)| v.number > acted.stamp.version.number);
+            let replaced = newer.filter_map(|(_, steps)| steps[2]).min();
+            replaced.map_or(0, |replaced| end.saturating_sub(replaced.max(acted.time_us)))
+        });
+        late.sum()
+    }
+}
+
+fn acts(versions: &mut Versions, frame: &Frame, stamp: &Stamp) {
+    let placer = versions.placers.entry(frame.place.clone()).or_default();
+    let last = placer.acted.last().map(|acted| (acted.stamp.version, acted.stamp.joint));
+    if last != Some((stamp.version, stamp.joint)) {
+        placer.acted.push(Acted { time_us: frame.time_us, stamp: *stamp });
+    }
+}
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -11,4 +11,4 @@
 mod trace;
 
 pub use judge::{Breach, Report, Rule, audit};
-pub use trace::{Event, Frame, Recorder, TraceError, read};
+pub use trace::{Event, Frame, Recorder, TraceError, merge, read};
--- a/crates/audit/src/trace.rs
+++ b/crates/audit/src/trace.rs
@@ -7,10 +7,10 @@
 //! ```
 
 use std::fs::File;
-use std::io::{self, BufWriter, Write};
+use std::io::{self, Write};
 use std::path::Path;
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 const MAGIC: &[u8] = b"reedring trace 1\n";
 /// Bytes of one record at most: the largest answer to a client, and a little.
@@ -50,10 +50,13 @@
     Script = 14,
     /// A placer was made to stand still: link for how many microseconds.
     PlacerStalled = 15,
+    /// The trace began: link the time of day in microseconds since 1970, by which traces of several processes are
+    /// put together.
+    Clock = 16,
 }
 
 impl Event {
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::PlacerStarted,
         Self::PlacerEnded,
         Self::Listed,
@@ -69,6 +72,7 @@
         Self::NodeWrote,
         Self::Script,
         Self::PlacerStalled,
+        Self::Clock,
     ];
 }
 
@@ -100,7 +104,8 @@
 
 #[derive(Debug)]
 enum Sink {
-    File(BufWriter<File>),
+    /// Each record is written as it comes: a process that is killed leaves what it had recorded.
+    File(File),
     Memory(Vec<u8>),
     /// The file could not be written; what follows is dropped.
     Broken(io::ErrorKind),
@@ -127,7 +132,11 @@
     /// # Errors
     /// Where the file can't be made.
     pub fn create(path: &Path) -> io::Result<Self> {
-        Self::new(Sink::File(BufWriter::with_capacity(1 << 20, File::create(path)?)))
+        let recorder = Self::new(Sink::File(File::create(path)?))?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let began = unix.saturating_sub(recorder.began.elapsed());
+        recorder.record(Event::Clock, "", "", began.as_micros() as u64, b"");
+        Ok(recorder)
     }
 
     /// A recorder that keeps its trace in memory.
@@ -153,8 +162,8 @@
                 [&length[..], &body, &sum].iter().for_each(|part| all.extend_from_slice(part))
             }
             Sink::File(file) => {
-                let parts = [&length[..], &body, &sum];
-                if let Some(error) = parts.iter().find_map(|part| file.write_all(part).err()) {
+                let whole = [&length[..], &body, &sum].concat();
+                if let Err(error) = file.write_all(&whole) {
                     *out = Sink::Broken(error.kind());
                 }
             }
@@ -194,6 +203,25 @@
     },
 }
 
+/// Puts the traces of several processes together, in the order of their clocks. A single one stays as it is.
+pub fn merge(traces: Vec<Vec<Frame>>) -> Vec<Frame> {
+    if traces.len() < 2 {
+        return traces.into_iter().flatten().collect();
+    }
+    let began = |trace: &[Frame]| {
+        trace.iter().find(|frame| frame.event == Event::Clock).map_or(0, |frame| frame.link)
+    };
+    let first = traces.iter().map(|trace| began(trace)).min().unwrap_or(0);
+    let mut all: Vec<Frame> = Vec::new();
+    for trace in traces {
+        let after = began(&trace) - first;
+        all.extend(trace.into_iter().map(|frame| Frame { time_us: frame.time_us + after, ..frame }));
+    }
+    all.sort_by_key(|frame| frame.time_us);
+    all.iter_mut().zip(0..).for_each(|(frame, number)| frame.number = number);
+    all
+}
+
 fn take<'a>(bytes: &mut &'a [u8], count: usize) -> Option<&'a [u8]> {
     let (head, rest) = bytes.split_at_checked(count)?;
     *bytes = rest;
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -4,10 +4,10 @@
 use std::process::ExitCode;
 
 use clap::Args;
-use reedring_settings::{NodeList, Settings};
+use reedring_settings::{NodeList, Settings, whose_tables};
 
 use crate::Failure;
-use crate::run::{beside, read};
+use crate::programs::{beside, read};
 
 /// Check settings, and the node list that they name.
 #[derive(Args)]
@@ -18,7 +18,8 @@
 
 impl Check {
     pub fn run(self) -> Result<ExitCode, Failure> {
-        let settings = match Settings::parse(&read(&self.file)?, &self.file.display().to_string()) {
+        let text = read(&self.file)?;
+        let settings = match Settings::parse(&text, &self.file.display().to_string()) {
             Ok(settings) => settings,
             Err(problems) => {
                 eprintln!("{problems}");
@@ -35,6 +36,19 @@
             settings.tenants.len(),
             settings.categories.len()
         );
+        match settings.plan() {
+            Ok(Some(plan)) => println!("plan {}, of {} bytes", plan.version(), plan.text().len()),
+            Ok(None) => println!("no [plan]: nodes are told nothing of what this placer acts by"),
+            Err(problems) => {
+                eprintln!("{problems}");
+                return Ok(ExitCode::FAILURE);
+            }
+        }
+        for whose in ["the plan", "the placer's own"] {
+            let tables = whose_tables(&text).into_iter().filter(|(_, of)| *of == whose);
+            let names: Vec<String> = tables.map(|(name, _)| name).collect();
+            println!("{whose}: {}", if names.is_empty() { "nothing".to_owned() } else { names.join(", ") });
+        }
         let nodes = beside(&self.file, &settings.nodes);
         match NodeList::parse(&read(&nodes)?, &nodes.display().to_string(), &settings) {
             Ok(list) => {
--- a/crates/cli/src/constraint.rs
+++ b/crates/cli/src/constraint.rs
@@ -9,7 +9,7 @@
 use reedring_settings::{Health, NodeList, Settings};
 
 use crate::Failure;
-use crate::run::{beside, read};
+use crate::programs::{beside, read};
 use crate::submit::Place;
 
 /// Check and explain constraints.
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -120,8 +120,9 @@
             let refusals: Vec<String> = node.refusals.iter().map(|(why, n)| format!("{why} {n}")).collect();
             println!(
                 "{name:<12} {kind:<10} {rack:<8} {hall:<8} {state:<22} {waiting:>5} {held:>5} {cores:>8.1} \
-                 {memory:>8.1}  {}",
-                refusals.join(", ")
+                 {memory:>8.1}  {}{}",
+                refusals.join(", "),
+                node.plan.as_ref().map(|plan| format!("  plan {plan}")).unwrap_or_default()
             );
         }
         Ok(ExitCode::SUCCESS)
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/programs.rs
@@ -35,8 +35,14 @@
     /// The nodes, one [[node]] table each.
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
+    /// Where to write a trace for `reedring audit`.
+    #[arg(long, value_name = "FILE")]
+    trace: Option<PathBuf>,
 }
 
+/// Exit code of a placer that was shut out of its fleet when it was asked to end.
+const SHUT_OUT: u8 = 3;
+
 /// Run a site on loopback.
 #[derive(Args)]
 pub struct Local {
@@ -102,9 +108,10 @@
         let placer = Placer::start(settings, options)?;
         println!("contact: {}", placer.contact());
         interrupted()?;
+        let shut_out = placer.is_shut_out();
         placer.stop();
         recorder.map_or(Ok(()), |recorder| recorder.finish().map(drop))?;
-        Ok(ExitCode::SUCCESS)
+        Ok(if shut_out { ExitCode::from(SHUT_OUT) } else { ExitCode::SUCCESS })
     }
 }
 
@@ -115,16 +122,20 @@
         let (groups, clock): (Arc<Mutex<Groups>>, _) = (Arc::default(), Instant::now());
         // A node that is started again has another life.
         let life = SystemTime::now().duration_since(UNIX_EPOCH)?.as_micros() as u64;
+        let recorder = self.trace.as_deref().map(Recorder::create).transpose()?.map(Arc::new);
         let mut handles = Vec::new();
-        for node in fleet.node {
-            let served = serve(node, life, fleet.seed, Arc::clone(&groups), None, clock);
+        for mut node in fleet.node {
+            node.plan_dir = node.plan_dir.map(|dir| beside(&self.config, &dir));
+            let served = serve(node, life, fleet.seed, Arc::clone(&groups), recorder.clone(), clock);
             let handle = runtime.block_on(served)?;
             println!("{}: {}", handle.name(), handle.address());
             handles.push(handle);
         }
+        println!("ready");
         interrupted()?;
         drop(handles);
         runtime.shutdown_background();
+        recorder.map_or(Ok(()), |recorder| recorder.finish().map(drop))?;
         Ok(ExitCode::SUCCESS)
     }
 }
--- a/crates/cli/src/state.rs
+++ b/crates/cli/src/state.rs
@@ -9,7 +9,7 @@
 use reedring_state::{Disk, Export, LearnedError, Phase};
 
 use crate::Failure;
-use crate::run::read;
+use crate::programs::read;
 
 /// Look at a state folder, or move it.
 #[derive(Args)]
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -10,7 +10,7 @@
 use reedring_site::load::{self, Size};
 
 use crate::Failure;
-use crate::run::read;
+use crate::programs::read;
 
 /// Play a script of troubles and audit it.
 #[derive(Args)]
@@ -42,8 +42,9 @@
 /// Judge the five rules from a trace.
 #[derive(Args)]
 pub struct Audit {
-    /// The trace.
-    trace: PathBuf,
+    /// The traces: of a site in one process, or of each of its processes.
+    #[arg(required = true)]
+    traces: Vec<PathBuf>,
     /// Print the frames that each breach names.
     #[arg(long)]
     show: bool,
@@ -78,6 +79,7 @@
         "offers: {}, of them {} to cold nodes; {} frames can't be read",
         report.offers, report.cold_offers, report.unreadable
     );
+    report.plans.iter().for_each(|line| println!("{line}"));
     for breach in &report.breaches {
         println!("broken rule {}: {}; frames {:?}", breach.rule as u8, breach.text, breach.frames);
     }
@@ -119,9 +121,13 @@
 
 impl Audit {
     pub fn run(self) -> Result<ExitCode, Failure> {
-        let bytes =
-            std::fs::read(&self.trace).map_err(|error| format!("{}: {error}", self.trace.display()))?;
-        let frames = reedring_audit::read(&bytes)?;
+        let mut all = Vec::new();
+        for trace in &self.traces {
+            let wrong = |error: &dyn std::fmt::Display| format!("{}: {error}", trace.display());
+            let bytes = std::fs::read(trace).map_err(|error| wrong(&error))?;
+            all.push(reedring_audit::read(&bytes).map_err(|error| wrong(&error))?);
+        }
+        let frames = reedring_audit::merge(all);
         let report = audit(&frames);
         if self.show {
             for breach in &report.breaches {
--- /dev/null
+++ b/crates/trials/src/program.rs
@@ -0,0 +1,162 @@
+//! A process of the program, its lines, and the signals that it is sent.
+
+use std::io::{BufRead, BufReader, Read};
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+pub use rustix::process::Signal;
+use rustix::process::{Pid, kill_process};
+
+use crate::TrialError;
+
+/// Lines of a process so far, and whether there will be more.
+#[derive(Default)]
+struct Lines {
+    all: Vec<String>,
+    open: usize,
+}
+
+type Shared = Arc<(Mutex<Lines>, Condvar)>;
+
+fn lock(shared: &Shared) -> MutexGuard<'_, Lines> {
+    shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A running program. It is killed when this is dropped.
+pub struct Program {
+    name: String,
+    child: Child,
+    lines: Shared,
+}
+
+impl std::fmt::Debug for Program {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Program({}, {})", self.name, self.child.id())
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // A stopped process takes SIGKILL all the same.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn gather(shared: &Shared, from: impl Read + Send + 'static) {
+    lock(shared).open += 1;
+    let shared = Arc::clone(shared);
+    std::thread::spawn(move || {
+        for line in BufReader::new(from).lines().map_while(Result::ok) {
+            lock(&shared).all.push(line);
+            shared.1.notify_all();
+        }
+        lock(&shared).open -= 1;
+        shared.1.notify_all();
+    });
+}
+
+impl Program {
+    /// Starts the program with these arguments. Where `file_kib` is told, no file of it may grow over that: a write
+    /// that would is an error, as on a full disk.
+    ///
+    /// # Errors
+    /// Where the process can't be made.
+    pub fn start(
+        program: &Path,
+        name: &str,
+        arguments: &[&str],
+        file_kib: Option<u64>,
+    ) -> Result<Self, TrialError> {
+        let mut command = match file_kib {
+            None => Command::new(program),
+            Some(kib) => {
+                // The limit is inherited, and the signal that comes with it ignored, so that the write fails.
+                let mut command = Command::new("sh");
+                command.arg("-c").arg(format!("trap '' XFSZ; ulimit -f {kib}; exec \"$0\" \"$@\""));
+                command.arg(program);
+                command
+            }
+        };
+        command.arg("program").args(arguments);
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
+        let lines = Shared::default();
+        child.stdout.take().into_iter().for_each(|out| gather(&lines, out));
+        child.stderr.take().into_iter().for_each(|err| gather(&lines, err));
+        Ok(Self { name: name.to_owned(), child, lines })
+    }
+
+    /// Its name in this trial.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// All that it said so far.
+    pub fn said(&self) -> Vec<String> {
+        lock(&self.lines).all.clone()
+    }
+
+    /// How many lines it said so far: what comes after is news.
+    pub fn mark(&self) -> usize {
+        lock(&self.lines).all.len()
+    }
+
+    /// Waits for the first line from number `from` on that is wanted.
+    ///
+    /// # Errors
+    /// Where the process ends before, or says no such line in time; the error has its last lines.
+    pub fn wait_line(
+        &self,
+        from: usize,
+        what: &str,
+        within: Duration,
+        wanted: impl Fn(&str) -> bool,
+    ) -> Result<String, TrialError> {
+        let until = Instant::now() + within;
+        let mut lines = lock(&self.lines);
+        let mut seen = from;
+        loop {
+            if let Some(line) = lines.all.iter().skip(seen).find(|line| wanted(line)) {
+                return Ok(line.clone());
+            }
+            seen = lines.all.len().max(from);
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || lines.open == 0 {
+                let last: Vec<String> = lines.all.iter().rev().take(8).rev().cloned().collect();
+                return Err(TrialError::Silent(self.name.clone(), what.to_owned(), last.join("\n")));
+            }
+            lines = self.lines.1.wait_timeout(lines, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Sends it a signal.
+    ///
+    /// # Errors
+    /// Where it has ended.
+    pub fn signal(&self, signal: Signal) -> Result<(), TrialError> {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).map_err(|error| TrialError::Io(error.into()))
+    }
+
+    /// Asks it to end, and waits for that.
+    ///
+    /// # Errors
+    /// Where it has not ended in time.
+    pub fn end(mut self, within: Duration) -> Result<ExitStatus, TrialError> {
+        self.signal(Signal::TERM)?;
+        let until = Instant::now() + within;
+        // Both of its pipes close when it ends.
+        let mut lines = lock(&self.lines);
+        while lines.open > 0 {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(TrialError::Silent(self.name.clone(), "its end".to_owned(), String::new()));
+            }
+            lines = self.lines.1.wait_timeout(lines, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        drop(lines);
+        Ok(self.child.wait()?)
+    }
+}
