--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -188,6 +188,7 @@
                 self.fire(now, timer);
             }
         }
+        self.plans_due(now);
         self.tell_holds();
         let (mut actions, mut turns) = (Vec::new(), 0);
         loop {
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -43,6 +43,8 @@
     plans: BTreeMap<Version, Result<Settings, String>>,
     /// The line that the staff were told last.
     line: String,
+    /// Something was told since the last look: it is looked at once a turn.
+    dirty: bool,
     /// When the next look is due.
     due: Micros,
     asked: Micros,
@@ -77,6 +79,7 @@
             force: Version::default(),
             standing: Standing::Waits(reedring_plan::Why::NoMajority),
             line: String::new(),
+            dirty: false,
             due: 0,
             asked: 0,
         })
@@ -182,7 +185,7 @@
             None => {
                 versions.kin.insert(number, Kin::Old);
                 versions.heard.insert(number, now);
-                self.tend_plans(now);
+                versions.dirty = true;
             }
         }
     }
@@ -194,13 +197,11 @@
         versions.heard.insert(number, now);
         // What only says that the node is there need not be thought over at once.
         let same = |old: &Record| Record { floor_ms: record.floor_ms, ..*old } == record;
-        if !before.as_ref().and_then(Kin::record).is_some_and(same) {
-            self.tend_plans(now);
-        }
+        versions.dirty |= !before.as_ref().and_then(Kin::record).is_some_and(same);
     }
 
     /// A node tells the text of a plan.
-    pub(crate) fn plan_text(&mut self, now: Micros, number: NodeNo, version: Version, text: &str) {
+    pub(crate) fn plan_text(&mut self, number: NodeNo, version: Version, text: &str) {
         let Some(versions) = &mut self.versions else { return };
         if text.is_empty() {
             return;
@@ -208,7 +209,7 @@
         match Kept::checked(version, text) {
             Ok(kept) => {
                 versions.texts.add(&kept);
-                self.tend_plans(now);
+                versions.dirty = true;
             }
             Err(wrong) => {
                 let node = self.node_name(number);
@@ -231,16 +232,22 @@
         Fleet { list: self.list_revision, nodes: listed.map(|(number, _)| (*number, kin(number))).collect() }
     }
 
-    /// The time for a look has come.
+    /// What plans are looked at by has changed.
+    pub(crate) fn plans_changed(&mut self) {
+        self.versions.iter_mut().for_each(|versions| versions.dirty = true);
+    }
+
+    /// Looks at plans, where the time for that has come or something was told.
     pub(crate) fn plans_due(&mut self, now: Micros) {
-        if self.versions.as_ref().is_some_and(|versions| versions.due <= now) {
+        if self.versions.as_ref().is_some_and(|versions| versions.dirty || versions.due <= now) {
             self.tend_plans(now);
         }
     }
 
     /// Looks at all that is known of plans, and does what follows.
-    pub(crate) fn tend_plans(&mut self, now: Micros) {
+    fn tend_plans(&mut self, now: Micros) {
         let Some(mut versions) = self.versions.take() else { return };
+        versions.dirty = false;
         let fleet = self.fleet(&versions);
         let lately = |number: &&NodeNo| {
             versions.heard.get(*number).is_some_and(|at| now < at.saturating_add(versions.lease_us))
@@ -345,6 +352,9 @@
                 (Level::Warn, format!("{line}{}", why(&force)))
             }
             Standing::Waits(reason) => (Level::Warn, format!("plans: sends nothing: {}", reason.word())),
+            Standing::Acts(Acts { force: Version { number: 0, .. }, next: Some(next), .. }) => {
+                (Level::Info, format!("plans: plan {next} is the first one"))
+            }
             Standing::Acts(Acts { force, next: Some(next), .. }) => {
                 (Level::Info, format!("plans: plan {next} follows {force}; acts by the stricter of both"))
             }
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -48,7 +48,7 @@
             }
         }
         self.tell_lines(now);
-        self.tend_plans(now);
+        self.plans_changed();
     }
 
     /// Constraints that broke or were mended, told once each.
@@ -439,7 +439,7 @@
             }
             Message::Report { nonce, report } => self.probed(now, nonce, Some(report)),
             Message::Record(record) => self.node_records(now, number, record),
-            Message::PlanText { version, text } => self.plan_text(now, number, version, &text),
+            Message::PlanText { version, text } => self.plan_text(number, version, &text),
             // The rest is what placers say; the shell reads greetings itself.
             _ => {}
         }
--- a/crates/trials/src/load.rs
+++ b/crates/trials/src/load.rs
@@ -60,14 +60,13 @@
     ) -> Result<Self, TrialError> {
         let session = Arc::new(Session::open(contact)?);
         let (over, told) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Told::default())));
+        let submitted = Arc::new(AtomicBool::new(false));
         let submits = {
+            let submitted = Arc::clone(&submitted);
             let (session, over, told) = (Arc::clone(&session), Arc::clone(&over), Arc::clone(&told));
             let classes: Vec<String> = classes.iter().map(|class| (*class).to_owned()).collect();
             std::thread::spawn(move || {
                 for class in classes.iter().cycle() {
-                    if over.load(Ordering::Relaxed) {
-                        break;
-                    }
                     let mut template = JobTemplate::new();
                     template.set("drmaa_remote_command", "work")?;
                     let native = format!("class={class} life={life_ms}ms cores=0.1 memory=0.1");
@@ -75,16 +74,21 @@
                     match session.run_bulk_jobs(&template, Range { first: 1, last: bulk, step: 1 }) {
                         Ok(jobs) => lock(&told).taken.extend(jobs),
                         Err(error) if error.code == ErrorCode::TryLater => lock(&told).turned_away += 1,
-                        Err(error) => return Err(error),
+                        Err(error) => {
+                            submitted.store(true, Ordering::Relaxed);
+                            return Err(error);
+                        }
                     }
-                    let Some(every) = every else { break };
+                    let Some(every) = every.filter(|_| !over.load(Ordering::Relaxed)) else { break };
                     std::thread::sleep(every);
                 }
+                submitted.store(true, Ordering::Relaxed);
                 Ok(())
             })
         };
         let waits = {
             let (over, told) = (Arc::clone(&over), Arc::clone(&told));
+            let done = Arc::clone(&submitted);
             std::thread::spawn(move || {
                 loop {
                     match session.wait(None, Some(Duration::from_secs(2))) {
@@ -93,7 +97,7 @@
                             lock(&told).outcomes.insert(info.job, outcome);
                         }
                         Err(error) if error.code == ErrorCode::InvalidJob => {
-                            if over.load(Ordering::Relaxed) {
+                            if over.load(Ordering::Relaxed) && done.load(Ordering::Relaxed) {
                                 return Ok(());
                             }
                             std::thread::sleep(Duration::from_millis(2));
--- a/crates/trials/src/program.rs
+++ b/crates/trials/src/program.rs
@@ -146,6 +146,20 @@
     /// Where it has not ended in time.
     pub fn end(mut self, within: Duration) -> Result<ExitStatus, TrialError> {
         self.signal(Signal::TERM)?;
+        self.closes(within)?;
+        Ok(self.child.wait()?)
+    }
+
+    /// Waits until it has ended by itself, and tells all that it said.
+    ///
+    /// # Errors
+    /// Where it has not ended in time.
+    pub fn finish(self, within: Duration) -> Result<Vec<String>, TrialError> {
+        self.closes(within)?;
+        Ok(self.said())
+    }
+
+    fn closes(&self, within: Duration) -> Result<(), TrialError> {
         let until = Instant::now() + within;
         // Both of its pipes close when it ends.
         let mut lines = lock(&self.lines);
@@ -156,7 +170,6 @@
             }
             lines = self.lines.1.wait_timeout(lines, left).unwrap_or_else(PoisonError::into_inner).0;
         }
-        drop(lines);
-        Ok(self.child.wait()?)
+        Ok(())
     }
 }
