Docs of the plan; nodes write placers that were seen once a second; nothing is asked over and over

A node that is greeted in version 1 is now asked what only version 2 can answer, once a life (placer/links.rs).

Seen in the measurement at 350 placers: 511 writes of 3.4 MB at a node for one change, one for each placer's new stamp, and 100 messages a link, as two orders in turn were taken for new each time (pace.rs). Seen placers are written within a second, together; orders are remembered each by itself.

--- a/crates/audit/src/judge/mod.rs
+++ b/crates/audit/src/judge/mod.rs
@@ -135,6 +135,7 @@
                 let placer = self.placers.entry(frame.place.clone()).or_default();
                 *placer = Placer { told: toml::from_str(&text).unwrap_or_default(), ..Placer::default() };
                 self.lives.insert(frame.link, frame.place.clone());
+                self.versions.began(&frame.place);
                 let mine = self.attempts.values_mut().filter(|attempt| attempt.placer == frame.place);
                 mine.for_each(|attempt| attempt.forgotten = true);
             }
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -9,6 +9,7 @@
     Acts, Fleet, Heard, Kept, Kin, Maker, Own, Pace, Standing, Step, Texts, Use, hold, joint, standing,
 };
 use reedring_settings::{Health, Settings};
+use reedring_state::{self as state, Change};
 
 use crate::core::Core;
 use crate::io::{Level, Output};
@@ -282,12 +283,22 @@
         };
         let stamp = versions.stamp(self.list_revision);
         let every = versions.lease_us / ASKS;
-        if (stamp.version, stamp.joint) != (before.version, before.joint) || now >= versions.asked + every {
+        let changed = (stamp.version, stamp.joint) != (before.version, before.joint) || versions.asked == 0;
+        if changed || now >= versions.asked + every {
             // Nodes hear by what this placer acts now, and it hears that they are there.
             versions.asked = now;
             orders.extend(fleet.nodes.keys().map(|node| (*node, Order::Ask { stamp })));
             self.outputs.push_back(Output::Acts(stamp));
         }
+        if changed {
+            let (plan, digest) = (stamp.version.number, stamp.version.digest.to_string());
+            self.keep.change(Change::Acts(state::Acts {
+                plan,
+                digest,
+                joint: stamp.joint,
+                list: stamp.list,
+            }));
+        }
         let mut orders = versions.pace.due(now, orders);
         orders.retain(|(node, _)| versions.kin.get(node).is_some_and(|kin| kin.record().is_some()));
         let settles = self.hold_by_plans(now, &versions);
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -8,7 +8,7 @@
 use reedring_audit::Event;
 use reedring_core::Input;
 use reedring_net::Backoff;
-use reedring_nodeproto::{Message, Reader, encode};
+use reedring_nodeproto::{Message, Order, Reader, encode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -86,7 +86,7 @@
         let number = self.made.entry(node.clone()).or_default();
         *number += 1 << 32;
         let (shared, came) = (Arc::clone(shared), came.clone());
-        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came };
+        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came, old: None };
         let task = tokio::spawn(async move {
             if let Some(first) = first {
                 let _ = keeper.came.send(first).await;
@@ -127,6 +127,8 @@
     number: u64,
     shared: Arc<Shared>,
     came: mpsc::Sender<Came>,
+    /// The life of the node in which it was shown that it speaks version 1 alone.
+    old: Option<u64>,
 }
 
 impl Keeper {
@@ -148,6 +150,11 @@
                     closed_on += 1;
                     why
                 }
+                Err(End { why, closed_on: true }) => {
+                    // It closed on what only version 2 has, or it knows plans: the next greeting finds out.
+                    closed_on = if self.old.is_some() { CLOSED_ON } else { 0 };
+                    why
+                }
                 Err(End { why, .. }) => why,
             };
             self.shared.record_link(Event::LinkDown, &self.node, self.number, why.as_bytes());
@@ -178,6 +185,19 @@
         let greeting = tokio::time::timeout(limit, self.greeted(&mut read, &mut reader)).await;
         let up = greeting.map_err(|_| "no greeting in time".to_owned())?;
         let up = up.map_err(|why| End { closed_on: told && why == UNGREETED, why })?;
+        // Links are cut for many reasons: that a node knows no plans is believed once a question shows it.
+        if let Input::LinkUp { life, record: None, .. } = &up
+            && plain
+            && self.old != Some(*life)
+        {
+            let life = *life;
+            let asked = self.knows_plans(&mut read, &mut write, &mut reader);
+            let knows =
+                tokio::time::timeout(limit, asked).await.map_err(|_| "no answer in time".to_owned())?;
+            self.old = (!knows).then_some(life);
+            let why = if knows { "it knows plans" } else { "it speaks version 1 alone" };
+            return Err(End { why: why.to_owned(), closed_on: true });
+        }
         let up = Came::LinkUp(self.number, up);
         self.came.send(up).await.map_err(|_| "the placer ends".to_owned())?;
         let why = tokio::select! {
@@ -187,6 +207,32 @@
         Ok(why)
     }
 
+    /// Asks a node that was greeted in version 1 what only one of version 2 can answer; the other closes the link.
+    async fn knows_plans(
+        &self,
+        read: &mut OwnedReadHalf,
+        write: &mut OwnedWriteHalf,
+        reader: &mut Reader,
+    ) -> bool {
+        let stamp = self.shared.acts.lock().unwrap_or_else(PoisonError::into_inner).unwrap_or_default();
+        if self.write(write, &[Message::Plan(Order::Ask { stamp })]).await.is_err() {
+            return false;
+        }
+        let mut buffer = vec![0; 64 * 1024];
+        loop {
+            match reader.next_message() {
+                Ok(Some((Message::Record(_), _))) => return true,
+                Ok(Some(_)) => continue,
+                Ok(None) => {}
+                Err(_) => return false,
+            }
+            match read.read(&mut buffer).await {
+                Ok(count) if count > 0 => reader.push(&buffer[..count]),
+                _ => return false,
+            }
+        }
+    }
+
     /// Reads the welcome: what the core is to be told.
     async fn greeted(&self, read: &mut OwnedReadHalf, reader: &mut Reader) -> Result<Input, String> {
         loop {
@@ -278,6 +324,7 @@
             number: 4,
             shared: Arc::new(Shared::for_tests()),
             came,
+            old: None,
         };
         let (out, messages) = mpsc::channel(8);
         out.send((4, Message::Probe { nonce: 1 })).await.unwrap();
--- a/crates/plan/src/pace.rs
+++ b/crates/plan/src/pace.rs
@@ -2,6 +2,7 @@
 //! each other for ever.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 
 use reedring_nodeproto::{Ballot, Order};
 
@@ -18,8 +19,8 @@
 pub struct Pace {
     /// The greatest ballot that was seen, and since when.
     rival: (Ballot, u64),
-    /// What was sent to each node last, and when.
-    sent: BTreeMap<u32, (u64, u64)>,
+    /// What was sent to each node, and when.
+    sent: BTreeMap<(u32, u64), u64>,
 }
 
 /// Tells two orders to a node apart.
@@ -46,23 +47,23 @@
         greatest.round == 0 || now >= self.rival.1 + LEAVE_US + own
     }
 
-    /// Leaves out what was asked of a node last, and has not had its time.
+    /// Leaves out what was asked of a node, and has not had its time.
     pub fn due(&mut self, now: u64, orders: Vec<(u32, Order)>) -> Vec<(u32, Order)> {
+        self.sent.retain(|_, at| now < at.saturating_add(AGAIN_US));
         let mut due = orders;
-        due.retain(|(node, order)| {
-            let this = mark(order);
-            let again = self.sent.get(node).is_none_or(|(last, at)| *last != this || now >= at + AGAIN_US);
-            if again {
-                self.sent.insert(*node, (this, now));
+        due.retain(|(node, order)| match self.sent.entry((*node, mark(order))) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(entry) => {
+                entry.insert(now);
+                true
             }
-            again
         });
         due
     }
 
     /// A node's link is another now: what was asked on the one before may be lost.
     pub fn forget(&mut self, node: u32) {
-        self.sent.remove(&node);
+        self.sent.retain(|(to, _), _| *to != node);
     }
 }
 
@@ -81,6 +82,11 @@
         pace.forget(2);
         assert_eq!(pace.due(AGAIN_US - 1, ask()), [(2, one.clone())]);
         assert_eq!(pace.due(AGAIN_US, ask()), [(1, one.clone())]);
+        // Two things in turn are not asked over and over.
+        let both =
+            || vec![(7, one.clone()), (7, Order::Fetch { version: reedring_nodeproto::Version::default() })];
+        assert_eq!(pace.due(AGAIN_US, both()).len(), 2);
+        assert_eq!(pace.due(AGAIN_US + 1, both()).len(), 0);
         let fetch = Order::Fetch { version: reedring_nodeproto::Version::default() };
         assert_eq!(pace.due(AGAIN_US, vec![(1, fetch)]).len(), 1);
     }
--- a/crates/standin/src/model/mod.rs
+++ b/crates/standin/src/model/mod.rs
@@ -112,7 +112,7 @@
     pub fn next_us(&self) -> Option<u64> {
         let looks = self.looks_until.filter(|_| !self.fault.hangs);
         let due = self.due.first().map(|(at, _)| *at);
-        due.into_iter().chain(looks).min().filter(|_| !self.fallen)
+        due.into_iter().chain(looks).chain(self.plans.seen_due).min().filter(|_| !self.fallen)
     }
 
     pub(super) fn report(&self) -> Vec<f64> {
@@ -126,6 +126,7 @@
 
     /// Runs everything that is due.
     pub fn tick(&mut self, now_us: u64, groups: &mut Groups) {
+        self.keep_seen(now_us);
         if !self.fault.hangs && !self.backlog.is_empty() {
             for (link, message) in std::mem::take(&mut self.backlog) {
                 self.message(now_us, link, message, groups);
--- a/crates/state/src/rows.rs
+++ b/crates/state/src/rows.rs
@@ -211,6 +211,19 @@
     pub until: u64,
 }
 
+/// By what a placer decided from a time on: with an attempt's own time it says by which plan that was decided.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acts {
+    /// The plan's number.
+    pub plan: u64,
+    /// The first bytes of its digest, as lines for the staff have them.
+    pub digest: String,
+    /// By the stricter of it and the one before.
+    pub joint: bool,
+    /// Revision of the node list.
+    pub list: u64,
+}
+
 /// One change of the rows. A later change of the same row takes the place of an earlier one.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -230,6 +243,8 @@
     Drained(String, bool),
     /// An offer went to a node that was cold.
     Cold(String),
+    /// The placer decides by another plan.
+    Acts(Acts),
 }
 
 /// Changes that become durable together or not at all.
@@ -262,6 +277,9 @@
     pub drained: BTreeSet<String>,
     /// Offers to nodes that were cold, each in microseconds since 1970.
     pub cold: BTreeMap<String, Vec<u64>>,
+    /// By what the placer decided, from each time on, in microseconds since 1970.
+    #[serde(default)]
+    pub acts: BTreeMap<u64, Acts>,
 }
 
 impl Image {
@@ -300,6 +318,8 @@
         let cold =
             cold.map(|(node, at)| Batch { seq: 1, at: *at, changes: vec![Change::Cold(node.clone())] });
         batches.extend(cold);
+        let acts = self.acts.iter().map(|(at, acts)| (*at, vec![Change::Acts(acts.clone())]));
+        batches.extend(acts.map(|(at, changes)| Batch { seq: 1, at, changes }));
         batches
     }
 
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::rows::{Answer, Ask, Batch, Change, Image, Job, Link, Session};
+use crate::rows::{Acts, Answer, Ask, Batch, Change, Image, Job, Link, Session};
 
 /// The version of the tables that this program writes.
 pub const FORMAT: u32 = 2;
@@ -31,6 +31,10 @@
 /// How many offers went to a cold node in one batch. Format 1 had the times without the counts.
 const COLD: TableDefinition<(&str, u64), u32> = TableDefinition::new("cold counts");
 const COLD_1: TableDefinition<(&str, u64), ()> = TableDefinition::new("cold");
+/// By what was decided from a time on. Ledgers that were made before there were plans lack it.
+const ACTS: TableDefinition<u64, &[u8]> = TableDefinition::new("plans");
+/// Rows of it that are kept: more changes of the plan than any placer's jobs outlive.
+const MOST_ACTS: usize = 1_024;
 /// What a time without a count counts for, and the most that is read of one: more than any node's budget.
 const MANY: u32 = 4_096;
 
@@ -229,6 +233,11 @@
             let times = std::iter::repeat_n(at, count.value().min(MANY) as usize);
             image.cold.entry(node.to_owned()).or_default().extend(times);
         }
+        match read.open_table(ACTS) {
+            Ok(_) => Self::each(&read, ACTS, |at, row: Acts| drop(image.acts.insert(at, row)))?,
+            Err(redb::TableError::TableDoesNotExist(_)) => {}
+            Err(error) => return Err(error.into()),
+        }
         Ok(image)
     }
 
@@ -315,6 +324,13 @@
         cold.retain_in((node.as_str(), 0)..(node.as_str(), at.saturating_sub(COLD_US)), |_, _| false)?;
         cold.insert((node.as_str(), *time), *count)?;
     }
+    if !changes.acts.is_empty() {
+        let mut acts = write.open_table(ACTS)?;
+        changes.acts.iter().try_for_each(|(time, row)| put(&mut acts, time, Some(row)))?;
+        let oldest: Vec<u64> =
+            acts.iter()?.rev().skip(MOST_ACTS).flatten().map(|row| row.0.value()).collect();
+        oldest.into_iter().try_for_each(|at| acts.remove(at).map(drop))?;
+    }
     Ok(())
 }
 
@@ -329,6 +345,7 @@
     jobs: BTreeMap<u64, Option<Box<Job>>>,
     drained: BTreeMap<String, bool>,
     cold: BTreeMap<(String, u64), u32>,
+    acts: BTreeMap<u64, Acts>,
 }
 
 impl Pending {
@@ -353,6 +370,7 @@
                 Change::Ask(session, call, row) => drop(self.asks.insert((session, call), row)),
                 Change::Job(number, row) => drop(self.jobs.insert(number, row)),
                 Change::Drained(node, drains) => drop(self.drained.insert(node, drains)),
+                Change::Acts(acts) => drop(self.acts.insert(batch.at, acts)),
                 Change::Cold(node) => *self.cold.entry((node, batch.at)).or_default() += 1,
             }
         }
