--- a/crates/cli/tests/churn.rs
+++ b/crates/cli/tests/churn.rs
@@ -5,8 +5,9 @@
 mod standins;
 
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 
+use reedring_processes::Program;
 use standins::{Board, Host, Owner, config, message, setup, soon};
 
 const ROUNDS: u64 = 60;
@@ -18,14 +19,7 @@
 const MOST_GROWN: usize = 1_000;
 
 /// The placer's process, ended with the test.
-struct Placer(Child);
-
-impl Drop for Placer {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
+struct Placer(Program);
 
 impl Placer {
     fn descriptors(&self) -> usize {
@@ -51,10 +45,10 @@
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("config.json");
     std::fs::write(&path, config(address, &board, first).to_string()).expect("it can be written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_reedring"));
-    let command = command.args(["platform", "--log", "off", "--config"]).arg(&path);
-    let command = command.env_remove("PROXY_LISTEN").stderr(Stdio::null());
-    let placer = Placer(command.spawn().expect("it starts"));
+    let (program, shown) = (Path::new(env!("CARGO_BIN_EXE_reedring")), path.display().to_string());
+    let listen = address.to_string();
+    let arguments = ["platform", "--log", "off", "--config", &shown, "--listen", &listen];
+    let placer = Placer(Program::start(program, "the placer", &arguments, None).expect("it starts"));
     // It polls from after it listens.
     board.until_asked(|asks| asks.iter().any(|ask| ask.contains("watch=1&"))).await;
     let mut settled = (0, 0);
--- /dev/null
+++ b/crates/processes/src/lib.rs
@@ -0,0 +1,7 @@
+//! Programs as processes of a test or trial. Each is started, waited for by what it says - a line, never a sleep -
+//! and ended by its own handle.
+#![forbid(unsafe_code)]
+
+mod program;
+
+pub use program::{ProcessError, Program, Signal};
--- a/crates/trials/src/program.rs
+++ b/crates/processes/src/program.rs
@@ -9,7 +9,16 @@
 pub use rustix::process::Signal;
 use rustix::process::{Pid, kill_process};
 
-use crate::TrialError;
+/// Why a process is not as it should be.
+#[derive(Debug, thiserror::Error)]
+pub enum ProcessError {
+    /// It could not be made, signalled or waited for.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// It did not say something in time.
+    #[error("{0} never told: {1}; it said last:\n{2}")]
+    Silent(String, String, String),
+}
 
 /// Lines of a process so far, and whether there will be more.
 #[derive(Default)]
@@ -69,7 +78,7 @@
         name: &str,
         arguments: &[&str],
         file_kib: Option<u64>,
-    ) -> Result<Self, TrialError> {
+    ) -> Result<Self, ProcessError> {
         let mut command = match file_kib {
             None => Command::new(program),
             Some(kib) => {
@@ -80,7 +89,7 @@
                 command
             }
         };
-        command.arg("program").args(arguments);
+        command.args(arguments);
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
         let lines = Shared::default();
         child.stdout.take().into_iter().for_each(|out| gather(&lines, out));
@@ -93,6 +102,11 @@
         &self.name
     }
 
+    /// The number of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// All that it said so far.
     pub fn said(&self) -> Vec<String> {
         lock(&self.lines).all.clone()
@@ -113,7 +127,7 @@
         what: &str,
         within: Duration,
         wanted: impl Fn(&str) -> bool,
-    ) -> Result<String, TrialError> {
+    ) -> Result<String, ProcessError> {
         let until = Instant::now() + within;
         let mut lines = lock(&self.lines);
         let mut seen = from;
@@ -128,7 +142,7 @@
                 let telling = lines.all.iter().filter(|line| !line.contains("holding"));
                 let telling: Vec<String> = telling.cloned().collect();
                 let last = &telling[telling.len().saturating_sub(16)..];
-                return Err(TrialError::Silent(self.name.clone(), what.to_owned(), last.join("\n")));
+                return Err(ProcessError::Silent(self.name.clone(), what.to_owned(), last.join("\n")));
             }
             lines = self.lines.1.wait_timeout(lines, left).unwrap_or_else(PoisonError::into_inner).0;
         }
@@ -138,16 +152,16 @@
     ///
     /// # Errors
     /// Where it has ended.
-    pub fn signal(&self, signal: Signal) -> Result<(), TrialError> {
+    pub fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
         let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).map_err(|error| TrialError::Io(error.into()))
+        kill_process(pid, signal).map_err(|error| ProcessError::Io(error.into()))
     }
 
     /// Asks it to end, and waits for that.
     ///
     /// # Errors
     /// Where it has not ended in time.
-    pub fn end(mut self, within: Duration) -> Result<ExitStatus, TrialError> {
+    pub fn end(mut self, within: Duration) -> Result<ExitStatus, ProcessError> {
         self.signal(Signal::TERM)?;
         self.closes(within)?;
         Ok(self.child.wait()?)
@@ -157,19 +171,19 @@
     ///
     /// # Errors
     /// Where it has not ended in time.
-    pub fn finish(self, within: Duration) -> Result<Vec<String>, TrialError> {
+    pub fn finish(self, within: Duration) -> Result<Vec<String>, ProcessError> {
         self.closes(within)?;
         Ok(self.said())
     }
 
-    fn closes(&self, within: Duration) -> Result<(), TrialError> {
+    fn closes(&self, within: Duration) -> Result<(), ProcessError> {
         let until = Instant::now() + within;
         // Both of its pipes close when it ends.
         let mut lines = lock(&self.lines);
         while lines.open > 0 {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Err(TrialError::Silent(self.name.clone(), "its end".to_owned(), String::new()));
+                return Err(ProcessError::Silent(self.name.clone(), "its end".to_owned(), String::new()));
             }
             lines = self.lines.1.wait_timeout(lines, left).unwrap_or_else(PoisonError::into_inner).0;
         }
--- a/crates/site/src/kills.rs
+++ b/crates/site/src/kills.rs
@@ -5,10 +5,8 @@
 //! outcome, and the audit judges from the nodes' sockets that no unsafe task was started twice.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -19,6 +17,7 @@
 use reedring_client::Session;
 use reedring_client::drmaa::rpc::Range;
 use reedring_client::drmaa::{ErrorCode, JobTemplate};
+use reedring_processes::Program;
 use reedring_state::{Disk, Export};
 
 use crate::badday::BadDayError;
@@ -69,31 +68,18 @@
 /// How long outcomes are awaited in the end: longer than any class's patience.
 const AWAIT: Duration = Duration::from_secs(60);
 
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn start(program: &Path, config: &Path) -> Result<Running, BadDayError> {
-    let mut command = Command::new(program);
-    command.args(["--log", "error", "serve", "--config"]).arg(config);
-    let mut child = Running(command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?);
-    let mut line = String::new();
-    if let Some(out) = child.0.stdout.take() {
-        BufReader::new(out).read_line(&mut line)?;
-    }
-    if !line.starts_with("contact: ") {
-        let mut said = String::new();
-        if let Some(err) = child.0.stderr.take() {
-            let _ = BufReader::new(err).read_line(&mut said);
-        }
-        return Err(BadDayError::Script(format!("the placer did not start: {said}")));
-    }
-    Ok(child)
+/// How long a placer may take to say its contact.
+const READY: Duration = Duration::from_secs(60);
+
+fn start(program: &Path, config: &Path) -> Result<Program, BadDayError> {
+    let config = config.display().to_string();
+    let arguments = ["--log", "error", "serve", "--config", &config];
+    let placer = Program::start(program, "the placer", &arguments, None);
+    let ready = placer.and_then(|placer| {
+        placer.wait_line(0, "its contact", READY, |line| line.starts_with("contact: "))?;
+        Ok(placer)
+    });
+    ready.map_err(|error| BadDayError::Script(error.to_string()))
 }
 
 /// What clients were told, over all threads.
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use reedring_audit::{Event, Recorder, Report, TraceError};
+use reedring_processes::{ProcessError, Program, Signal};
 use tempfile::TempDir;
 
-use crate::program::{Program, Signal};
 use crate::relay::Relays;
 
 /// How long a process may take to say that it is ready.
@@ -23,6 +23,9 @@
     /// A file, a socket or a process.
     #[error("trial: {0}")]
     Io(#[from] io::Error),
+    /// A process.
+    #[error("trial: {0}")]
+    Process(#[from] ProcessError),
     /// A client's call.
     #[error("trial: {0}")]
     Client(#[from] reedring_client::drmaa::Error),
@@ -194,7 +197,7 @@
         std::fs::write(&config, text)?;
         let (config, shown) = (config.display().to_string(), trace.display().to_string());
         // The trace would be what grows over a limit: a node on a full disk writes none.
-        let mut arguments = vec!["--log", "info", "standin", "--config", &config];
+        let mut arguments = vec!["program", "--log", "info", "standin", "--config", &config];
         if node.file.file_kib.is_none() {
             arguments.extend(["--trace", &shown]);
             self.traces.push(trace);
@@ -308,7 +311,7 @@
         std::fs::write(&config, format!("{own}\n{state}\n{}", placer.settings))?;
         self.traces.push(dir.join(trace));
         let config = config.display().to_string();
-        let arguments = ["--log", "info", "serve", "--config", &config];
+        let arguments = ["program", "--log", "info", "serve", "--config", &config];
         let program = Program::start(&self.site.program, name, &arguments, None)?;
         program.wait_line(0, "its contact", READY, |line| line.starts_with("contact: "))?;
         placer.program = Some(program);
@@ -359,7 +362,7 @@
         self.faults.record(Event::PlacerStalled, name, "", time.as_micros() as u64, b"");
         self.placer(name)?.signal(Signal::STOP)?;
         std::thread::sleep(time);
-        self.placer(name)?.signal(Signal::CONT)
+        Ok(self.placer(name)?.signal(Signal::CONT)?)
     }
 
     /// Ends a placer in order; its exit code.
@@ -379,7 +382,8 @@
     /// # Errors
     /// Where it does not end in time.
     pub fn ask(&self, arguments: &[&str]) -> Result<Vec<String>, TrialError> {
-        Program::start(&self.site.program, arguments[0], arguments, None)?.finish(READY)
+        let arguments: Vec<&str> = ["program"].iter().chain(arguments).copied().collect();
+        Ok(Program::start(&self.site.program, "reedring", &arguments, None)?.finish(READY)?)
     }
 
     /// Waits for a line of a placer from a mark on.
@@ -393,7 +397,7 @@
         within: Duration,
         wanted: impl Fn(&str) -> bool,
     ) -> Result<String, TrialError> {
-        self.placer(name)?.wait_line(from, "its line", within, wanted)
+        Ok(self.placer(name)?.wait_line(from, "its line", within, wanted)?)
     }
 
     // ---- The end ----
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -8,11 +8,10 @@
 
 mod fleet;
 mod load;
-mod program;
 mod relay;
 pub mod versions;
 
 pub use fleet::{Fleet, NodeFile, Site, TrialError};
 pub use load::{Load, Outcomes};
-pub use program::{Program, Signal};
+pub use reedring_processes::{Program, Signal};
 pub use relay::{Mode, Relays};
