--- a/crates/audit/tests/rules.rs
+++ b/crates/audit/tests/rules.rs
@@ -2,7 +2,10 @@
 
 use reedring_audit::{Event, Frame, Recorder, Report, Rule, audit, read};
 use reedring_drmaa::framing::wrap;
-use reedring_nodeproto::{AttemptId, End, Held, HeldState, Message, Reason, Task, decode, encode};
+use reedring_nodeproto::{
+    AttemptId, Ballot, Digest, End, Held, HeldState, Introduced, Message, Order, Reason, Record, Stamp, Task,
+    Version, decode, encode,
+};
 
 const SETTINGS: &str = r#"
 [site]
@@ -70,9 +73,20 @@
     }
 
     fn offer(&self, job: &str, class: &str, node: &str, request: u64, number: u16) -> AttemptId {
+        self.offer_by(job, class, node, (request, number), None)
+    }
+
+    fn offer_by(
+        &self,
+        job: &str,
+        class: &str,
+        node: &str,
+        (request, number): (u64, u16),
+        stamp: Option<Stamp>,
+    ) -> AttemptId {
         let attempt = AttemptId { life: 1, request, number };
         let task = Task { job: job.into(), class: class.into(), service: "v".into(), ..Task::default() };
-        let offer = encode(&Message::Offer { attempt, task: Box::new(task), within_ms: 0, stamp: None });
+        let offer = encode(&Message::Offer { attempt, task: Box::new(task), within_ms: 0, stamp });
         self.0.record(Event::ToNode, "p", node, 1, &offer);
         self.0.record(Event::NodeRead, node, "p", 1, &offer);
         attempt
@@ -298,3 +312,72 @@
     let report = trace.judge();
     assert_eq!((report.unreadable, report.breaches.len()), (2, 0));
 }
+
+// ---- Plans ----
+
+fn version(number: u64) -> Version {
+    Version { number, digest: Digest([number as u8; 16]) }
+}
+
+/// A record with this plan in force, and the next one joint or not.
+fn record(force: u64, next: Option<(u64, bool)>) -> Message {
+    let introduced = |(number, joint)| {
+        let ballot = Ballot { round: 1, by: 1 };
+        Introduced { ballot, version: version(number), joint }
+    };
+    Message::Record(Record { force: version(force), next: next.map(introduced), ..Record::default() })
+}
+
+fn stamp(number: u64, joint: bool) -> Option<Stamp> {
+    Some(Stamp { version: version(number), joint, list: 1, build: 1 })
+}
+
+#[test]
+fn a_node_that_accepts_what_is_under_its_floor_breaks_the_check_of_plans() {
+    for (number, joint, clean) in [(1, false, false), (2, true, true), (2, false, true)] {
+        let trace = Trace::new();
+        trace.node("a1", &record(1, Some((2, true))));
+        trace.taken("s.1.1", "safe");
+        let attempt = trace.offer_by("s.1.1", "safe", "a1", (1, 0), stamp(number, joint));
+        trace.accepted("a1", attempt);
+        let want = if clean { Vec::new() } else { vec![Rule::Versions] };
+        assert_eq!(trace.breaks(), want, "{number} {joint}");
+    }
+}
+
+#[test]
+fn a_plan_in_force_without_a_majority_breaks_the_check_of_plans() {
+    for joint in [["a1"].as_slice(), &["a1", "b1"]] {
+        let trace = Trace::new();
+        ["a1", "a2", "b1"].iter().for_each(|node| trace.node(node, &record(1, None)));
+        joint.iter().for_each(|node| trace.node(node, &record(1, Some((2, true)))));
+        trace.node("a1", &record(2, None));
+        let want = if joint.len() > 1 { Vec::new() } else { vec![Rule::Versions] };
+        assert_eq!(trace.breaks(), want, "{joint:?}");
+    }
+}
+
+#[test]
+fn more_than_the_stricter_part_of_a_cold_budget_breaks_the_check_of_plans() {
+    let text = |placers: u32| {
+        format!("[site]\nplacers = {placers}\ncold_offers = 3.0\ncold_window = \"1h\"\nwarm_after = \"1h\"\n")
+    };
+    let sent = |joint: bool, offers: u64| {
+        let trace = Trace::new();
+        trace.0.record(Event::NodeStarted, "a1", "", 1, b"");
+        for (number, placers) in [(1, 1), (2, 3)] {
+            let (version, text) = (version(number), text(placers));
+            let order = Order::Force { version, text, list: 1 };
+            trace.0.record(Event::ToNode, "p", "a1", 1, &encode(&Message::Plan(order)));
+        }
+        for n in 1..=offers {
+            // By plan 1 alone all three are its own; by both, one.
+            let by = if joint { stamp(2, true) } else { stamp(1, false) };
+            trace.offer_by(&format!("s.1.{n}"), "safe", "a1", (n, 0), by);
+        }
+        trace.breaks()
+    };
+    assert_eq!(sent(false, 3), []);
+    assert_eq!(sent(true, 1), []);
+    assert_eq!(sent(true, 2), [Rule::Versions]);
+}
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -597,7 +597,9 @@
                     memory += job.ask.memory;
                 }
             }
-            let plan = self.nodes.number(&node.name).and_then(|number| self.plan_line(number));
+            // What a node told that does not answer any more may be otherwise by now.
+            let number = self.nodes.number(&node.name).filter(|_| node.is_up());
+            let plan = number.and_then(|number| self.plan_line(number));
             node.node_line(waiting, held, (cores, memory), self.nodes.kind(node.entry.kind), plan)
         };
         let known = |node: &&crate::links::Node| !node.remembered || !node.attempts.is_empty();
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -92,3 +92,57 @@
         self.records().map(|record| u32::from(record.linked)).max().unwrap_or(0)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use reedring_nodeproto::{Ballot, Digest, Introduced};
+
+    fn version(number: u64, name: u8) -> Version {
+        Version { number, digest: Digest([name; 16]) }
+    }
+
+    /// Five nodes: what each told to have kept after plan 1, with which round, joint or not, stuck or not.
+    fn fleet(told: &[Option<(u8, u64, bool, bool)>; 5]) -> Fleet {
+        let kin = |told: &Option<(u8, u64, bool, bool)>| {
+            let (mut record, mut stuck) = (Record { force: version(1, 1), ..Record::default() }, false);
+            if let Some((name, round, joint, can_not)) = told {
+                let ballot = Ballot { round: *round, by: 1 };
+                record.next = Some(Introduced { ballot, version: version(2, *name), joint: *joint });
+                stuck = *can_not;
+            }
+            Kin::Told(Record { stuck, ..record })
+        };
+        Fleet { list: 0, nodes: told.iter().enumerate().map(|(n, told)| (n as u32, kin(told))).collect() }
+    }
+
+    #[test]
+    fn a_plan_is_decided_by_a_majority_with_one_ballot_or_by_one_that_is_joint() {
+        let kept = |name, round| Some((name, round, false, false));
+        let (a, a2, b, stuck) = (kept(7, 1), kept(7, 2), kept(8, 2), Some((7, 1, false, true)));
+        let joint = Some((8, 1, true, false));
+        for (told, decided) in [
+            ([None; 5], None),
+            ([a, a, None, None, None], None),
+            ([a, a, a, None, None], Some(7)),
+            ([a, a, a2, a2, None], None),
+            ([a, a, b, b, b], Some(8)),
+            ([a, a, stuck, None, None], None),
+            ([a, a, joint, None, None], Some(8)),
+        ] {
+            let want = decided.map(|name| version(2, name));
+            assert_eq!(fleet(&told).decided(version(1, 1)), want, "{told:?}");
+            assert_eq!(fleet(&told).decided(version(3, 3)), None, "after another plan it says nothing");
+        }
+    }
+
+    #[test]
+    fn only_nodes_that_have_kept_it_count_as_joint_and_later_plans_count_too() {
+        let (joint, stuck) = (Some((7, 1, true, false)), Some((7, 1, true, true)));
+        let mut fleet = fleet(&[joint, joint, stuck, Some((7, 1, false, false)), None]);
+        assert_eq!(fleet.joint_at(version(2, 7)), 2);
+        fleet.nodes.insert(4, Kin::Told(Record { force: version(3, 3), ..Record::default() }));
+        assert_eq!(fleet.joint_at(version(2, 7)), 3);
+        assert_eq!((fleet.majority(), fleet.force()), (3, version(3, 3)));
+    }
+}
--- a/crates/plan/src/maker.rs
+++ b/crates/plan/src/maker.rs
@@ -200,3 +200,138 @@
         orders.extend(open.map(|(node, _)| (*node, accept.clone())));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use reedring_nodeproto::Introduced;
+
+    fn plan(number: u64, text: &str) -> Kept {
+        Kept::new(number, text).unwrap()
+    }
+
+    fn texts() -> Texts {
+        let mut texts = Texts::default();
+        [plan(1, "one"), plan(2, "a"), plan(2, "b")].iter().for_each(|kept| texts.add(kept));
+        texts
+    }
+
+    fn record(promised: Ballot, next: Option<(u64, &Kept, bool)>) -> Record {
+        let introduced = |(round, kept, joint): (u64, &Kept, bool)| Introduced {
+            ballot: Ballot { round, by: 5 },
+            version: kept.version(),
+            joint,
+        };
+        Record { force: plan(1, "one").version(), promised, next: next.map(introduced), ..Record::default() }
+    }
+
+    fn fleet(records: &[Record]) -> Fleet {
+        let nodes = records.iter().enumerate().map(|(n, record)| (n as u32, Kin::Told(*record))).collect();
+        Fleet { list: 0, nodes }
+    }
+
+    fn next(maker: &mut Maker, fleet: &Fleet, own: Option<&Kept>) -> (Step, Vec<(u32, Order)>) {
+        maker.next(false, fleet, Version::default(), own, &texts())
+    }
+
+    /// The ballot that a maker of life 9 begins with among nodes that have answered none.
+    const FIRST: Ballot = Ballot { round: 1, by: 9 };
+
+    /// It prepares, and once a majority has answered it accepts what that says: the newest kept, else its own.
+    #[test]
+    fn what_is_accepted_is_the_newest_plan_that_was_kept_among_those_that_answered() {
+        let (a, b) = (plan(2, "a"), plan(2, "b"));
+        let none = Ballot::default();
+        // What two of three nodes that answered had kept, with which rounds, and what must be proposed then.
+        for (kept, want) in [
+            ([None, None], &a),
+            ([Some((0, &b, false)), None], &b),
+            ([Some((0, &a, false)), Some((1, &b, false))], &b),
+            ([Some((1, &a, false)), Some((0, &b, false))], &a),
+        ] {
+            let mut maker = Maker::new(9);
+            let quiet = [record(none, None); 3];
+            let (step, orders) = next(&mut maker, &fleet(&quiet), Some(&a));
+            assert_eq!((step, orders.len()), (Step::Offered, 3));
+            assert!(
+                orders
+                    .iter()
+                    .all(|(_, order)| matches!(order, Order::Prepare { ballot, .. } if *ballot == FIRST))
+            );
+            // One answer is none yet.
+            let one = [record(FIRST, kept[0]), record(none, None), record(none, None)];
+            let (_, orders) = next(&mut maker, &fleet(&one), Some(&a));
+            assert!(orders.iter().all(|(_, order)| matches!(order, Order::Prepare { .. })), "{orders:?}");
+            let two = [record(FIRST, kept[0]), record(FIRST, kept[1]), record(none, None)];
+            let (_, orders) = next(&mut maker, &fleet(&two), Some(&a));
+            assert!(!orders.is_empty());
+            for (_, order) in &orders {
+                let Order::Accept { ballot, version, .. } = order else { panic!("{order:?}") };
+                assert_eq!((*ballot, *version), (FIRST, want.version()), "{kept:?}");
+            }
+            // Another answer that comes later changes nothing of that ballot.
+            let three = [two[0], two[1], record(FIRST, Some((3, &b, false)))];
+            let (_, orders) = next(&mut maker, &fleet(&three), Some(&a));
+            let same = |(_, order): &(u32, Order)| matches!(order, Order::Accept { version, .. } if *version == want.version());
+            assert!(orders.iter().all(same), "{kept:?}: {orders:?}");
+        }
+    }
+
+    #[test]
+    fn a_decided_plan_is_made_joint_and_comes_in_force_once_a_majority_has_kept_that() {
+        let a = plan(2, "a");
+        let at = Ballot { round: 1, by: 5 };
+        let (kept, joint) = (record(at, Some((1, &a, false))), record(at, Some((1, &a, true))));
+        for (records, joints, forces) in [
+            ([kept, kept, kept], vec![0, 1, 2], vec![]),
+            ([joint, kept, kept], vec![1, 2], vec![]),
+            ([joint, joint, kept], vec![2], vec![0, 1]),
+            ([joint, joint, joint], vec![], vec![0, 1, 2]),
+            ([joint, Record { stuck: true, ..joint }, kept], vec![2], vec![]),
+        ] {
+            let (step, orders) = next(&mut Maker::new(9), &fleet(&records), None);
+            assert_eq!(step, Step::Joint(a.version()));
+            let of = |wanted: fn(&Order) -> bool| {
+                let nodes = orders.iter().filter(|(_, order)| wanted(order)).map(|(node, _)| *node);
+                nodes.collect::<Vec<u32>>()
+            };
+            assert_eq!(of(|order| matches!(order, Order::Joint { .. })), joints);
+            assert_eq!(of(|order| matches!(order, Order::Force { .. })), forces);
+        }
+    }
+
+    #[test]
+    fn nodes_that_are_behind_are_told_and_texts_that_are_missing_are_fetched() {
+        let one = plan(1, "one");
+        let (there, behind) = (record(Ballot::default(), None), Record::default());
+        let (step, orders) = next(&mut Maker::new(9), &fleet(&[there, behind]), None);
+        assert_eq!(step, Step::Quiet);
+        assert!(
+            matches!(&orders[..], [(1, Order::Force { version, .. })] if *version == one.version()),
+            "{orders:?}"
+        );
+        let none = Texts::default();
+        let (_, orders) =
+            Maker::new(9).next(false, &fleet(&[there, behind]), Version::default(), None, &none);
+        assert_eq!(orders, [(0, Order::Fetch { version: one.version() })]);
+    }
+
+    /// A ballot of another is left alone until it has had its time, and is then carried on, not undone.
+    #[test]
+    fn a_change_whose_maker_died_is_carried_on_by_another() {
+        let (a, b) = (plan(2, "a"), plan(2, "b"));
+        let other = Ballot { round: 4, by: 5 };
+        let records = [record(other, Some((4, &a, false))), record(other, None), record(other, None)];
+        let mut maker = Maker::new(9);
+        assert_eq!(next(&mut maker, &fleet(&records), Some(&b)).1, []);
+        let (_, orders) = maker.next(true, &fleet(&records), Version::default(), Some(&b), &texts());
+        let mine = Ballot { round: 5, by: 9 };
+        assert!(
+            orders.iter().all(|(_, order)| matches!(order, Order::Prepare { ballot, .. } if *ballot == mine))
+        );
+        let answered = [record(mine, Some((4, &a, false))), record(mine, None), record(mine, None)];
+        let (_, orders) = next(&mut maker, &fleet(&answered), Some(&b));
+        let carries = |(_, order): &(u32, Order)| matches!(order, Order::Accept { version, .. } if *version == a.version());
+        assert!(!orders.is_empty() && orders.iter().all(carries), "{orders:?}");
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/plan.rs
@@ -0,0 +1,96 @@
+//! The plan of a settings file: one canonical text, told apart from the placer's own, and taken from others as a whole.
+
+use reedring_settings::{Class, Settings};
+
+const EXAMPLE: &str = include_str!("../../../deploy/reedring.toml");
+
+fn parse(text: &str) -> Settings {
+    Settings::parse(text, "x.toml").unwrap()
+}
+
+#[test]
+fn a_canonical_text_reads_back_as_the_same_plan() {
+    let settings = parse(EXAMPLE);
+    let (text, plan) = (settings.plan_text(), settings.plan().unwrap().unwrap());
+    let back = settings.with_plan(&text, "plan").unwrap();
+    assert_eq!(back, settings);
+    assert_eq!(back.plan().unwrap().unwrap(), plan);
+    assert_eq!(back.bounds(), settings.bounds());
+    assert_eq!(settings.bound_by(&settings.bounds()), settings, "its own bounds change nothing");
+}
+
+#[test]
+fn the_digest_is_of_what_a_file_means_and_not_of_how_it_is_written() {
+    let base = parse(EXAMPLE).plan().unwrap().unwrap().version();
+    let same = [
+        EXAMPLE.replace("drain_grace = \"500ms\"", "drain_grace = \"0.5s\""),
+        EXAMPLE.replace("max_attempts = 4", "# as usual"),
+        EXAMPLE.replace("name = \"placer-1\"", "name = \"placer-2\""),
+        EXAMPLE.replace("connections = 1000", "connections = 7"),
+    ];
+    for text in same {
+        assert_ne!(text, EXAMPLE);
+        assert_eq!(parse(&text).plan().unwrap().unwrap().version(), base);
+    }
+    let other = [
+        EXAMPLE.replace("cold_offers = 40.0", "cold_offers = 41.0"),
+        EXAMPLE.replace("window = \"5s\"", "window = \"4s\""),
+        EXAMPLE
+            .replace("name = \"archive\"", "name = \"archives\"")
+            .replace("tenant=archive ", "tenant=archives "),
+    ];
+    for text in other {
+        assert_ne!(text, EXAMPLE);
+        assert_ne!(parse(&text).plan().unwrap().unwrap().version().digest, base.digest);
+    }
+}
+
+#[test]
+fn without_a_plan_table_there_is_no_plan_and_wrong_ones_are_named() {
+    let without = EXAMPLE.replace("[plan]\nnumber = 1", "");
+    assert_eq!(parse(&without).plan().unwrap(), None);
+    let wrong = |by: &str| {
+        let text = EXAMPLE.replace("[plan]\nnumber = 1", by);
+        Settings::parse(&text, "x.toml").unwrap_err().to_string()
+    };
+    assert!(wrong("[plan]\nnumber = 0").contains("plan.number: plans are numbered from 1"));
+    assert!(wrong("[plan]\nnumber = 1\nlease = \"10ms\"").contains("plan.lease: under 1s"));
+    assert!(wrong("[plan]\nnumber = 1\nleese = \"10s\"").contains("leese"));
+}
+
+/// Whatever comes as a plan's text is read whole or named with its place; nothing panics.
+#[test]
+fn a_text_from_elsewhere_is_checked_as_a_whole() {
+    let settings = parse(EXAMPLE);
+    let text = settings.plan_text();
+    let wrong = |text: &str| settings.with_plan(text, "plan 2").unwrap_err().to_string();
+    assert!(wrong(&format!("{text}\n[limits]\nconnections = 1\n")).contains("a plan has no table `limits`"));
+    assert!(wrong(&text.replace("placers = 1", "placers = 0")).contains("plan 2:2: site.placers"));
+    assert!(wrong(&text.replace("placers = 1", "placers = 1\nnew_figure = 3")).contains("new_figure"));
+    for cut in (0..text.len()).step_by(7).filter(|cut| text.is_char_boundary(*cut)) {
+        let _ = settings.with_plan(&text[..cut], "plan 2");
+    }
+}
+
+/// What stands keeps its number; what is gone stays, closed.
+#[test]
+fn classes_kinds_and_tenants_keep_their_numbers_over_plans() {
+    let used = parse(EXAMPLE);
+    let text = used.plan_text();
+    let (head, rest) = text.split_once("[[class]]\nname = \"play\"").unwrap();
+    let (play, tail) = rest.split_once("[[class]]").unwrap();
+    let (classes, tenants) = tail.split_once("[[tenant]]").unwrap();
+    let renamed = play.replace("aim = \"700ms\"", "aim = \"650ms\"");
+    let new = format!("{head}[[class]]{classes}[[class]]\nname = \"listen\"{renamed}[[tenant]]{tenants}");
+    let new = used.with_plan(&new, "plan 2").unwrap();
+    assert_eq!(
+        new.classes.iter().map(|class| &class.name[..]).collect::<Vec<_>>(),
+        ["capture", "edition", "listen"]
+    );
+    let told = new.in_numbers_of(&used);
+    let names: Vec<(&str, bool)> =
+        told.classes.iter().map(|Class { name, closed, .. }| (&name[..], *closed)).collect();
+    assert_eq!(names, [("play", true), ("capture", false), ("edition", false), ("listen", false)]);
+    assert_eq!(told.classes[2].kind, used.classes[2].kind);
+    assert_eq!((&told.kinds, &told.tenants), (&used.kinds, &used.tenants));
+}
--- a/crates/standin/src/model/links.rs
+++ b/crates/standin/src/model/links.rs
@@ -31,6 +31,10 @@
             }
             return self.hello(now_us, link, &placer, (life, number), acts.map(|(stamp, _)| stamp));
         }
+        if matches!(message, Message::Plan(_)) && !self.config.plans {
+            // A frame of another version: nothing after it can be trusted.
+            return self.effects.push(Effect::Close(link));
+        }
         let Some(placer) = self.links.get(&link).cloned() else {
             // Nothing but a greeting may come first.
             return self.effects.push(Effect::Close(link));
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -75,6 +75,8 @@
 }
 
 struct Placer {
+    /// KiB that a file of it may have at most.
+    file_kib: Option<u64>,
     settings: String,
     address: SocketAddr,
     program: Option<Program>,
@@ -283,7 +285,10 @@
     /// Where it does not start.
     pub fn add_placer(&mut self, name: &str, settings: Option<&str>) -> Result<(), TrialError> {
         let settings = settings.unwrap_or(&self.site.settings).to_owned();
-        self.placers.insert(name.to_owned(), Placer { settings, address: free()?, program: None, lives: 0 });
+        self.placers.insert(
+            name.to_owned(),
+            Placer { file_kib: None, settings, address: free()?, program: None, lives: 0 },
+        );
         self.start_placer(name)
     }
 
@@ -292,6 +297,11 @@
         self.placers.get_mut(name).into_iter().for_each(|placer| placer.settings = settings.to_owned());
     }
 
+    /// How much a file of a placer may have from its next start on.
+    pub fn limit_placer(&mut self, name: &str, file_kib: Option<u64>) {
+        self.placers.get_mut(name).into_iter().for_each(|placer| placer.file_kib = file_kib);
+    }
+
     /// Starts a placer at the address that it had.
     ///
     /// # Errors
@@ -304,15 +314,19 @@
         let trace = format!("{name}.{}.trace", placer.lives);
         let config = dir.join(format!("{name}.toml"));
         let own = format!(
-            "[placer]\nname = {name:?}\nlisten = \"{}\"\nnodes = \"{name}.nodes.toml\"\ntrace = {trace:?}\n",
-            placer.address
+            "[placer]\nname = {name:?}\nlisten = \"{}\"\nnodes = \"{name}.nodes.toml\"\n{}",
+            placer.address,
+            // On a full disk it writes no trace.
+            if placer.file_kib.is_none() { format!("trace = {trace:?}\n") } else { String::new() }
         );
         let state = format!("[state]\nfolder = \"{name}.state\"\nlearn_every = \"1s\"\nretry = \"500ms\"\n");
         std::fs::write(&config, format!("{own}\n{state}\n{}", placer.settings))?;
-        self.traces.push(dir.join(trace));
+        if placer.file_kib.is_none() {
+            self.traces.push(dir.join(trace));
+        }
         let config = config.display().to_string();
         let arguments = ["program", "--log", "info", "serve", "--config", &config];
-        let program = Program::start(&self.site.program, name, &arguments, None)?;
+        let program = Program::start(&self.site.program, name, &arguments, placer.file_kib)?;
         program.wait_line(0, "its contact", READY, |line| line.starts_with("contact: "))?;
         placer.program = Some(program);
         Ok(())
--- a/crates/trials/src/versions.rs
+++ b/crates/trials/src/versions.rs
@@ -238,7 +238,7 @@
         let (n, p) = (1 + below(nodes), below(placers) as usize);
         let (node, name) = (format!("node-{n}"), names[p].clone());
         let held = Duration::from_millis(u64::from(200 + below(1_200)));
-        match below(7) {
+        match below(8) {
             0 => {
                 faults.push(format!("{name} stands still for {held:?}"));
                 fleet.stand_still(&name, held)?;
@@ -272,6 +272,11 @@
                 let change = |mode: &mut crate::Mode| if half { mode.half += 1 } else { mode.cut += 1 };
                 fleet.relays.set(|_, to| to == node, change);
             }
+            6 => {
+                // It goes on with what it has, and can't keep more until it starts again.
+                faults.push(format!("the folder of {node} is gone"));
+                fleet.empty_node(&node)?;
+            }
             _ => {
                 faults.push(format!("{name} is cut off for {held:?}"));
                 fleet
--- a/crates/trials/tests/versions.rs
+++ b/crates/trials/tests/versions.rs
@@ -225,3 +225,63 @@
     assert_eq!(outcomes.ended.get("placed"), Some(&3), "{outcomes:?}");
     clean(fleet);
 }
+
+/// A plan in force on a majority whose nodes then die for good: those that are left never fall behind it, as placers
+/// remember.
+#[test]
+fn a_plan_whose_majority_dies_stays_in_force() {
+    let mut fleet = fleet(3, vec![keeping(); 5]);
+    let far = |_: &str, node: &str| node == "node-4" || node == "node-5";
+    fleet.relays.set(far, |mode| (mode.cut, mode.refuses) = (mode.cut + 1, true));
+    let from = marks(&fleet);
+    restart(&mut fleet, "placer-1", &settings(2, 4));
+    acts_by(&fleet, "placer-2", from[1].1, 2, SETTLES).unwrap();
+    (1..=3).for_each(|n| fleet.kill_node(&format!("node-{n}")));
+    (1..=3).for_each(|n| fleet.list(&format!("node-{n}"), false));
+    fleet.relays.set(far, |mode| mode.refuses = false);
+    fleet.tell_list().unwrap();
+    // Its own file is that of plan 1.
+    let outcomes =
+        all_told(vec![Load::start(&fleet.contact("placer-3"), &["edition"], 5, 50, None).unwrap()]);
+    assert_eq!(outcomes.ended.get("placed"), Some(&5), "{outcomes:?}");
+    let lines = fleet.ask(&["nodes", "--contact", &fleet.contact("placer-3")]).unwrap();
+    let kept = lines.iter().filter(|line| line.contains("plan 2/")).count();
+    assert_eq!(kept, 2, "{lines:#?}");
+    clean(fleet);
+}
+
+/// Placers from 3 to 40 while cold nodes come back under load, and to 3 again: nobody is pushed over between.
+#[test]
+fn many_more_placers_and_few_again_push_no_cold_node_over() {
+    let mut fleet =
+        fleet(3, vec![keeping(), keeping(), versions::cold(), versions::cold(), versions::cold()]);
+    let loads = work(&fleet, &["play"]);
+    for (number, placers) in [(2, 40), (3, 3)] {
+        let from = marks(&fleet);
+        restart(&mut fleet, "placer-1", &settings(number, placers));
+        fleet.kill_node(&format!("node-{}", number + 1));
+        fleet.start_node(&format!("node-{}", number + 1)).unwrap();
+        for (name, mark) in &from[1..] {
+            acts_by(&fleet, name, *mark, number, SETTLES).unwrap();
+        }
+    }
+    all_told(loads);
+    assert!((3..=5).all(|n| fleet.node_listens(&format!("node-{n}"))));
+    clean(fleet);
+}
+
+/// A placer whose disk is full keeps nothing, says so, and is brought up all the same.
+#[test]
+fn a_placer_with_a_full_disk_is_brought_up() {
+    let mut fleet = fleet(2, vec![keeping(); 3]);
+    fleet.end_placer("placer-2").unwrap();
+    fleet.limit_placer("placer-2", Some(0));
+    fleet.start_placer("placer-2").unwrap();
+    fleet.wait_placer("placer-2", 0, SETTLES, |line| line.contains("keeps nothing over a restart")).unwrap();
+    acts_by(&fleet, "placer-2", 0, 1, SETTLES).unwrap();
+    let mark = fleet.placer("placer-2").unwrap().mark();
+    restart(&mut fleet, "placer-1", &settings(2, 3));
+    acts_by(&fleet, "placer-2", mark, 2, SETTLES).unwrap();
+    let outcomes = all_told(vec![Load::start(&fleet.contact("placer-2"), &["play"], 5, 50, None).unwrap()]);
+    assert_eq!(outcomes.ended.get("placed"), Some(&5), "{outcomes:?}");
+}
