--- a/crates/plan/src/pace.rs
+++ b/crates/plan/src/pace.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
 
-use reedring_nodeproto::{Ballot, Order};
+use reedring_nodeproto::{Ballot, Order, Version};
 
 use crate::fleet::{Fleet, Kin};
 
@@ -17,8 +17,8 @@
 /// The pace of one placer's orders.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
-    /// The greatest ballot that was seen, and since when.
-    rival: (Ballot, u64),
+    /// The greatest ballot for the successor of which plan, and since when it is that.
+    rival: (Version, Ballot, u64),
     /// What was sent to each node, and when.
     sent: BTreeMap<(u32, u64), u64>,
 }
@@ -38,13 +38,15 @@
 impl Pace {
     /// Whether the greatest ballot has had its time. A first ballot may be made at once.
     pub fn may_outbid(&mut self, now: u64, life: u64, fleet: &Fleet) -> bool {
-        let promised = fleet.nodes.values().filter_map(Kin::record).map(|record| record.promised);
-        let greatest = promised.max().unwrap_or_default();
-        if greatest > self.rival.0 {
-            self.rival = (greatest, now);
+        let force = fleet.force();
+        let records = fleet.nodes.values().filter_map(Kin::record).filter(|record| record.force == force);
+        let greatest = records.map(|record| record.promised).max().unwrap_or_default();
+        // Ballots begin anew after each plan: one that was greater then says nothing now.
+        if (force, greatest) != (self.rival.0, self.rival.1) {
+            self.rival = (force, greatest, now);
         }
         let own = life.wrapping_mul(0x9e37_79b9_7f4a_7c15) % LEAVE_US;
-        greatest.round == 0 || now >= self.rival.1 + LEAVE_US + own
+        greatest.round == 0 || now >= self.rival.2 + LEAVE_US + own
     }
 
     /// Leaves out what was asked of a node, and has not had its time.
@@ -91,6 +93,18 @@
         assert_eq!(pace.due(AGAIN_US, vec![(1, fetch)]).len(), 1);
     }
 
+    #[test]
+    fn a_ballot_after_another_plan_has_a_time_of_its_own() {
+        let told = |number, round| {
+            let force = Version { number, ..Version::default() };
+            let record = Record { force, promised: Ballot { round, by: 9 }, ..Record::default() };
+            Fleet { list: 0, nodes: [(0, Kin::Told(record))].into() }
+        };
+        let mut pace = Pace::default();
+        pace.may_outbid(0, 1, &told(1, 7));
+        assert!(!pace.may_outbid(5_000_000, 1, &told(2, 1)), "a smaller one, after the next plan, is new");
+    }
+
     #[test]
     fn a_ballot_is_left_alone_and_two_placers_do_not_wait_for_the_same_time() {
         let told = |round, by| {
