--- a/crates/audit/src/judge/versions.rs
+++ b/crates/audit/src/judge/versions.rs
@@ -263,7 +263,11 @@
             let acted = placer.acted.iter().map(|acted| {
                 let joint = if acted.stamp.joint { "joint " } else { "" };
                 let Acted { time_us, stamp } = acted;
-                format!("{joint}{} from {:.3} s (list {})", stamp.version, *time_us as f64 / 1e6, stamp.list)
+                let at = *time_us as f64 / 1e6;
+                format!(
+                    "{joint}{} from {at:.3} s (list {}, build {:08x})",
+                    stamp.version, stamp.list, stamp.build
+                )
             });
             let acted: Vec<String> = acted.collect();
             let behind = self.behind(placer);
--- /dev/null
+++ b/crates/core/tests/plans/mod.rs
@@ -0,0 +1,221 @@
+//! Placers' cores and node models by hundreds, in simulated time, for tests and measurements of the plan.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand_core::Rng;
+use rand_pcg::Pcg32;
+use reedring_core::{Core, Input, Output, Start, first_stamp};
+use reedring_nodeproto::Message;
+use reedring_plan::Memory;
+use reedring_settings::{Health, NodeEntry, NodeList, Settings};
+use reedring_standin::{Config, Effect, Groups, Keep, Node};
+
+pub const SETTINGS: &str = r#"
+    placer = { name = "p", listen = "127.0.0.1:0", nodes = "nodes.toml" }
+    kind = [{ name = "k", cores = 32.0, memory = 96.0 }]
+    class = [{ name = "c", repeat = "safe", aim = "1s", give_up = "10s" }]
+    [site]
+    mean_cores = 0.5
+    mean_memory = 1.5
+"#;
+
+pub fn settings(plan: u64, placers: usize) -> Settings {
+    let plan = if plan > 0 { format!("[plan]\nnumber = {plan}\n") } else { String::new() };
+    let text = SETTINGS.replace("[site]", &format!("[site]\nplacers = {placers}"));
+    Settings::parse(&format!("{text}{plan}"), "bench").expect("the bench's own settings")
+}
+
+/// A disk that takes everything.
+struct Takes;
+
+impl Keep for Takes {
+    fn keep(&mut self, _: &[u8]) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+pub enum Due {
+    AtNode(usize, usize, Message),
+    AtPlacer(usize, usize, Message),
+}
+
+/// Placers and nodes in simulated time, on a grid of a millisecond: what comes in one slot is one turn of a loop.
+pub struct World {
+    pub now: u64,
+    pub cores: Vec<Core>,
+    pub nodes: Vec<Node>,
+    groups: Groups,
+    pub queue: BTreeMap<(u64, u64), Due>,
+    made: u64,
+    draw: Pcg32,
+    /// How far ahead each placer's clock is, in microseconds.
+    pub ahead: BTreeMap<usize, u64>,
+    /// Lines for the staff, by placer.
+    pub lines: Vec<(usize, String)>,
+    /// Since when each placer acts by this plan alone.
+    pub acts: Vec<(u64, u64)>,
+    /// The life of each placer: its links' numbers end in it.
+    lives: Vec<u64>,
+    pub messages: u64,
+    pub list: NodeList,
+}
+
+pub const MS: u64 = 1_000;
+
+impl World {
+    pub fn new(placers: usize, nodes: usize) -> Self {
+        let entry = |n: usize| NodeEntry {
+            name: format!("node-{n}"),
+            address: format!("127.0.0.1:{}", 1_000 + n).parse().expect("an address"),
+            kind: 0,
+            rack: String::new(),
+            hall: String::new(),
+            attrs: BTreeMap::new(),
+            health: Health::Ready,
+            free_cores: None,
+            free_memory: None,
+        };
+        let node = |n: usize| {
+            let mut config = Config::named(&format!("node-{n}"));
+            config.look_ms = 0.001;
+            config.start_ms = 0.0;
+            let mut node = Node::new(config, 1, 1, 0);
+            node.remembers(Memory::default(), Some(Box::new(Takes)), 0);
+            node
+        };
+        let mut world = Self {
+            now: 1_000_000,
+            cores: Vec::new(),
+            nodes: (0..nodes).map(node).collect(),
+            groups: Groups::default(),
+            ahead: BTreeMap::new(),
+            lines: Vec::new(),
+            queue: BTreeMap::new(),
+            made: 0,
+            draw: Pcg32::new(1, 1),
+            acts: vec![(0, 0); placers],
+            lives: vec![0; placers.max(1)],
+            messages: 0,
+            list: NodeList { revision: 1, nodes: (0..nodes).map(entry).collect() },
+        };
+        (0..placers).for_each(|p| world.start(p, settings(1, placers), 1));
+        world
+    }
+
+    /// Room for so many placers.
+    pub fn lives_for(&mut self, placers: usize) {
+        self.lives.resize(placers.max(self.lives.len()), 0);
+    }
+
+    /// The time by a placer's clock.
+    pub fn clock(&self, placer: usize) -> u64 {
+        self.now + self.ahead.get(&placer).copied().unwrap_or(0)
+    }
+
+    /// When a placer wants to be woken, by the world's clock.
+    fn wakes(&self, placer: usize) -> Option<u64> {
+        let ahead = self.ahead.get(&placer).copied().unwrap_or(0);
+        self.cores[placer].next_wake().map(|at| at.saturating_sub(ahead))
+    }
+
+    /// A placer's new life.
+    pub fn start(&mut self, placer: usize, mut settings: Settings, life: u64) {
+        self.lives[placer] = life;
+        settings.name = format!("placer-{placer}");
+        let acts = first_stamp(&settings).map(|stamp| (stamp, "bench".to_owned()));
+        let life = life * 1_000 + placer as u64;
+        let now = self.clock(placer);
+        let core = Core::new(settings, Start { now, unix_us: now, life, seed: life });
+        if placer < self.cores.len() {
+            self.cores[placer] = core;
+        } else {
+            self.cores.push(core);
+        }
+        self.queue.retain(|_, due| match due {
+            Due::AtNode(of, ..) | Due::AtPlacer(of, ..) => *of != placer,
+        });
+        for n in 0..self.nodes.len() {
+            let hello =
+                Message::Hello { placer: format!("placer-{placer}"), life, link: 1, acts: acts.clone() };
+            self.send(Due::AtNode(placer, n, hello));
+        }
+        let list = self.list.clone();
+        let now = self.clock(placer);
+        self.cores[placer].handle(now, Input::Listed(list));
+        self.turn(placer);
+    }
+
+    fn send(&mut self, due: Due) {
+        self.made += 1;
+        self.messages += 1;
+        let after = 1 + u64::from(self.draw.next_u32() % 2);
+        self.queue.insert(((self.now / MS + after) * MS, self.made), due);
+    }
+
+    pub fn turn(&mut self, placer: usize) {
+        let now = self.clock(placer);
+        self.cores[placer].flush(now);
+        while let Some(output) = self.cores[placer].poll() {
+            match output {
+                Output::Send { node, message } => {
+                    let n = node.trim_start_matches("node-").parse().expect("its number");
+                    self.send(Due::AtNode(placer, n, message));
+                }
+                Output::Log { line, .. } => self.lines.push((placer, line)),
+                Output::Acts(stamp) if !stamp.joint && self.acts[placer].0 != stamp.version.number => {
+                    self.acts[placer] = (stamp.version.number, self.now);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn effects(&mut self, n: usize) {
+        for effect in self.nodes[n].effects() {
+            if let Effect::Send(link, message) = effect {
+                self.send(Due::AtPlacer((link / 10) as usize, n, message));
+            }
+        }
+    }
+
+    /// Runs until every placer acts by this plan, for so long at most; the moment.
+    pub fn until_all(&mut self, plan: u64, most: u64) -> Option<u64> {
+        let end = self.now + most;
+        while self.now < end {
+            let wakes = (0..self.cores.len()).filter_map(|placer| self.wakes(placer)).min();
+            let next = self.queue.first_key_value().map(|((at, _), _)| *at);
+            self.now = next.into_iter().chain(wakes).min().unwrap_or(end).max(self.now + MS);
+            let mut turns: BTreeSet<usize> = BTreeSet::new();
+            while let Some(due) = self.queue.first_entry().filter(|due| due.key().0 <= self.now) {
+                match due.remove() {
+                    Due::AtNode(placer, n, message) => {
+                        let link = placer as u64 * 10 + self.lives[placer];
+                        let (now, groups) = (self.now, &mut self.groups);
+                        self.nodes[n].message(now, link, message, groups);
+                        self.effects(n);
+                    }
+                    Due::AtPlacer(placer, n, message) => {
+                        let node = self.list.nodes[n].name.clone();
+                        let input = match message {
+                            Message::Welcome { node: called, life, up_ms, can_suspend, record } => {
+                                Input::LinkUp { node, called, life, up_ms, can_suspend, record }
+                            }
+                            message => Input::Message { node, message },
+                        };
+                        let now = self.clock(placer);
+                        self.cores[placer].handle(now, input);
+                        turns.insert(placer);
+                    }
+                }
+            }
+            let due = |placer: &usize| self.wakes(*placer).is_some_and(|at| at <= self.now);
+            turns.extend((0..self.cores.len()).filter(due));
+            turns.into_iter().for_each(|placer| self.turn(placer));
+            if self.acts.iter().all(|(number, _)| *number == plan) {
+                return self.acts.iter().map(|(_, at)| *at).max();
+            }
+        }
+        None
+    }
+}
