--- a/crates/core/benches/constraints.rs
+++ b/crates/core/benches/constraints.rs
@@ -29,15 +29,8 @@
         let settings = Settings::parse(SETTINGS, "bench").expect("the bench's own settings");
         let core = Core::new(settings, Start { now: 0, unix_us: 0, life: 1, seed: 1 });
         let entry = |n: usize| NodeEntry {
-            name: format!("n{n}"),
-            address: ([127, 0, 0, 1], 7_000 + n as u16).into(),
-            kind: 0,
-            rack: String::new(),
             hall: format!("h{}", n % 2),
-            attrs: Default::default(),
-            health: Health::Ready,
-            free_cores: None,
-            free_memory: None,
+            ..NodeEntry::at(format!("n{n}"), ([127, 0, 0, 1], 7_000 + n as u16).into())
         };
         let mut site = Self { core, now: 0, list: (0..nodes).map(entry).collect(), call: 0, placed: 0 };
         site.tell_list();
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -209,17 +209,7 @@
             return *number;
         }
         let number = self.all.len() as NodeNo;
-        let entry = NodeEntry {
-            name: name.to_owned(),
-            address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            kind: 0,
-            rack: String::new(),
-            hall: String::new(),
-            attrs: BTreeMap::new(),
-            health: Health::Ready,
-            free_cores: None,
-            free_memory: None,
-        };
+        let entry = NodeEntry::at(name, SocketAddr::from(([127, 0, 0, 1], 0)));
         let node = Node { remembered: true, ..Node::new(entry) };
         self.numbers.insert(name.to_owned(), number);
         self.machines.insert(node.machine, number);
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -153,9 +153,8 @@
         }
         if force.number > 0 && own.number != force.number + 1 {
             let next = force.number + 1;
-            return Err(format!(
-                "plan.number: plan {own} of the file does not follow plan {force}; number it {next}"
-            ));
+            let wait = format!("it waits for plan {next}, or is to be numbered so");
+            return Err(format!("plan.number: plan {own} of the file does not follow plan {force}: {wait}"));
         }
         let placers = self.file.site.placers;
         if placers < linked {
--- a/crates/core/tests/plans/mod.rs
+++ b/crates/core/tests/plans/mod.rs
@@ -65,17 +65,7 @@
 
 impl World {
     pub fn new(placers: usize, nodes: usize) -> Self {
-        let entry = |n: usize| NodeEntry {
-            name: format!("node-{n}"),
-            address: format!("127.0.0.1:{}", 1_000 + n).parse().expect("an address"),
-            kind: 0,
-            rack: String::new(),
-            hall: String::new(),
-            attrs: BTreeMap::new(),
-            health: Health::Ready,
-            free_cores: None,
-            free_memory: None,
-        };
+        let entry = |n: usize| NodeEntry::at(format!("node-{n}"), ([127, 0, 0, 1], 1_000 + n as u16).into());
         let node = |n: usize| {
             let mut config = Config::named(&format!("node-{n}"));
             config.look_ms = 0.001;
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -174,15 +174,9 @@
             Place { config, node: None, lives: 0 }
         };
         let entry = |n: usize| NodeEntry {
-            name: format!("node-{n}"),
-            address: format!("127.0.0.1:{}", 7_000 + n).parse().unwrap(),
-            kind: 0,
             rack: "r".to_owned(),
             hall: ["a", "b"][n % 2].to_owned(),
-            attrs: BTreeMap::new(),
-            health: Health::Ready,
-            free_cores: None,
-            free_memory: None,
+            ..NodeEntry::at(format!("node-{n}"), ([127, 0, 0, 1], 7_000 + n as u16).into())
         };
         let start = Start { now: SECOND, unix_us: SECOND, life: 1, seed };
         let mut world = Self {
--- a/crates/settings/src/nodes.rs
+++ b/crates/settings/src/nodes.rs
@@ -57,6 +57,23 @@
     pub free_memory: Option<f64>,
 }
 
+impl NodeEntry {
+    /// A line that says a name and an address, and nothing else.
+    pub fn at(name: impl Into<String>, address: SocketAddr) -> Self {
+        Self {
+            name: name.into(),
+            address,
+            kind: 0,
+            rack: String::new(),
+            hall: String::new(),
+            attrs: BTreeMap::new(),
+            health: Health::Ready,
+            free_cores: None,
+            free_memory: None,
+        }
+    }
+}
+
 /// A whole list. A node that it lacks is gone.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NodeList {
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -25,7 +25,7 @@
     assert_eq!(settings.classes[2].kind, Some(1));
     assert_eq!(settings.module(Some(0)).rules.max_attempts, Some(4));
     let nodes = NodeList::parse(NODES, "nodes.toml", &settings).unwrap();
-    assert_eq!(nodes.nodes.len(), 2);
+    assert_eq!(nodes.nodes.len(), 3);
 }
 
 #[test]
