--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -69,7 +69,7 @@
     let example = deploy("reedring.toml");
     let checked = reedring(&["check", &example]);
     assert!(checked.status.success(), "{}", text(&checked.stderr));
-    assert!(text(&checked.stdout).contains("2 nodes"));
+    assert!(text(&checked.stdout).contains("3 nodes"));
     let dir = tempfile::tempdir().unwrap();
     let wrong = dir.path().join("wrong.toml");
     std::fs::write(
--- a/crates/core/tests/plans/mod.rs
+++ b/crates/core/tests/plans/mod.rs
@@ -8,7 +8,7 @@
 use reedring_core::{Core, Input, Output, Start, first_stamp};
 use reedring_nodeproto::Message;
 use reedring_plan::Memory;
-use reedring_settings::{Health, NodeEntry, NodeList, Settings};
+use reedring_settings::{NodeEntry, NodeList, Settings};
 use reedring_standin::{Config, Effect, Groups, Keep, Node};
 
 pub const SETTINGS: &str = r#"
