--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -43,16 +43,24 @@
             return ExitCode::from(2);
         }
     };
-    let mut clean = 0;
+    let (mut clean, mut jobs, mut settled) = (0, 0, Vec::new());
     for seed in seed..seed + rounds {
         match reedring_trials::versions::round(&program, seed) {
             Ok(round) => {
                 println!("{round}");
                 clean += u64::from(round.is_clean());
+                jobs += round.outcomes.taken;
+                settled.push(round.settled.as_secs_f64());
             }
             Err(error) => println!("seed {seed}: {error}"),
         }
     }
-    println!("{clean} of {rounds} rounds clean, from seed {seed}");
+    settled.sort_by(f64::total_cmp);
+    let at = |part: usize| settled.get((settled.len() * part / 100).min(settled.len().saturating_sub(1)));
+    let (median, most) = (at(50).copied().unwrap_or(0.0), at(100).copied().unwrap_or(0.0));
+    println!(
+        "{clean} of {rounds} rounds clean, from seed {seed}: {jobs} jobs; in force after the last fault: median \
+         {median:.2} s, at most {most:.2} s"
+    );
     if clean == rounds { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/trials/src/versions.rs
+++ b/crates/trials/src/versions.rs
@@ -192,7 +192,9 @@
 pub fn round(program: &Path, seed: u64) -> Result<Round, TrialError> {
     let mut draw = Pcg32::new(seed, 11);
     let mut below = move |most: u32| draw.next_u32() % most;
-    let (placers, nodes) = (3 + below(2), 5 + below(3));
+    // Each tenth is a large one.
+    let (placers, nodes) =
+        if seed.is_multiple_of(10) { (8 + below(5), 15 + below(6)) } else { (3 + below(2), 5 + below(3)) };
     let site = Site { program: program.to_owned(), seed, settings: settings(1, placers) };
     let mut fleet = Fleet::new(site)?;
     for n in 1..=nodes {
@@ -261,10 +263,18 @@
                 fleet.start_node(&node)?;
             }
             4 => {
-                faults.push(format!("{name} hears nothing for {held:?}"));
-                fleet.relays.set(|placer, _| placer == name, |mode| mode.holds_back = true);
+                // One way: what it sends arrives late and at once, or what it is told does.
+                let back = below(2) == 0;
+                faults.push(format!(
+                    "{name} {} for {held:?}",
+                    if back { "hears nothing" } else { "is not heard" }
+                ));
+                let hold = |mode: &mut crate::Mode, held: bool| {
+                    *(if back { &mut mode.holds_back } else { &mut mode.holds_there }) = held;
+                };
+                fleet.relays.set(|placer, _| placer == name, |mode| hold(mode, true));
                 std::thread::sleep(held);
-                fleet.relays.set(|placer, _| placer == name, |mode| mode.holds_back = false);
+                fleet.relays.set(|placer, _| placer == name, |mode| hold(mode, false));
             }
             5 => {
                 let half = below(2) == 0;
