--- a/crates/trials/tests/versions.rs
+++ b/crates/trials/tests/versions.rs
@@ -285,3 +285,21 @@
     let outcomes = all_told(vec![Load::start(&fleet.contact("placer-2"), &["play"], 5, 50, None).unwrap()]);
     assert_eq!(outcomes.ended.get("placed"), Some(&5), "{outcomes:?}");
 }
+
+/// The last placer of the old plan has unsafe tasks out when the floor rises, and hears of neither: each has one outcome
+/// and runs once at most, and the placer is brought up once it hears again.
+#[test]
+fn unsafe_tasks_unanswered_at_the_last_placer_of_the_old_plan_have_one_outcome() {
+    let mut fleet = fleet(2, vec![keeping(); 3]);
+    let from = marks(&fleet);
+    let deaf = |held: bool| move |mode: &mut reedring_trials::Mode| mode.holds_back = held;
+    fleet.relays.set(|placer, _| placer == "placer-2", deaf(true));
+    let load = Load::start(&fleet.contact("placer-2"), &["edition"], 6, 200, None).unwrap();
+    restart(&mut fleet, "placer-1", &settings(2, 3));
+    acts_by(&fleet, "placer-1", 0, 2, SETTLES).unwrap();
+    fleet.relays.set(|placer, _| placer == "placer-2", deaf(false));
+    acts_by(&fleet, "placer-2", from[1].1, 2, SETTLES).unwrap();
+    let outcomes = all_told(vec![load]);
+    assert_eq!(outcomes.taken, 6, "{outcomes:?}");
+    clean(fleet);
+}
