--- a/crates/plan/tests/model.rs
+++ b/crates/plan/tests/model.rs
@@ -5,7 +5,7 @@
 //! The placers here ask by [`Maker`], nodes answer by [`Memory::after`]; what is modelled is the order of things. The
 //! same model with a rule taken away must fail.
 
-use reedring_plan::{Fleet, Kept, Kin, Maker, Memory, Order, Record, Texts, Version};
+use reedring_plan::{Fleet, Kept, Kin, Maker, Memory, Order, Record, Stamp, Texts, Version};
 use stateright::{Checker, Model, Property};
 
 const NODES: usize = 3;
@@ -212,6 +212,25 @@
                 let joint = |record: &Record| record.next.filter(|next| next.joint).map(|next| next.version);
                 versions(world, joint).len() <= 1
             }),
+            Property::always(
+                "no node takes offers by two plans without the joint form",
+                |_, world: &World| {
+                    let plans = [plan(1, "one"), plan(2, "a"), plan(2, "b")];
+                    let stamp =
+                        |kept: &Kept, joint| Stamp { version: kept.version(), joint, ..Stamp::default() };
+                    let stamps: Vec<Stamp> =
+                        plans.iter().flat_map(|kept| [stamp(kept, false), stamp(kept, true)]).collect();
+                    world.nodes.iter().all(|node| {
+                        let taken = stamps.iter().filter(|stamp| node.admits(Some(stamp)).is_ok());
+                        let levels: Vec<u64> = taken.map(Stamp::level).collect();
+                        levels
+                            .iter()
+                            .max()
+                            .zip(levels.iter().min())
+                            .is_none_or(|(most, least)| most - least <= 1)
+                    })
+                },
+            ),
             Property::always("no floor falls", |_, world: &World| {
                 world.nodes.iter().zip(world.floors).all(|(node, floor)| node.floor() >= floor)
             }),
