Trials: a client that waits leaves only when nothing was submitted during its last call

The waiting thread of `Load` asked before anything was submitted, was told that there is no job, and read `over` and `submitted` only then; both had been set in between (the test ends the load at once), so it left without a single outcome.

Change: the flags are read before the call. Nothing of the product changes, no assertion does.

--- a/crates/trials/src/load.rs
+++ b/crates/trials/src/load.rs
@@ -91,13 +91,15 @@
             let done = Arc::clone(&submitted);
             std::thread::spawn(move || {
                 loop {
+                    // Before the call: what is submitted during it is not among what it looked at.
+                    let last = over.load(Ordering::Relaxed) && done.load(Ordering::Relaxed);
                     match session.wait(None, Some(Duration::from_secs(2))) {
                         Ok(info) => {
                             let outcome = info.usage("reedring.outcome").unwrap_or("none").to_owned();
                             lock(&told).outcomes.insert(info.job, outcome);
                         }
                         Err(error) if error.code == ErrorCode::InvalidJob => {
-                            if over.load(Ordering::Relaxed) && done.load(Ordering::Relaxed) {
+                            if last {
                                 return Ok(());
                             }
                             std::thread::sleep(Duration::from_millis(2));
