Processes: one free address for trials, kills and the program's own test

Cause: on rereading, three things stood twice. Trials take an address that nobody can take in between; kills and the platform test of the program still bound a port of 127.0.0.1, let go of it and hoped. A submission looked its class up four times.

Change: `free_address` moves from trials to `reedring-processes`, and all three call it; `turn` in tests/equal.rs; the class is looked up once.

--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -186,8 +186,7 @@
         let said = text(&wrong.stderr);
         assert!(said.contains(words) && said.contains("config.json") && said.lines().count() == 1, "{said}");
     }
-    // A port that is free now.
-    let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listen = reedring_processes::free_address().unwrap();
     let good = serde_json::json!({"name": "n1", "listen": listen, "seed": "00000000000000aa",
         "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": "127.0.0.1:1",
         "known": {"rev": 0, "notices": []},
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -169,23 +169,22 @@
         };
         // A submission that was first sent to a placer of an earlier life may have been carried out there.
         let (earlier, covered) = (key.sent_to != self.start.life, self.covered.contains(&key.sent_to));
-        let effect = self.settings.classes[usize::from(ask.class)].effect;
+        let class = &self.settings.classes[usize::from(ask.class)];
         if let Some(why) = self.versions.as_ref().and_then(Versions::shut_out) {
             return Some(Err(error(
                 ErrorCode::TryLater,
                 format!("this placer takes nothing new: {why}; ask another"),
             )));
         }
-        if self.settings.classes[usize::from(ask.class)].closed {
-            let class = &self.settings.classes[usize::from(ask.class)].name;
-            let text = format!("class `{class}` takes nothing new: it is not in the plan that is acted by");
+        if class.closed {
+            let name = &class.name;
+            let text = format!("class `{name}` takes nothing new: it is not in the plan that is acted by");
             return Some(Err(error(ErrorCode::TryLater, text)));
         }
-        if let Some(why) = self.keep.lost().filter(|_| !self.may_leave(effect)) {
-            let class = &self.settings.classes[usize::from(ask.class)].name;
-            let text = format!(
-                "class `{class}` must not start twice, and what is promised can't be kept now: {why}"
-            );
+        if let Some(why) = self.keep.lost().filter(|_| !self.may_leave(class.effect)) {
+            let name = &class.name;
+            let text =
+                format!("class `{name}` must not start twice, and what is promised can't be kept now: {why}");
             return Some(Err(error(ErrorCode::TryLater, text)));
         }
         let mut plan = Vec::new();
@@ -198,7 +197,7 @@
             };
             let step = match (earlier, there) {
                 (false, None) => Resubmission::Start,
-                _ => decide::resubmission(effect, repeat, now < self.settle_until, covered),
+                _ => decide::resubmission(class.effect, repeat, now < self.settle_until, covered),
             };
             if step == Resubmission::Wait {
                 let call = if bulk {
--- a/crates/processes/src/lib.rs
+++ b/crates/processes/src/lib.rs
@@ -2,6 +2,8 @@
 //! and ended by its own handle.
 #![forbid(unsafe_code)]
 
+mod address;
 mod program;
 
+pub use address::free_address;
 pub use program::{ProcessError, Program, Signal};
--- a/crates/site/src/kills.rs
+++ b/crates/site/src/kills.rs
@@ -5,7 +5,6 @@
 //! outcome, and the audit judges from the nodes' sockets that no unsafe task was started twice.
 
 use std::collections::BTreeMap;
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -17,7 +16,7 @@
 use reedring_client::Session;
 use reedring_client::drmaa::rpc::Range;
 use reedring_client::drmaa::{ErrorCode, JobTemplate};
-use reedring_processes::Program;
+use reedring_processes::{Program, free_address};
 use reedring_state::{Disk, Export};
 
 use crate::badday::BadDayError;
@@ -149,11 +148,11 @@
             (node.look_ms, node.start_ms, node.starts) = (0.2, 3.0, 1_000);
         }
         let site = Site::start(plan)?;
-        // A port that was free a moment ago: the placer must have the same in each of its lives.
-        let port = TcpListener::bind("127.0.0.1:0")?.local_addr()?.port();
+        // The placer must have the same in each of its lives.
+        let address = free_address()?;
         let config = site.dir().join("placer.toml");
         let folder = site.dir().join("state");
-        let listen = format!("[placer]\nname = \"placer-1\"\nlisten = \"127.0.0.1:{port}\"\n");
+        let listen = format!("[placer]\nname = \"placer-1\"\nlisten = \"{address}\"\n");
         std::fs::write(&config, format!("{listen}nodes = \"nodes.toml\"\n{SETTINGS}"))?;
         let mut found = Killed::default();
         let mut draw = Pcg32::new(self.seed, 1);
@@ -161,7 +160,7 @@
         let mut placer = start(&self.program, &config)?;
         found.start_ms.push(began.elapsed().as_secs_f64() * 1e3);
         let client = |error| BadDayError::Site(SiteError::Client(error));
-        let contact = format!("tcp:127.0.0.1:{port}");
+        let contact = format!("tcp:{address}");
         let told = Arc::new(Told::default());
         let mut clients = Vec::new();
         let mut sessions = Vec::new();
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -3,13 +3,12 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use reedring_audit::{Event, Recorder, Report, TraceError};
-use reedring_processes::{ProcessError, Program, Signal};
+use reedring_processes::{ProcessError, Program, Signal, free_address};
 use tempfile::TempDir;
 
 use crate::relay::Relays;
@@ -97,24 +96,6 @@
     dir: TempDir,
 }
 
-/// An address that stays free for a process that ends and comes back: on a loopback address of its own, from which
-/// nobody connects, so that no port of it is taken in between.
-fn free() -> io::Result<SocketAddr> {
-    static LAST: AtomicU32 = AtomicU32::new(0);
-    let process = std::process::id();
-    for _ in 0..1_000 {
-        let n = LAST.fetch_add(1, Ordering::Relaxed);
-        let host = [127, 64 + (process % 128) as u8, (n / 250 + process / 128) as u8, 1 + (n % 250) as u8];
-        let address = SocketAddr::from((host, 4_710));
-        match TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
-            Err(error) => return Err(error),
-        }
-    }
-    Err(io::ErrorKind::AddrNotAvailable.into())
-}
-
 fn renamed(path: &Path, text: &str) -> io::Result<()> {
     let draft = path.with_extension("new");
     std::fs::write(&draft, text)?;
@@ -175,7 +156,7 @@
     /// Where it does not start.
     pub fn add_node(&mut self, name: &str, file: NodeFile) -> Result<(), TrialError> {
         let hall = ["hall-a", "hall-b"][self.nodes.len() % 2];
-        let node = Node { file, address: free()?, program: None, lives: 0, hall };
+        let node = Node { file, address: free_address()?, program: None, lives: 0, hall };
         self.nodes.insert(name.to_owned(), node);
         self.listed.push(name.to_owned());
         self.start_node(name)
@@ -287,7 +268,7 @@
         let settings = settings.unwrap_or(&self.site.settings).to_owned();
         self.placers.insert(
             name.to_owned(),
-            Placer { file_kib: None, settings, address: free()?, program: None, lives: 0 },
+            Placer { file_kib: None, settings, address: free_address()?, program: None, lives: 0 },
         );
         self.start_placer(name)
     }
--- a/tests/equal.rs
+++ b/tests/equal.rs
@@ -23,6 +23,15 @@
     AttemptId { request, number: *next - 1 }
 }
 
+/// Gives the placer what has come, and folds each of its actions into the number.
+fn turn(placer: &mut Placer, now: Micros, events: &mut Vec<Event>, hash: &mut u64) -> Vec<Action> {
+    let mut actions = Vec::new();
+    placer.step(now, events, &mut actions);
+    events.clear();
+    *hash = actions.iter().fold(*hash, fold);
+    actions
+}
+
 /// Folds every action of a drawn day into one number.
 fn fingerprint(seed: u64) -> u64 {
     let (mut draw, mut hash) = (Pcg32::new(seed, 5), 0xcbf2_9ce4_8422_2325_u64);
@@ -66,11 +75,7 @@
             1..=8 => events.push(Event::Woken(1)),
             _ => {}
         }
-        let mut actions = Vec::new();
-        placer.step(now, &events, &mut actions);
-        events.clear();
-        for action in &actions {
-            hash = fold(hash, action);
+        for action in &turn(&mut placer, now, &mut events, &mut hash) {
             if let Action::Offer { request, machine, .. } = action {
                 out.push((attempt(&mut counts, *request), *machine));
             }
@@ -226,11 +231,7 @@
             3..=12 => events.push(Event::Woken(1)),
             _ => {}
         }
-        let mut actions = Vec::new();
-        placer.step(now, &events, &mut actions);
-        events.clear();
-        for action in &actions {
-            hash = fold(hash, action);
+        for action in &turn(&mut placer, now, &mut events, &mut hash) {
             match action {
                 Action::Offer { request, machine, .. } => {
                     out.push((attempt(&mut made, *request), *machine));
