--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -14,7 +14,7 @@
     /// Its configuration, in the platform's form.
     #[arg(long, env = "PROXY_CONFIG", value_name = "FILE")]
     config: PathBuf,
-    /// Where owners connect, in place of `listen` in the configuration.
+    /// Where clients connect, in place of `listen` in the configuration.
     #[arg(long, env = "PROXY_LISTEN", value_name = "ADDRESS")]
     listen: Option<SocketAddr>,
 }
--- a/crates/cli/tests/churn.rs
+++ b/crates/cli/tests/churn.rs
@@ -1,4 +1,4 @@
-//! Churn on sockets: hosts and owners that come and go leave no descriptor and no memory behind. The placer is the
+//! Churn on sockets: hosts and clients that come and go leave no descriptor and no memory behind. The placer is the
 //! program itself, so that only what it holds is counted; sizes of maps over a longer churn are in the engine's tests.
 
 #[path = "../../platform/tests/standins/mod.rs"]
@@ -8,12 +8,12 @@
 use std::path::Path;
 
 use reedring_processes::Program;
-use standins::{Board, Host, Owner, config, message, setup, soon};
+use standins::{Client, Discovery, Host, config, message, setup, soon};
 
 const ROUNDS: u64 = 60;
 /// Rounds after which everything that is made once is there.
 const SETTLED: u64 = 20;
-/// Owners that come in each round for nothing but a test.
+/// Clients that come in each round for nothing but a test.
 const PASSERS: u64 = 10;
 /// KiB that the rest of the rounds may add: 4 KiB for each connection would be 1,600.
 const MOST_GROWN: usize = 1_000;
@@ -35,46 +35,46 @@
 }
 
 #[tokio::test]
-async fn hosts_and_owners_that_came_and_went_leave_nothing_behind() {
+async fn hosts_and_clients_that_came_and_went_leave_nothing_behind() {
     let mut host = Host::new().await;
     let line = |host: &Host, n: u64, health: &str| host.line(&format!("h-{n}"), "east", health);
-    let (board, first) = (Board::new().await, vec![line(&host, 0, "active")]);
-    board.tell(true, first.clone());
+    let (discovery, first) = (Discovery::new().await, vec![line(&host, 0, "active")]);
+    discovery.tell(true, first.clone());
     // A port that is free now.
     let address: SocketAddr = Host::new().await.address;
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("config.json");
-    std::fs::write(&path, config(address, &board, first).to_string()).expect("it can be written");
+    std::fs::write(&path, config(address, &discovery, first).to_string()).expect("it can be written");
     let (program, shown) = (Path::new(env!("CARGO_BIN_EXE_reedring")), path.display().to_string());
     let listen = address.to_string();
     let arguments = ["platform", "--log", "off", "--config", &shown, "--listen", &listen];
     let placer = Placer(Program::start(program, "the placer", &arguments, None).expect("it starts"));
     // It polls from after it listens.
-    board.until_asked(|asks| asks.iter().any(|ask| ask.contains("watch=1&"))).await;
+    discovery.until_asked(|asks| asks.iter().any(|ask| ask.contains("watch=1&"))).await;
     let mut settled = (0, 0);
     for n in 1..=ROUNDS {
         let new = Host::new().await;
-        board.tell(false, vec![line(&new, n, "active"), line(&host, n - 1, "left")]);
+        discovery.tell(false, vec![line(&new, n, "active"), line(&host, n - 1, "left")]);
         // It has taken that in once it asks for what comes after.
         let next = format!("watch={}&", n + 1);
-        board.until_asked(|asks| asks.iter().any(|ask| ask.contains(&next))).await;
+        discovery.until_asked(|asks| asks.iter().any(|ask| ask.contains(&next))).await;
         host = new;
         for passer in 0..PASSERS {
-            let mut owner = Owner::connect(address).await;
-            owner.send(&message(52, passer + 1, &[(194, &[0])])).await;
-            assert_eq!(owner.got().await.expect("a test's answer").kind, 53);
+            let mut client = Client::connect(address).await;
+            client.send(&message(52, passer + 1, &[(194, &[0])])).await;
+            assert_eq!(client.got().await.expect("a test's answer").kind, 53);
         }
-        let mut owner = Owner::connect(address).await;
-        owner.send(&setup(n, "play", 1_500, "")).await;
+        let mut client = Client::connect(address).await;
+        client.send(&setup(n, "play", 1_500, "")).await;
         // The second connection is the one kept ahead.
         let (mut link, _spare) = (host.link().await, host.link().await);
         let line = link.line().await.expect("a set-up");
         link.answer(&line["id"], "x").await;
-        assert_eq!(owner.got().await.expect("an answer").kind, 9);
+        assert_eq!(client.got().await.expect("an answer").kind, 9);
         link.release(&line["id"], 16).await;
-        assert_eq!(owner.got().await.expect("an end").cause(), Some(16));
+        assert_eq!(client.got().await.expect("an end").cause(), Some(16));
         // Heard, so that it is not told again as this connection closes.
-        owner.send(&message(16, n, &[])).await;
+        client.send(&message(16, n, &[])).await;
         if n == SETTLED {
             settled = (placer.descriptors(), placer.memory());
         }
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -1,7 +1,14 @@
 //! The program as a user runs it.
 
 use std::io::{BufRead, BufReader};
+use std::path::Path;
 use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use reedring_processes::{Program, Signal};
+
+/// No wait in a test is longer; one that is has failed.
+const LONG: Duration = Duration::from_secs(20);
 
 fn reedring(args: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_reedring"));
@@ -165,11 +172,6 @@
     assert!(nodes.contains("ready, by hand"), "{nodes}");
 }
 
-/// Reads a program's standard error until a line holds these words.
-fn told(lines: &mut impl Iterator<Item = std::io::Result<String>>, words: &str) {
-    assert!(lines.any(|line| line.unwrap().contains(words)), "{words}");
-}
-
 #[test]
 fn the_platforms_placer_says_what_is_wrong_reads_again_and_ends_when_asked() {
     let folder = tempfile::tempdir().unwrap();
@@ -193,21 +195,17 @@
         "settings": {"nInstances": 1, "classes": [], "kinds": [], "discovery": "ask", "specifics": {},
             "policyLimits": {}, "rules": {}}});
     std::fs::write(&path, good.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_reedring"));
-    let child = command.args(["platform", "--config", config]).stderr(Stdio::piped()).spawn().unwrap();
-    let mut placer = Running(child, String::new());
-    let mut lines = BufReader::new(placer.0.stderr.take().unwrap()).lines();
-    // Signals are answered from before it listens, and it polls the board from after that.
-    told(&mut lines, "the notice board");
-    let ask = |signal: &str| {
-        let id = placer.0.id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    let program = Path::new(env!("CARGO_BIN_EXE_reedring"));
+    let placer = Program::start(program, "placer", &["platform", "--config", config], None).unwrap();
+    let says = |line: &'static str| {
+        placer.wait_line(0, line, LONG, |said| said.contains(line)).unwrap();
     };
+    // Signals are answered from before it listens, and it polls discovery from after that.
+    says("discovery:");
     std::fs::write(&path, "{").unwrap();
-    ask("-HUP");
-    told(&mut lines, "the old configuration holds");
+    placer.signal(Signal::HUP).unwrap();
+    says("the old configuration holds");
     std::fs::write(&path, good.to_string()).unwrap();
-    told(&mut lines, "configuration read again");
-    ask("-TERM");
-    assert_eq!(placer.0.wait().unwrap().code(), Some(0));
+    says("configuration read again");
+    assert_eq!(placer.end(LONG).unwrap().code(), Some(0));
 }
--- a/crates/platform/src/owners.rs
+++ b/crates/platform/src/clients.rs
@@ -1,4 +1,4 @@
-//! Owners: their connections, what they ask, and the ends that are owed to them.
+//! Clients: their connections, what they ask, and the ends that are owed to them.
 
 use std::collections::BTreeSet;
 
@@ -12,14 +12,14 @@
 use crate::engine::{Engine, Phase};
 use crate::io::{ConnId, Output};
 
-/// An owner that says nothing of use for so long is closed on. One that was answered is not: it may be the only
+/// A client that says nothing of use for so long is closed on. One that was answered is not: it may be the only
 /// way to tell the ends of its tasks, and goes when its place is needed.
 const SILENCE_US: Micros = 2_400_000;
 /// Messages that can't be used, one after the other, after which a connection is closed.
 const MOST_UNUSABLE: u32 = 16;
 /// Ends are told again if their connection ends this soon after.
 const TOLD_US: Micros = 1_000_000;
-/// An end that no owner came to hear of in this time concerns nobody.
+/// An end that no client came to hear of in this time concerns nobody.
 const OWED_US: Micros = 30_000_000;
 
 #[derive(Debug, Default)]
@@ -38,10 +38,10 @@
     ended: bool,
     closing: bool,
     /// It came when all places were taken by such as wait for answers: what it asks for fails at once.
-    at_door: bool,
+    in_overflow: bool,
 }
 
-/// The end of a task that its owner is to hear of.
+/// The end of a task that its client is to hear of.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct End {
     at: Micros,
@@ -51,9 +51,9 @@
 }
 
 impl Engine {
-    pub(crate) fn send_owner(&mut self, conn: ConnId, message: ToOwner) {
+    pub(crate) fn send_client(&mut self, conn: ConnId, message: ToOwner) {
         if self.conns.get(&conn).is_some_and(|conn| !conn.closing) {
-            self.outputs.push_back(Output::ToOwner(conn, message));
+            self.outputs.push_back(Output::ToClient(conn, message));
         }
     }
 
@@ -65,8 +65,8 @@
         }
     }
 
-    /// An owner that said all it has to say still gets its answers.
-    pub(crate) fn owner_ended(&mut self, conn: ConnId) {
+    /// A client that said all it has to say still gets its answers.
+    pub(crate) fn client_ended(&mut self, conn: ConnId) {
         if let Some(entry) = self.conns.get_mut(&conn) {
             entry.ended = true;
             self.close_ended(conn);
@@ -75,45 +75,45 @@
 
     fn close_ended(&mut self, conn: ConnId) {
         if self.conns.get(&conn).is_some_and(|entry| entry.ended && entry.open.is_empty()) {
-            self.close_owner(conn);
+            self.close_client(conn);
         }
     }
 
     /// Whoever can't be read is closed on; what it had asked for ends with that.
-    pub(crate) fn owner_spoilt(&mut self, conn: ConnId, why: &str) {
-        self.log(format!("owner {conn}: closed: {why}"));
+    pub(crate) fn client_spoilt(&mut self, conn: ConnId, why: &str) {
+        self.log(format!("client {conn}: closed: {why}"));
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         for id in std::mem::take(&mut entry.open) {
-            self.send_owner(conn, ToOwner::failure(id, CUT));
+            self.send_client(conn, ToOwner::failure(id, CUT));
             self.withdraw(id);
         }
-        self.close_owner(conn);
+        self.close_client(conn);
     }
 
-    pub(crate) fn owner_came(&mut self, now: Micros, conn: ConnId) {
-        let mut at_door = false;
-        if self.conns.len() >= self.bounds.owners {
-            let idle = |conn: &Conn| conn.open.is_empty() && !conn.closing && !conn.at_door;
+    pub(crate) fn client_came(&mut self, now: Micros, conn: ConnId) {
+        let mut in_overflow = false;
+        if self.conns.len() >= self.bounds.clients {
+            let idle = |conn: &Conn| conn.open.is_empty() && !conn.closing && !conn.in_overflow;
             let idle = self.conns.iter().filter(|(_, conn)| idle(conn));
             let oldest = idle.min_by_key(|(_, conn)| (conn.answered, conn.heard_at)).map(|(id, _)| *id);
             match oldest {
-                Some(oldest) => self.close_owner(oldest),
-                None if self.conns.len() < self.bounds.owners + self.bounds.door => at_door = true,
-                None => return self.outputs.push_back(Output::CloseOwner(conn)),
+                Some(oldest) => self.close_client(oldest),
+                None if self.conns.len() < self.bounds.clients + self.bounds.overflow => in_overflow = true,
+                None => return self.outputs.push_back(Output::CloseClient(conn)),
             }
         }
-        self.conns.insert(conn, Conn { heard_at: now, at_door, ..Conn::default() });
+        self.conns.insert(conn, Conn { heard_at: now, in_overflow, ..Conn::default() });
         self.yield_links(now);
     }
 
-    fn close_owner(&mut self, conn: ConnId) {
+    fn close_client(&mut self, conn: ConnId) {
         if let Some(entry) = self.conns.get_mut(&conn).filter(|entry| !entry.closing) {
             entry.closing = true;
-            self.outputs.push_back(Output::CloseOwner(conn));
+            self.outputs.push_back(Output::CloseClient(conn));
         }
     }
 
-    pub(crate) fn owner_gone(&mut self, now: Micros, conn: ConnId) {
+    pub(crate) fn client_gone(&mut self, now: Micros, conn: ConnId) {
         let Some(gone) = self.conns.remove(&conn) else { return };
         gone.open.into_iter().for_each(|id| self.withdraw(id));
         // An end that was just written may have crossed the close.
@@ -126,7 +126,7 @@
         }
     }
 
-    /// The owner waits no more.
+    /// The client waits no more.
     fn withdraw(&mut self, id: u64) {
         if let Some(request) = self.by_id.get(&id).copied()
             && self.close(request).is_some()
@@ -135,15 +135,15 @@
         }
     }
 
-    pub(crate) fn owner_says(&mut self, now: Micros, conn: ConnId, message: Result<FromOwner, Unusable>) {
+    pub(crate) fn client_says(&mut self, now: Micros, conn: ConnId, message: Result<FromOwner, Unusable>) {
         let Some(entry) = self.conns.get_mut(&conn).filter(|entry| !entry.closing) else { return };
         match message {
             Ok(FromOwner::Setup(setup)) => self.setup(now, conn, *setup),
-            Ok(FromOwner::Release { id, .. }) => self.owner_releases(now, conn, id),
+            Ok(FromOwner::Release { id, .. }) => self.client_releases(now, conn, id),
             Ok(FromOwner::Test(id)) => {
                 entry.heard_at = now;
                 let passed = self.ending.is_none();
-                self.send_owner(conn, ToOwner::Tested { id, passed });
+                self.send_client(conn, ToOwner::Tested { id, passed });
             }
             Ok(FromOwner::Released(id)) => drop(self.told_ends.remove(&id)),
             Ok(FromOwner::Free) => {}
@@ -152,20 +152,20 @@
     }
 
     fn unusable(&mut self, conn: ConnId, id: u64, why: &str) {
-        self.log(format!("owner {conn}: turned away: message on {id:016x}: {why}"));
+        self.log(format!("client {conn}: turned away: message on {id:016x}: {why}"));
         // One whole answer at most for one id on one connection: what is open under it ends with this.
         if self.conns.get_mut(&conn).is_some_and(|entry| entry.open.remove(&id)) {
             self.withdraw(id);
         }
-        self.send_owner(conn, ToOwner::failure(id, ERROR));
+        self.send_client(conn, ToOwner::failure(id, ERROR));
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         entry.unusable += 1;
         if entry.unusable >= MOST_UNUSABLE {
-            self.close_owner(conn);
+            self.close_client(conn);
         }
     }
 
-    fn owner_releases(&mut self, now: Micros, conn: ConnId, id: u64) {
+    fn client_releases(&mut self, now: Micros, conn: ConnId, id: u64) {
         let Some((request, phase, home)) = self.request_of(id).map(|(r, entry)| (r, entry.phase, entry.conn))
         else {
             return;
@@ -213,13 +213,13 @@
             None => {}
             // A release here would say that the standing task is over.
             Some((Phase::Standing { .. } | Phase::Ending { .. }, home)) if home == conn => {
-                return self.close_owner(conn);
+                return self.close_client(conn);
             }
             Some(_) => return self.unusable(conn, id, "this id is open"),
         }
-        if self.conns.get(&conn).is_some_and(|conn| conn.at_door) {
-            self.send_owner(conn, ToOwner::failure(id, CUT));
-            return self.close_owner(conn);
+        if self.conns.get(&conn).is_some_and(|conn| conn.in_overflow) {
+            self.send_client(conn, ToOwner::failure(id, CUT));
+            return self.close_client(conn);
         }
         if let Some(conn) = self.conns.get_mut(&conn) {
             conn.open.insert(id);
@@ -233,21 +233,23 @@
 
     /// The task of a set-up, as the module knows it; why it can't be one.
     fn task(&self, setup: &Setup) -> Result<Task, String> {
-        let class = number(&self.told.classes, &setup.class);
+        let class = number(&self.settings.classes, &setup.class);
         let class = class.ok_or_else(|| format!("no class {:?}", setup.class))?;
         let tenant = match &setup.tenant {
-            None if self.told.tenants.is_empty() => 0,
+            None if self.settings.tenants.is_empty() => 0,
             None => return Err("no tenant".to_owned()),
-            Some(name) => number(&self.told.tenants, name).ok_or_else(|| format!("no tenant {name:?}"))?,
+            Some(name) => {
+                number(&self.settings.tenants, name).ok_or_else(|| format!("no tenant {name:?}"))?
+            }
         };
-        let kinds = &self.told.settings.kinds;
+        let kinds = &self.settings.module.kinds;
         let most = |size: fn(&reedring::Kind) -> Option<f64>, times: Option<f64>| {
             let largest = kinds.iter().filter_map(size).fold(0.0, f64::max);
             if largest > 0.0 { largest * times.unwrap_or(1.0).max(1.0) } else { f64::INFINITY }
         };
         // No machine could ever take more.
-        if setup.cores > most(|kind| kind.cores, self.told.settings.accepts_cores)
-            || setup.memory > most(|kind| kind.memory, self.told.settings.accepts_memory)
+        if setup.cores > most(|kind| kind.cores, self.settings.module.accepts_cores)
+            || setup.memory > most(|kind| kind.memory, self.settings.module.accepts_memory)
             || setup.cores + setup.memory <= 0.0
         {
             return Err(format!("no machine has {} cores and {} of memory", setup.cores, setup.memory));
@@ -265,7 +267,7 @@
         })
     }
 
-    /// Tells an owner that a task is over.
+    /// Tells a client that a task is over.
     pub(crate) fn end_task(&mut self, now: Micros, home: ConnId, id: u64, cause: u8) {
         self.tell_end(now, End { at: now, home, id, cause });
     }
@@ -273,7 +275,7 @@
     fn tell_end(&mut self, now: Micros, end: End) {
         match self.route(end.home) {
             Some(conn) => {
-                self.send_owner(conn, ToOwner::failure(end.id, end.cause));
+                self.send_client(conn, ToOwner::failure(end.id, end.cause));
                 self.told_ends.insert(end.id, (conn, End { at: now, ..end }));
             }
             None => self.ends.push(end),
@@ -298,12 +300,12 @@
         }
     }
 
-    pub(crate) fn sweep_owners(&mut self, now: Micros) {
+    pub(crate) fn sweep_clients(&mut self, now: Micros) {
         let over = |(_, conn): &(&ConnId, &Conn)| {
             conn.open.is_empty() && !conn.closing && !conn.answered && conn.heard_at + SILENCE_US <= now
         };
         let idle: Vec<ConnId> = self.conns.iter().filter(over).map(|(id, _)| *id).collect();
-        idle.into_iter().for_each(|conn| self.close_owner(conn));
+        idle.into_iter().for_each(|conn| self.close_client(conn));
         self.ends.retain(|end| now < end.at + OWED_US);
         self.told_ends.retain(|_, (_, end)| now < end.at + TOLD_US);
     }
--- a/crates/platform/src/decide.rs
+++ b/crates/platform/src/decide.rs
@@ -117,7 +117,7 @@
 const REFUSED: u32 = 2;
 
 /// Connections in a row that did not come up, and microseconds without a word, after which a machine counts as
-/// gone: within the time that owners are to be told in, and longer than most cuts and pauses last.
+/// gone: within the time that clients are to be told in, and longer than most cuts and pauses last.
 const UNREACHABLE: u32 = 3;
 const QUIET_US: u64 = 6_000_000;
 
@@ -176,7 +176,7 @@
     }
 }
 
-/// An owner's connection on which the end of a task may be told.
+/// A client's connection on which the end of a task may be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Route {
     /// Answers passed on it, and standing tasks handed over on it.
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Polls the notice board: one ask is always out.
+//! Polls discovery: one ask is always out.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,13 +16,13 @@
 
 use crate::io::Input;
 
-/// How long the board may wait for news before it answers.
+/// How long discovery may wait for news before it answers.
 const LINGER: Duration = Duration::from_millis(1_000);
-/// How much longer an answer may take; a board that stops and stays open is asked again after this.
+/// How much longer an answer may take; discovery that stops and stays open is asked again after this.
 const OVER: Duration = Duration::from_millis(300);
 /// What an answer may hold; a list of thousands of hosts stays under it.
 const MOST: usize = 2 * 1024 * 1024;
-/// Between two asks of a board that does not answer.
+/// Between two asks of discovery that does not answer.
 const WAITS: Backoff = Backoff::new(Duration::from_millis(20), Duration::from_millis(320));
 
 type Sender = SendRequest<Empty<Bytes>>;
@@ -43,7 +43,7 @@
                 if changed.is_err() {
                     return;
                 }
-                // The old board tells nothing more; what it was asked goes to the new one.
+                // The old discovery tells nothing more; what it was asked goes to the new one.
                 sender = None;
                 continue;
             }
@@ -53,11 +53,11 @@
                 rev = rev.max(told.rev);
                 waits.reset();
                 lost = false;
-                Some(Input::Board(told))
+                Some(Input::Discovery(told))
             }
             Err(why) => {
                 sender = None;
-                (!std::mem::replace(&mut lost, true)).then_some(Input::BoardLost(why))
+                (!std::mem::replace(&mut lost, true)).then_some(Input::DiscoveryLost(why))
             }
         };
         if let Some(input) = input
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use reedring::settings::Deployment;
 use reedring::timers::Timers;
-use reedring::told::Told;
 use reedring::{Action, AttemptId, Ended, Event, MachineId, Micros, Outcome, Placer, RequestId};
 use reedring_platproto::board;
 use reedring_platproto::config::Limits;
@@ -11,9 +11,9 @@
 use reedring_platproto::owner::{Setup, ToOwner};
 use reedring_platproto::{CANCELLED, CUT, GIVEN_UP};
 
+use crate::clients::{Conn, End};
 use crate::hosts::{Host, Link};
 use crate::io::{ConnId, Input, LinkId, Output};
-use crate::owners::{Conn, End};
 
 /// Between two looks at idle connections and old records.
 const SWEEP_US: Micros = 250_000;
@@ -21,52 +21,52 @@
 /// those that it has: as long as the platform says that they come, and a little.
 const LISTEN_US: Micros = 700_000;
 const ASKED_US: Micros = 1_000_000;
-/// It stays for as long as the platform lets it, which is the longest that an owner waits, this at most, and a
+/// It stays for as long as the platform lets it, which is the longest that a client waits, this at most, and a
 /// little: what stands goes on, and its ends are told until it goes.
 const STAY_US: Micros = 3_000_000;
 const STAY_MORE_US: Micros = 400_000;
-/// Kept in hand of an owner's time, for the way of the last answer.
+/// Kept in hand of a client's time, for the way of the last answer.
 const ANSWER_US: Micros = 10_000;
 /// How long a connection may take where no time-out is told.
 const CONNECT_US: Micros = 250_000;
 
 /// How long a connection may take, and so a probe too; a visit to a host lasts no less.
-pub(crate) fn connect_us(told: &Told) -> Micros {
-    told.settings.rules.connect_timeout_us.unwrap_or(CONNECT_US)
+pub(crate) fn connect_us(settings: &Deployment) -> Micros {
+    settings.module.rules.connect_timeout_us.unwrap_or(CONNECT_US)
 }
 
 /// What bounds the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// Connections of owners and to hosts together.
+    /// Connections of clients and to hosts together.
     pub all: usize,
-    /// Connections of owners.
-    pub owners: usize,
-    /// Connections of owners beyond these, for as long as it takes to answer them.
-    pub door: usize,
-    /// So many of owners' places are never taken for hosts.
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections of clients beyond these, for as long as it takes to answer them.
+    pub overflow: usize,
+    /// So many of clients' places are never taken for hosts.
     pub kept: usize,
     /// Connections to one host.
     pub links_each: usize,
 }
 
 impl Bounds {
-    /// What the descriptors allow. A third is all that owners hold by the protocol, and is kept for them with some
+    /// What the descriptors allow. A third is all that clients hold by the protocol, and is kept for them with some
     /// more for those that just come and go. Who does not keep to that gets what hosts leave, up to a half.
     pub fn of(limits: &Limits) -> Self {
         let sockets = limits.sockets;
         let kept = sockets / 3 + sockets / 16;
-        let (all, owners, door) = (sockets - OWN_SOCKETS, sockets / 2, sockets / 16);
-        Self { all, owners, door, kept, links_each: LINKS_EACH }
+        let (all, clients, overflow) = (sockets - OWN_SOCKETS, sockets / 2, sockets / 16);
+        Self { all, clients, overflow, kept, links_each: LINKS_EACH }
     }
 
-    /// Connections to hosts, beside so many of owners.
+    /// Connections to hosts, beside so many of clients.
     pub fn links(&self, conns: usize) -> usize {
         self.all.saturating_sub(conns.max(self.kept))
     }
 }
 
-/// Descriptors of the placer itself: standard streams, the runtime's, signals, listener, board, and a few
+/// Descriptors of the placer itself: standard streams, the runtime's, signals, listener, discovery, and a few
 /// connections that are just being closed.
 const OWN_SOCKETS: usize = 24;
 /// Connections to one host: more set-ups than this wait there at once only in a jam.
@@ -80,8 +80,8 @@
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// The settings.
-    pub told: Told,
-    /// Events of the notice board up to now.
+    pub settings: Deployment,
+    /// Events of discovery up to now.
     pub known: board::Told,
     /// What bounds it.
     pub bounds: Bounds,
@@ -104,7 +104,7 @@
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Phase {
-    /// Its owner waits.
+    /// Its client waits.
     Open,
     /// Nothing is owed any more, and an attempt may still be out.
     Closed,
@@ -116,7 +116,7 @@
 
 pub(crate) struct Request {
     pub setup: Setup,
-    /// The owner's connection that it came on.
+    /// The client's connection that it came on.
     pub conn: ConnId,
     pub deadline: Micros,
     pub attempts: u16,
@@ -150,13 +150,13 @@
 pub struct Sizes {
     /// Requests that are open, stand, or have an attempt out.
     pub requests: usize,
-    /// Owners' connections.
+    /// Clients' connections.
     pub conns: usize,
     /// Connections to hosts.
     pub links: usize,
     /// Hosts.
     pub hosts: usize,
-    /// Ends that are owed to owners, or were told just now.
+    /// Ends that are owed to clients, or were told just now.
     pub ends: usize,
     /// Probes that are out.
     pub probes: usize,
@@ -168,7 +168,7 @@
 
 /// One placer on the platform. The crate's page shows the loop around it.
 pub struct Engine {
-    pub(crate) told: Told,
+    pub(crate) settings: Deployment,
     pub(crate) bounds: Bounds,
     pub(crate) conns: BTreeMap<ConnId, Conn>,
     pub(crate) hosts: BTreeMap<MachineId, Host>,
@@ -182,7 +182,7 @@
     /// Requests by the id on the wire.
     pub(crate) by_id: BTreeMap<u64, RequestId>,
     pub(crate) probes: BTreeMap<u64, Probe>,
-    /// Ends of tasks that owners are to hear of.
+    /// Ends of tasks that clients are to hear of.
     pub(crate) ends: Vec<End>,
     /// Ends that were told just now, by task, and on which connection.
     pub(crate) told_ends: BTreeMap<u64, (ConnId, End)>,
@@ -205,9 +205,9 @@
 impl Engine {
     /// A placer that knows its settings and the list as it was told.
     pub fn new(start: Start) -> Self {
-        let placer = Placer::new(start.told.settings.clone(), start.seed);
+        let placer = Placer::new(start.settings.module.clone(), start.seed);
         let mut engine = Self {
-            told: start.told,
+            settings: start.settings,
             bounds: start.bounds,
             conns: BTreeMap::new(),
             hosts: BTreeMap::new(),
@@ -265,16 +265,16 @@
     pub fn handle(&mut self, now: Micros, input: Input) {
         self.finished = false;
         match input {
-            Input::OwnerCame(conn) => self.owner_came(now, conn),
-            Input::Owner(conn, message) => self.owner_says(now, conn, message),
-            Input::OwnerEnded(conn) => self.owner_ended(conn),
-            Input::OwnerSpoilt(conn, why) => self.owner_spoilt(conn, &why),
-            Input::OwnerGone(conn) => self.owner_gone(now, conn),
+            Input::ClientCame(conn) => self.client_came(now, conn),
+            Input::Client(conn, message) => self.client_says(now, conn, message),
+            Input::ClientEnded(conn) => self.client_ended(conn),
+            Input::ClientSpoilt(conn, why) => self.client_spoilt(conn, &why),
+            Input::ClientGone(conn) => self.client_gone(now, conn),
             Input::LinkUp(link) => self.link_up(now, link),
             Input::Host(link, message) => self.host_says(now, link, message),
             Input::LinkDown { link, down, begun } => self.link_down(now, link, down, begun),
-            Input::Board(told) => self.board_told(now, told),
-            Input::BoardLost(why) => self.board_lost(&why),
+            Input::Discovery(told) => self.discovery_told(now, told),
+            Input::DiscoveryLost(why) => self.discovery_lost(&why),
             Input::Terminate => self.terminate(now),
         }
     }
@@ -288,7 +288,7 @@
                 Timer::Probe(id) => self.probe_over(now, id, false, &Figures::new()),
                 Timer::Reconnect(machine) => self.reconnect(now, machine),
                 Timer::Sweep => {
-                    self.sweep_owners(now);
+                    self.sweep_clients(now);
                     self.sweep_hosts(now);
                     self.timers.set(now + SWEEP_US, Timer::Sweep);
                 }
@@ -322,7 +322,7 @@
             self.stopped_listening = true;
             self.outputs.push_back(Output::StopListening);
         }
-        let longest = self.told.longest_wait_us.unwrap_or(0).min(STAY_US);
+        let longest = self.settings.longest_wait_us.unwrap_or(0).min(STAY_US);
         let standing = self.requests.values().any(|request| matches!(request.phase, Phase::Standing { .. }));
         let stays = if standing { ASKED_US.max(longest + STAY_MORE_US) } else { ASKED_US };
         let owes = self.requests.values().any(|request| request.phase == Phase::Open);
@@ -394,18 +394,18 @@
     /// The final answer to a set-up, at once.
     fn answer(&mut self, request: RequestId, answer: impl FnOnce(u64) -> ToOwner) {
         if let Some((conn, id)) = self.close(request) {
-            self.send_owner(conn, answer(id));
+            self.send_client(conn, answer(id));
             self.closed_on(conn, id);
         }
     }
 
-    /// Ends the placed task, so that its owner comes again.
+    /// Ends the placed task, so that its client comes again.
     fn move_away(&mut self, now: Micros, request: RequestId) {
         let Some(entry) = self.requests.get(&request) else { return };
         let (Phase::Standing { .. }, id, conn) = (entry.phase, entry.setup.id, entry.conn) else { return };
         self.cut(now, request, CANCELLED);
         if let Some(conn) = self.route(conn) {
-            self.send_owner(conn, ToOwner::Moved(id));
+            self.send_client(conn, ToOwner::Moved(id));
         }
     }
 
@@ -421,9 +421,9 @@
     }
 
     fn offer(&mut self, now: Micros, request: RequestId, machine: MachineId, within_us: Option<Micros>) {
-        let most = self.told.settings.rules.max_attempts;
+        let most = self.settings.module.rules.max_attempts;
         let Some(entry) = self.requests.get_mut(&request) else {
-            // Its owner went in this very batch; the module's number for the attempt is the next one.
+            // Its client went in this very batch; the module's number for the attempt is the next one.
             return;
         };
         let number = entry.attempts;
@@ -549,13 +549,13 @@
             });
         };
         self.last_probe += 1;
-        let (id, report) = (self.last_probe, !self.told.report.is_empty());
+        let (id, report) = (self.last_probe, !self.settings.report.is_empty());
         self.probes.insert(id, Probe { machine, link, sent: now });
         if let Some(link) = self.links.get_mut(&link) {
             link.probes += 1;
         }
         self.send_host(link, ToHost::Test { id, report });
-        self.timers.set(now + connect_us(&self.told), Timer::Probe(id));
+        self.timers.set(now + connect_us(&self.settings), Timer::Probe(id));
     }
 
     pub(crate) fn probe_over(&mut self, now: Micros, id: u64, answered: bool, figures: &Figures) {
@@ -574,7 +574,7 @@
     /// A load report in the order of the settings; none unless all of it was told.
     pub(crate) fn report(&self, figures: &Figures) -> Vec<f64> {
         let report: Option<Vec<f64>> =
-            self.told.report.iter().map(|name| figures.get(name).copied()).collect();
+            self.settings.report.iter().map(|name| figures.get(name).copied()).collect();
         report.unwrap_or_default()
     }
 }
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -9,22 +9,22 @@
 /// The line of an input.
 pub(crate) fn input(input: &Input) -> Option<String> {
     Some(match input {
-        Input::OwnerCame(conn) => format!("owner {conn} came"),
-        Input::OwnerEnded(conn) => format!("owner {conn} says nothing more"),
-        Input::OwnerSpoilt(conn, why) => format!("owner {conn} can't be read: {why}"),
-        Input::OwnerGone(conn) => format!("owner {conn} went"),
-        Input::Owner(conn, Ok(message)) => match message {
+        Input::ClientCame(conn) => format!("client {conn} came"),
+        Input::ClientEnded(conn) => format!("client {conn} says nothing more"),
+        Input::ClientSpoilt(conn, why) => format!("client {conn} can't be read: {why}"),
+        Input::ClientGone(conn) => format!("client {conn} went"),
+        Input::Client(conn, Ok(message)) => match message {
             FromOwner::Setup(setup) => {
                 let (class, left) = (&setup.class, setup.left_ms);
                 let held = setup.at.as_ref().map_or(String::new(), |host| format!(", held by {host}"));
-                format!("owner {conn} asks {:016x}: {class}, {left} ms{held}", setup.id)
+                format!("client {conn} asks {:016x}: {class}, {left} ms{held}", setup.id)
             }
-            FromOwner::Release { id, cause } => format!("owner {conn} ends {id:016x}: cause {cause}"),
-            FromOwner::Test(id) => format!("owner {conn} tests {id:016x}"),
-            FromOwner::Released(id) => format!("owner {conn} heard {id:016x}"),
+            FromOwner::Release { id, cause } => format!("client {conn} ends {id:016x}: cause {cause}"),
+            FromOwner::Test(id) => format!("client {conn} tests {id:016x}"),
+            FromOwner::Released(id) => format!("client {conn} heard {id:016x}"),
             FromOwner::Free => return None,
         },
-        Input::Owner(conn, Err(unusable)) => format!("owner {conn} says what can't be used: {unusable}"),
+        Input::Client(conn, Err(unusable)) => format!("client {conn} says what can't be used: {unusable}"),
         Input::LinkUp(link) => format!("link {link} up"),
         Input::LinkDown { link, down, begun } => format!("link {link} down: {down:?}, {begun} written"),
         Input::Host(link, message) => match message {
@@ -37,8 +37,8 @@
             }
             FromHost::Note { .. } | FromHost::Free => return None,
         },
-        Input::Board(told) => format!("board at {}: {} notices", told.rev, told.notices.len()),
-        Input::BoardLost(why) => format!("board lost: {why}"),
+        Input::Discovery(told) => format!("discovery at {}: {} notices", told.rev, told.notices.len()),
+        Input::DiscoveryLost(why) => format!("discovery lost: {why}"),
         Input::Terminate => "asked to end".to_owned(),
     })
 }
@@ -46,15 +46,15 @@
 /// The line of an output.
 pub(crate) fn output(output: &Output) -> Option<String> {
     Some(match output {
-        Output::ToOwner(conn, message) => match message {
-            ToOwner::Answer { id, .. } => format!("to owner {conn}: answer {id:016x}"),
+        Output::ToClient(conn, message) => match message {
+            ToOwner::Answer { id, .. } => format!("to client {conn}: answer {id:016x}"),
             ToOwner::Release { id, cause, .. } => {
-                format!("to owner {conn}: release {id:016x}: cause {cause}")
+                format!("to client {conn}: release {id:016x}: cause {cause}")
             }
-            ToOwner::Moved(id) => format!("to owner {conn}: move {id:016x}"),
-            ToOwner::Tested { id, passed } => format!("to owner {conn}: tested {id:016x}: {passed}"),
+            ToOwner::Moved(id) => format!("to client {conn}: move {id:016x}"),
+            ToOwner::Tested { id, passed } => format!("to client {conn}: tested {id:016x}: {passed}"),
         },
-        Output::CloseOwner(conn) => format!("close owner {conn}"),
+        Output::CloseClient(conn) => format!("close client {conn}"),
         Output::Connect(link, address) => format!("link {link} to {address}"),
         Output::ToHost(link, message) => match message {
             ToHost::Setup { id, left_ms, .. } => format!("to link {link}: set-up {id:016x}: {left_ms} ms"),
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -145,7 +145,7 @@
         self.events.push(Event::Listed(Listing::Cached(self.lines())));
     }
 
-    pub(crate) fn board_told(&mut self, now: Micros, told: Told) {
+    pub(crate) fn discovery_told(&mut self, now: Micros, told: Told) {
         let before = self.events.len();
         for notice in told.notices {
             self.notice(now, notice);
@@ -156,8 +156,8 @@
         }
     }
 
-    pub(crate) fn board_lost(&mut self, why: &str) {
-        self.log(format!("the notice board: {why}"));
+    pub(crate) fn discovery_lost(&mut self, why: &str) {
+        self.log(format!("discovery: {why}"));
         self.events.push(Event::Listed(Listing::Failed));
     }
 
@@ -177,7 +177,7 @@
     }
 
     fn notice(&mut self, now: Micros, Notice { rev, pool }: Notice) {
-        // What was told once is not told again, whatever a board that was moved repeats.
+        // What was told once is not told again, whatever discovery that was moved repeats.
         if rev <= self.rev {
             return;
         }
@@ -202,11 +202,11 @@
 
     /// The module's line for a host.
     fn line(&self, entry: &Entry) -> Option<Machine> {
-        let room = entry.room.filter(|_| self.told.lists_free);
+        let room = entry.room.filter(|_| self.settings.lists_free);
         Some(Machine {
             id: machine_id(&entry.host),
-            zone: number(&self.told.zones, &entry.site)?,
-            kind: number(&self.told.kinds, &entry.class)?,
+            zone: number(&self.settings.zones, &entry.site)?,
+            kind: number(&self.settings.kinds, &entry.class)?,
             cell: entry.block,
             health: match entry.health {
                 State::Active => Health::Ready,
@@ -340,7 +340,7 @@
                 (id, Candidate { up: link.up, open, doubtful })
             })
             .unzip();
-        let streams = self.told.per_connection.unwrap_or(usize::MAX).max(1);
+        let streams = self.settings.per_connection.unwrap_or(usize::MAX).max(1);
         match decide::which_link(&candidates, room, streams) {
             Some(Choice::Use(at)) => {
                 if candidates[at].up && decide::wants_spare(&candidates, at, room) {
@@ -383,7 +383,7 @@
                 (*id, Spent { up: link.up, check: link.check, only, used: link.used, since: link.since })
             })
             .unzip();
-        let until = now.saturating_sub(connect_us(&self.told));
+        let until = now.saturating_sub(connect_us(&self.settings));
         let Some(at) = decide::which_makes_room(&spent, visit, until) else { return false };
         let machine = self.links[&ids[at]].machine;
         self.close_link(ids[at]);
@@ -395,7 +395,7 @@
         self.links.len() < self.bounds.links(self.conns.len())
     }
 
-    /// An owner came: connections to hosts leave its place.
+    /// A client came: connections to hosts leave its place.
     pub(crate) fn yield_links(&mut self, now: Micros) {
         let over = self.links.len().saturating_sub(self.bounds.links(self.conns.len()));
         for _ in 0..over {
@@ -628,7 +628,7 @@
         self.hosts.get(&machine).is_some_and(|host| host.standing.range(range).next().is_some())
     }
 
-    /// A task that an owner handed over stands at a host: its end is to be heard.
+    /// A task that a client handed over stands at a host: its end is to be heard.
     pub(crate) fn stands(&mut self, now: Micros, machine: MachineId, request: RequestId) {
         let key = self.requests.get(&request).map(|entry| entry.setup.key);
         let host = self.hosts.entry(machine).or_insert_with(Host::new);
@@ -657,7 +657,7 @@
         entry.setup.description = String::new();
         let took_us = now.saturating_sub(out.sent);
         self.events.push(Event::Placed { attempt, machine, took_us });
-        self.send_owner(conn, ToOwner::Answer { id, description });
+        self.send_client(conn, ToOwner::Answer { id, description });
         self.closed_on(conn, id);
         if let Some(conn) = self.conns.get_mut(&conn) {
             conn.answered = true;
@@ -688,7 +688,7 @@
         }
         self.ended(request, number, machine, outcome, reason, report);
         self.forget(request);
-        // Whom its owner ended, or who was told that it moved, is owed nothing more.
+        // Whom its client ended, or who was told that it moved, is owed nothing more.
         if owed {
             self.end_task(now, home, id, cause);
         }
@@ -697,7 +697,7 @@
     /// Closes connections that nobody used for a while, a little before hosts do, so that no set-up crosses their
     /// close. A host that holds tasks keeps one.
     fn sweep_idle(&mut self, now: Micros) {
-        let Some(idle) = self.told.idle_close_us else { return };
+        let Some(idle) = self.settings.idle_close_us else { return };
         let idle = idle / 10 * 9;
         let unused = |link: &Link| link.up && link.is_idle() && link.used + idle <= now;
         let unused: Vec<(LinkId, MachineId)> = self
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -8,7 +8,7 @@
 
 use crate::decide::Down;
 
-/// An owner's connection, as the shell numbers it.
+/// A client's connection, as the shell numbers it.
 pub type ConnId = u64;
 /// A connection to a host, as the engine numbers it.
 pub type LinkId = u64;
@@ -16,16 +16,16 @@
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// An owner connected.
-    OwnerCame(ConnId),
-    /// An owner's message, or one that can't be used.
-    Owner(ConnId, Result<FromOwner, Unusable>),
-    /// An owner will say nothing more on its connection, and may still read.
-    OwnerEnded(ConnId),
-    /// An owner said what can't be read, in words; nothing more is read from it.
-    OwnerSpoilt(ConnId, String),
-    /// An owner's connection ended.
-    OwnerGone(ConnId),
+    /// A client connected.
+    ClientCame(ConnId),
+    /// A client's message, or one that can't be used.
+    Client(ConnId, Result<FromOwner, Unusable>),
+    /// A client will say nothing more on its connection, and may still read.
+    ClientEnded(ConnId),
+    /// A client said what can't be read, in words; nothing more is read from it.
+    ClientSpoilt(ConnId, String),
+    /// A client's connection ended.
+    ClientGone(ConnId),
     /// A connection to a host stands.
     LinkUp(LinkId),
     /// A host's message.
@@ -39,10 +39,10 @@
         /// Messages of which at least a byte left.
         begun: u64,
     },
-    /// The notice board answered.
-    Board(Told),
-    /// The notice board can't be reached or understood.
-    BoardLost(String),
+    /// Discovery answered.
+    Discovery(Told),
+    /// Discovery can't be reached or understood.
+    DiscoveryLost(String),
     /// The placer is to end.
     Terminate,
 }
@@ -50,10 +50,10 @@
 /// Something to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    /// Write to an owner.
-    ToOwner(ConnId, ToOwner),
-    /// Close an owner's connection once all is written.
-    CloseOwner(ConnId),
+    /// Write to a client.
+    ToClient(ConnId, ToOwner),
+    /// Close a client's connection once all is written.
+    CloseClient(ConnId),
     /// Connect to a host.
     Connect(LinkId, SocketAddr),
     /// Write to a host, as soon as the connection stands.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,4 @@
-//! A placer on the platform: owners' binary messages in, hosts' JSON lines out, the notice board polled.
+//! A placer on the platform: clients' binary messages in, hosts' JSON lines out, discovery polled.
 //!
 //! [`Engine`] holds the ledger of requests and attempts, the connections to hosts and the ends that are owed,
 //! around [`reedring::Placer`], which alone decides where a task goes. It does no I/O and reads no clock; the
@@ -16,14 +16,14 @@
 //! [`run()`] is that loop on sockets, in one thread.
 #![forbid(unsafe_code)]
 
-mod board;
+mod clients;
 pub mod decide;
+mod discovery;
 mod engine;
 mod follow;
 mod hosts;
 mod io;
 mod outbox;
-mod owners;
 mod run;
 mod sockets;
 
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -17,13 +17,13 @@
 use crate::engine::{Bounds, Engine, Start, connect_us};
 use crate::io::{ConnId, Input, LinkId, Output};
 use crate::outbox::{self, Budget, outbox};
-use crate::{board, follow, sockets};
+use crate::{discovery, follow, sockets};
 
 /// Inputs taken into the engine before the module decides on them.
 const BATCH: usize = 256;
 /// Inputs that wait for the engine; whoever brings one more waits.
 const INPUTS: usize = 512;
-/// Answers of the board that wait for the engine.
+/// Answers of discovery that wait for the engine.
 const LISTED: usize = 4;
 /// Between two tries to read a configuration that could not be read.
 const READ_AGAIN: Duration = Duration::from_millis(200);
@@ -68,7 +68,7 @@
 
 /// News for the engine's task.
 pub(crate) enum Came {
-    Owner(ConnId, outbox::Sender),
+    Client(ConnId, outbox::Sender),
     Input(Input),
     /// A line for the staff.
     Log(String),
@@ -113,29 +113,29 @@
     let start = Start {
         now: unix_us,
         seed: config.seed,
-        told: config.settings,
+        settings: config.settings,
         known: config.known,
         bounds: Bounds::of(&config.limits),
     };
     let mut engine = Engine::new(start);
     let (came, mut coming) = mpsc::channel(INPUTS);
-    let (move_board, boards) = watch::channel(config.board);
+    let (move_discovery, addresses) = watch::channel(config.board);
     // What the list tells goes before all that waits: a drain counts from when it was told.
     let (list, mut listed) = mpsc::channel(LISTED);
-    tokio::spawn(board::poll(boards, names, rev, list));
-    tokio::spawn(answer(asked, path.to_owned(), move_board, came.clone()));
+    tokio::spawn(discovery::poll(addresses, names, rev, list));
+    tokio::spawn(answer(asked, path.to_owned(), move_discovery, came.clone()));
     let budget = Budget::default();
     let (stop, stopped) = oneshot::channel();
     tokio::spawn(sockets::accept(listener, budget.clone(), came.clone(), stopped));
     let mut shell = Shell {
-        owners: BTreeMap::new(),
+        clients: BTreeMap::new(),
         links: BTreeMap::new(),
         connect: Duration::from_micros(connect),
         budget,
         most: (config.limits.memory_mb as usize * 1024 * 1024 / OUTBOXES).max(64 * 1024),
         stop: Some(stop),
         came,
-        touched_owners: Vec::new(),
+        touched_clients: Vec::new(),
         touched_links: Vec::new(),
         second: (0, 0),
     };
@@ -154,9 +154,9 @@
         let told = next(&mut listed, &mut coming, &mut batch, wake).await;
         for news in told.into_iter().map(Came::Input).chain(batch.drain(..)) {
             let input = match news {
-                Came::Owner(conn, out) => {
-                    shell.owners.insert(conn, out);
-                    Input::OwnerCame(conn)
+                Came::Client(conn, out) => {
+                    shell.clients.insert(conn, out);
+                    Input::ClientCame(conn)
                 }
                 Came::Input(input) => input,
                 Came::Log(line) => {
@@ -165,7 +165,7 @@
                 }
             };
             match &input {
-                Input::OwnerGone(conn) => drop(shell.owners.remove(conn)),
+                Input::ClientGone(conn) => drop(shell.clients.remove(conn)),
                 Input::LinkDown { link, .. } => drop(shell.links.remove(link)),
                 _ => {}
             }
@@ -202,7 +202,7 @@
 async fn answer(
     mut asked: mpsc::Receiver<Asked>,
     path: PathBuf,
-    board: watch::Sender<SocketAddr>,
+    discovery: watch::Sender<SocketAddr>,
     came: mpsc::Sender<Came>,
 ) {
     let mut reading = false;
@@ -221,8 +221,8 @@
             Asked::Reload => match read(&path) {
                 Ok(config) => {
                     reading = false;
-                    tracing::warn!("configuration read again; the notice board is at {}", config.board);
-                    board.send_replace(config.board);
+                    tracing::warn!("configuration read again; discovery is at {}", config.board);
+                    discovery.send_replace(config.board);
                 }
                 Err(error) => {
                     reading = true;
@@ -234,14 +234,14 @@
 }
 
 struct Shell {
-    owners: BTreeMap<ConnId, outbox::Sender>,
+    clients: BTreeMap<ConnId, outbox::Sender>,
     links: BTreeMap<LinkId, outbox::Sender>,
     connect: Duration,
     /// What waits to be written, and how much may.
     budget: Budget,
     most: usize,
     /// Who was sent something that is not written yet.
-    touched_owners: Vec<ConnId>,
+    touched_clients: Vec<ConnId>,
     touched_links: Vec<LinkId>,
     /// Tells that no new connections are taken any more.
     stop: Option<oneshot::Sender<()>>,
@@ -254,15 +254,15 @@
     fn carry_out(&mut self, now: u64, output: Output) {
         follow(|| follow::output(&output));
         match output {
-            Output::ToOwner(conn, message) => {
-                if let Some(out) = self.owners.get(&conn) {
+            Output::ToClient(conn, message) => {
+                if let Some(out) = self.clients.get(&conn) {
                     out.send(&message.encode());
-                    self.touched_owners.push(conn);
+                    self.touched_clients.push(conn);
                     self.bound(now);
                 }
             }
-            Output::CloseOwner(conn) => {
-                if let Some(out) = self.owners.remove(&conn) {
+            Output::CloseClient(conn) => {
+                if let Some(out) = self.clients.remove(&conn) {
                     out.flush();
                 }
             }
@@ -302,8 +302,8 @@
         for link in self.touched_links.drain(..) {
             self.links.get(&link).map(outbox::Sender::flush);
         }
-        for conn in self.touched_owners.drain(..) {
-            self.owners.get(&conn).map(outbox::Sender::flush);
+        for conn in self.touched_clients.drain(..) {
+            self.clients.get(&conn).map(outbox::Sender::flush);
         }
     }
 
@@ -312,11 +312,11 @@
         if self.budget.held() <= self.most {
             return;
         }
-        let owner = self.owners.iter().max_by_key(|(_, out)| out.len());
+        let client = self.clients.iter().max_by_key(|(_, out)| out.len());
         let link = self.links.iter().max_by_key(|(_, out)| out.len());
-        let (owner, link) =
-            (owner.map(|(id, out)| (out, "owner", id)), link.map(|(id, out)| (out, "link", id)));
-        if let Some((out, what, id)) = owner.into_iter().chain(link).max_by_key(|(out, _, _)| out.len()) {
+        let (client, link) =
+            (client.map(|(id, out)| (out, "client", id)), link.map(|(id, out)| (out, "link", id)));
+        if let Some((out, what, id)) = client.into_iter().chain(link).max_by_key(|(out, _, _)| out.len()) {
             let line = format!("{what} {id}: closed: {} bytes wait for it", out.len());
             out.cut();
             self.log(now, &line);
@@ -337,9 +337,9 @@
 
     /// Lets the last messages be written.
     async fn farewell(&mut self) {
-        let owners = std::mem::take(&mut self.owners);
+        let clients = std::mem::take(&mut self.clients);
         let written = async {
-            for out in owners.into_values() {
+            for out in clients.into_values() {
                 while out.len() > 0 {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -364,11 +364,11 @@
             let (list, mut listed) = mpsc::channel(LISTED);
             let (came, mut coming) = mpsc::channel(INPUTS);
             for conn in 0..300 {
-                came.try_send(Came::Input(Input::OwnerGone(conn))).ok().unwrap();
+                came.try_send(Came::Input(Input::ClientGone(conn))).ok().unwrap();
             }
-            list.try_send(Input::BoardLost("a".to_owned())).unwrap();
+            list.try_send(Input::DiscoveryLost("a".to_owned())).unwrap();
             let told = next(&mut listed, &mut coming, &mut Vec::new(), None).await;
-            assert!(matches!(&told[..], [Input::BoardLost(_)]), "{told:?}");
+            assert!(matches!(&told[..], [Input::DiscoveryLost(_)]), "{told:?}");
         }
     }
 
@@ -380,12 +380,12 @@
         let address = listener.local_addr().unwrap();
         let (came, _coming) = mpsc::channel(4);
         let mut shell = Shell {
-            owners: BTreeMap::new(),
+            clients: BTreeMap::new(),
             links: BTreeMap::new(),
             connect: Duration::from_secs(1),
             budget: Budget::default(),
             most: 1 << 20,
-            touched_owners: Vec::new(),
+            touched_clients: Vec::new(),
             touched_links: Vec::new(),
             stop: None,
             came,
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -1,4 +1,4 @@
-//! Connections of owners and to hosts: one task each, which moves bytes and decides nothing.
+//! Connections of clients and to hosts: one task each, which moves bytes and decides nothing.
 
 use std::cell::RefCell;
 use std::io;
@@ -56,7 +56,7 @@
     })
 }
 
-/// Takes owners' connections until it is told to stop; those that the system took by then are taken as well.
+/// Takes clients' connections until it is told to stop; those that the system took by then are taken as well.
 pub(crate) async fn accept(
     listener: TcpListener,
     budget: Budget,
@@ -76,14 +76,14 @@
                 let stream = Arc::new(stream);
                 let (out, messages) = outbox(&budget);
                 messages.attach(&stream);
-                if came.send(Came::Owner(last, out)).await.is_err() {
+                if came.send(Came::Client(last, out)).await.is_err() {
                     return;
                 }
                 let (conn, came) = (last, came.clone());
                 tokio::spawn(async move {
                     serve(conn, &stream, messages, &came).await;
                     drop(stream);
-                    let _ = came.send(Came::Input(Input::OwnerGone(conn))).await;
+                    let _ = came.send(Came::Input(Input::ClientGone(conn))).await;
                 });
             }
             Err(error) => reedring_net::accept_failed(&error).await,
@@ -94,7 +94,7 @@
 async fn serve(conn: ConnId, stream: &TcpStream, messages: Outbox, came: &mpsc::Sender<Came>) {
     let _ = stream.set_nodelay(true);
     let mut reader = owner::Reader::default();
-    // Since when a message in part waits for its rest, and what waits for the owner, for it to read.
+    // Since when a message in part waits for its rest, and what waits for the client, for it to read.
     let (mut begun, mut waits): (Option<Instant>, Option<Instant>) = (None, None);
     // It may still say something.
     let mut listens = true;
@@ -106,13 +106,13 @@
                 }
                 match read(stream, |bytes| reader.push(bytes)) {
                     Ok(None) => continue,
-                    Ok(Some(0)) => Some(Input::OwnerEnded(conn)),
+                    Ok(Some(0)) => Some(Input::ClientEnded(conn)),
                     Err(_) => return,
                     Ok(Some(_)) => loop {
                         match reader.next_message() {
                             Ok(Some(message)) => {
                                 begun = None;
-                                if came.send(Came::Input(Input::Owner(conn, message))).await.is_err() {
+                                if came.send(Came::Input(Input::Client(conn, message))).await.is_err() {
                                     return;
                                 }
                             }
@@ -120,7 +120,7 @@
                                 begun = reader.is_partial().then(|| begun.unwrap_or_else(Instant::now));
                                 break None;
                             }
-                            Err(error) => break Some(Input::OwnerSpoilt(conn, error.to_string())),
+                            Err(error) => break Some(Input::ClientSpoilt(conn, error.to_string())),
                         }
                     },
                 }
@@ -134,7 +134,7 @@
             () = messages.news() => None,
             () = over(waits, STUCK), if waits.is_some() => return,
             () = over(begun, WHOLE), if begun.is_some() => {
-                Some(Input::OwnerSpoilt(conn, "a message that does not end".to_owned()))
+                Some(Input::ClientSpoilt(conn, "a message that does not end".to_owned()))
             }
         };
         if let Some(ended) = ended {
@@ -272,15 +272,15 @@
     async fn who_waits_when_listening_stops_is_taken() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let mut owners = Vec::new();
+        let mut clients = Vec::new();
         for _ in 0..8 {
-            owners.push(TcpStream::connect(address).await.unwrap());
+            clients.push(TcpStream::connect(address).await.unwrap());
         }
         let ((stop, stopped), (came, mut coming)) = (oneshot::channel(), mpsc::channel(16));
         drop(stop);
         accept(listener, Budget::default(), came, stopped).await;
         for _ in 0..8 {
-            assert!(matches!(coming.recv().await, Some(Came::Owner(..))));
+            assert!(matches!(coming.recv().await, Some(Came::Client(..))));
         }
         assert!(TcpStream::connect(address).await.is_err(), "and nobody after that");
     }
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -18,13 +18,13 @@
         .collect()
 }
 
-/// Everybody does as they please: owners come and go, hosts answer, refuse, err, say nothing or break.
+/// Everybody does as they please: clients come and go, hosts answer, refuse, err, say nothing or break.
 fn play(seed: u64, steps: u32) -> World {
     let mut world = World::new(seed, &hosts(4));
     world.unruly = true;
     let (mut id, mut rev) = (0, 1);
     for _ in 0..steps {
-        let conns: Vec<u64> = world.owners.iter().copied().collect();
+        let conns: Vec<u64> = world.clients.iter().copied().collect();
         let at = world.below(conns.len().max(1) as u32) as usize;
         match world.below(20) {
             0..2 => drop(world.connect()),
@@ -37,12 +37,16 @@
                 let n = 1 + world.below(4) as u16;
                 let health = ["active", "leaving"][world.below(2) as usize];
                 let site = if n.is_multiple_of(2) { "east" } else { "west" };
-                world.tell(Input::Board(told(rev, false, &[line(&format!("h-{n}"), n, site, health, 0)])));
+                world.tell(Input::Discovery(told(
+                    rev,
+                    false,
+                    &[line(&format!("h-{n}"), n, site, health, 0)],
+                )));
             }
             4 if !conns.is_empty() && id > 0 => {
                 // Somebody's id, taken back by whoever: only who asked may.
                 let id = 1 + u64::from(world.below(id as u32));
-                world.tell(Input::Owner(conns[at], Ok(FromOwner::Release { id, cause: GIVEN_UP })));
+                world.tell(Input::Client(conns[at], Ok(FromOwner::Release { id, cause: GIVEN_UP })));
             }
             _ if !conns.is_empty() => {
                 id += 1;
@@ -77,13 +81,13 @@
     #[test]
     fn equal_inputs_give_equal_outputs(seed in any::<u64>()) {
         let [first, second] = [0, 1].map(|_| play(seed, 60));
-        prop_assert_eq!(first.to_owners, second.to_owners);
+        prop_assert_eq!(first.to_clients, second.to_clients);
         prop_assert_eq!(first.to_hosts, second.to_hosts);
     }
 }
 
 #[test]
-fn owners_that_stay_are_all_answered_before_they_give_up() {
+fn clients_that_stay_are_all_answered_before_they_give_up() {
     for seed in 0..24 {
         let mut world = World::new(seed, &hosts(4));
         world.unruly = true;
@@ -107,7 +111,7 @@
     world.ask(conn, setup(1, "play", 1_000));
     world.run(30 * SECOND);
     world.tell(Input::Host(world.to_hosts[0].0, end(1)));
-    assert!(world.owners.contains(&conn));
+    assert!(world.clients.contains(&conn));
     assert_eq!((world.heard[&1].answers, world.heard[&1].ends), (1, 1));
 }
 
@@ -126,10 +130,10 @@
     world.tell(Input::Host(link, end(1)));
     let told = |world: &World, id: u64| {
         let tells = |m: &ToOwner| matches!(m, ToOwner::Release { id: told, .. } if *told == id);
-        world.to_owners.iter().filter(|(_, m)| tells(m)).map(|(conn, _)| *conn).collect::<Vec<_>>()
+        world.to_clients.iter().filter(|(_, m)| tells(m)).map(|(conn, _)| *conn).collect::<Vec<_>>()
     };
     assert_eq!(told(&world, 1), [other], "and not to who never asked");
-    // It crossed the close: it is told again, to the next that shows itself an owner.
+    // It crossed the close: it is told again, to the next that shows itself a client.
     world.close(other);
     world.close(stranger);
     world.tell(Input::Host(link, end(2)));
@@ -149,7 +153,7 @@
     at.id = 10;
     world.ask(conn, at);
     world.run(100 * MS);
-    assert!(world.to_owners.is_empty(), "it expects no answer");
+    assert!(world.to_clients.is_empty(), "it expects no answer");
     assert_eq!(world.engine.sizes().requests, 1);
     assert_eq!(world.engine.sizes().links, 1, "its end is to be heard");
 }
@@ -157,14 +161,14 @@
 #[test]
 fn an_id_that_is_open_is_turned_away_on_the_offenders_connection() {
     let mut world = World::new(4, &hosts(2));
-    let (owner, offender) = (world.connect(), world.connect());
-    world.ask(owner, setup(1, "play", 1_000));
+    let (client, offender) = (world.connect(), world.connect());
+    world.ask(client, setup(1, "play", 1_000));
     world.run(2 * MS);
-    world.tell(Input::Owner(offender, Ok(FromOwner::Setup(Box::new(setup(1, "print", 1_000))))));
+    world.tell(Input::Client(offender, Ok(FromOwner::Setup(Box::new(setup(1, "print", 1_000))))));
     world.run(SECOND);
     let got =
-        |conn| world.to_owners.iter().filter(move |(to, _)| *to == conn).map(|(_, m)| m).collect::<Vec<_>>();
-    assert!(matches!(got(owner)[0], ToOwner::Answer { id: 1, .. }), "{:?}", got(owner));
+        |conn| world.to_clients.iter().filter(move |(to, _)| *to == conn).map(|(_, m)| m).collect::<Vec<_>>();
+    assert!(matches!(got(client)[0], ToOwner::Answer { id: 1, .. }), "{:?}", got(client));
     assert!(matches!(got(offender)[..], [ToOwner::Release { id: 1, cause, .. }] if *cause != FULL));
 }
 
@@ -174,11 +178,11 @@
     let conn = world.connect();
     for _ in 0..2 {
         let twice = Ok(FromOwner::Setup(Box::new(setup(1, "play", 1_000))));
-        world.engine.handle(world.now, Input::Owner(conn, twice));
+        world.engine.handle(world.now, Input::Client(conn, twice));
     }
     world.run(SECOND);
-    let finals = world.to_owners.iter().filter(|(to, _)| *to == conn).count();
-    assert_eq!(finals, 1, "{:?}", world.to_owners);
+    let finals = world.to_clients.iter().filter(|(to, _)| *to == conn).count();
+    assert_eq!(finals, 1, "{:?}", world.to_clients);
 }
 
 #[test]
@@ -186,9 +190,9 @@
     let mut world = World::new(6, &hosts(2));
     let (bad, good) = (world.connect(), world.connect());
     let wrong = || Err(Unusable { id: 77, why: "no such type".to_owned() });
-    world.tell(Input::Owner(bad, wrong()));
+    world.tell(Input::Client(bad, wrong()));
     assert!(
-        matches!(world.to_owners[..], [(to, ToOwner::Release { id: 77, cause, .. })] if to == bad && cause != FULL)
+        matches!(world.to_clients[..], [(to, ToOwner::Release { id: 77, cause, .. })] if to == bad && cause != FULL)
     );
     for mut odd in [setup(78, "sing", 1_000), setup(79, "play", 1_000), setup(80, "play", 1_000)] {
         match odd.id {
@@ -198,11 +202,11 @@
         }
         world.ask(bad, odd);
     }
-    assert_eq!(world.to_owners.len(), 4);
+    assert_eq!(world.to_clients.len(), 4);
     for _ in 0..20 {
-        world.tell(Input::Owner(bad, wrong()));
+        world.tell(Input::Client(bad, wrong()));
     }
-    assert!(!world.owners.contains(&bad) && world.owners.contains(&good));
+    assert!(!world.clients.contains(&bad) && world.clients.contains(&good));
     world.ask(good, setup(1, "play", 1_000));
     world.run(SECOND);
     assert!(
@@ -218,7 +222,7 @@
     let mut world = World::new(7, &hosts(2));
     let silent = world.connect();
     world.run(2_700 * MS);
-    assert!(!world.owners.contains(&silent));
+    assert!(!world.clients.contains(&silent));
     let answered = world.connect();
     world.ask(answered, setup(1, "play", 1_000));
     world.run(100 * MS);
@@ -228,8 +232,8 @@
         world.run(MS);
     }
     assert!(world.engine.sizes().conns <= 16);
-    assert!(world.owners.contains(&answered), "who said nothing goes first");
-    assert!(world.owners.contains(&idle[39]));
+    assert!(world.clients.contains(&answered), "who said nothing goes first");
+    assert!(world.clients.contains(&idle[39]));
 }
 
 #[test]
@@ -257,7 +261,7 @@
     world.run(50 * MS);
     let link = world.to_hosts[0].0;
     // Another host takes its address.
-    world.tell(Input::Board(told(
+    world.tell(Input::Discovery(told(
         2,
         false,
         &[line("h-1", 1, "east", "left", 0), line("h-2", 1, "east", "active", 5)],
@@ -280,9 +284,9 @@
     world.run(50 * MS);
     let born = world.now / 1_000 + 5;
     world.run(20 * MS);
-    world.tell(Input::Board(told(2, false, &[line("h-1", 1, "east", "active", born)])));
+    world.tell(Input::Discovery(told(2, false, &[line("h-1", 1, "east", "active", born)])));
     assert_eq!(world.heard[&1].ends, 1);
-    assert!(matches!(world.to_owners.last(), Some((_, ToOwner::Release { id: 1, cause: CUT, .. }))));
+    assert!(matches!(world.to_clients.last(), Some((_, ToOwner::Release { id: 1, cause: CUT, .. }))));
 }
 
 #[test]
@@ -291,8 +295,8 @@
     let conn = world.connect();
     world.ask(conn, setup(1, "play", 1_000));
     world.tell(Input::Terminate);
-    world.tell(Input::Owner(conn, Ok(FromOwner::Test(5))));
-    assert!(world.to_owners.contains(&(conn, ToOwner::Tested { id: 5, passed: false })));
+    world.tell(Input::Client(conn, Ok(FromOwner::Test(5))));
+    assert!(world.to_clients.contains(&(conn, ToOwner::Tested { id: 5, passed: false })));
     world.run(600 * MS);
     // Requests keep coming for a while, on new connections too.
     let late = world.connect();
@@ -310,8 +314,12 @@
     for n in 1..600_u64 {
         let (old, new) = (format!("h-{}", n - 1), format!("h-{n}"));
         let address = |n: u64| 1 + (n % 7) as u16;
-        world.tell(Input::Board(told(2 * n, false, &[line(&new, address(n), "east", "active", 1)])));
-        world.tell(Input::Board(told(2 * n + 1, false, &[line(&old, address(n - 1), "east", "left", 1)])));
+        world.tell(Input::Discovery(told(2 * n, false, &[line(&new, address(n), "east", "active", 1)])));
+        world.tell(Input::Discovery(told(
+            2 * n + 1,
+            false,
+            &[line(&old, address(n - 1), "east", "left", 1)],
+        )));
         let conn = world.connect();
         world.ask(conn, setup(n, CLASSES[n as usize % 3], 1_000));
         world.run(SECOND);
@@ -348,7 +356,7 @@
 fn a_host_that_leaves_refuses_connections_and_holds_its_tasks() {
     let (mut world, links) = standing();
     world.connects = Some(Down::Refused);
-    world.tell(Input::Board(told(2, false, &[line("h-1", 1, "east", "leaving", 0)])));
+    world.tell(Input::Discovery(told(2, false, &[line("h-1", 1, "east", "leaving", 0)])));
     world.run(5 * SECOND);
     assert_eq!(ends(&world), 0, "refusals alone are no sign");
     world.tell(Input::Host(links[0], end(1)));
@@ -369,9 +377,9 @@
     for left in [false, true] {
         let (mut world, _) = standing();
         world.connects = Some(Down::Refused);
-        world.tell(Input::Board(told(2, false, &[line("h-1", 1, "east", "leaving", 0)])));
+        world.tell(Input::Discovery(told(2, false, &[line("h-1", 1, "east", "leaving", 0)])));
         if left {
-            world.tell(Input::Board(told(3, false, &[line("h-1", 1, "east", "left", 0)])));
+            world.tell(Input::Discovery(told(3, false, &[line("h-1", 1, "east", "left", 0)])));
         } else {
             world.run(7_500 * MS);
         }
@@ -406,18 +414,18 @@
     let conn = world.connect();
     world.ask(conn, Setup { at: Some("h-9".to_owned()), ..setup(5, "print", 4_294_967) });
     world.run(5 * SECOND);
-    assert!(world.to_owners.is_empty(), "the list may lag");
+    assert!(world.to_clients.is_empty(), "the list may lag");
     world.run(2_800 * MS);
-    assert!(matches!(world.to_owners[..], [(_, ToOwner::Release { id: 5, cause: CUT, .. })]));
+    assert!(matches!(world.to_clients[..], [(_, ToOwner::Release { id: 5, cause: CUT, .. })]));
     assert_eq!((world.engine.sizes().requests, world.engine.sizes().hosts), (0, 1));
 }
 
 #[test]
-fn a_task_that_its_owner_ended_is_forgotten_though_its_host_says_nothing() {
+fn a_task_that_its_client_ended_is_forgotten_though_its_host_says_nothing() {
     let (mut world, _) = standing();
-    let conn = *world.owners.first().unwrap();
+    let conn = *world.clients.first().unwrap();
     world.deaf = true;
-    world.tell(Input::Owner(conn, Ok(FromOwner::Release { id: 1, cause: GIVEN_UP })));
+    world.tell(Input::Client(conn, Ok(FromOwner::Release { id: 1, cause: GIVEN_UP })));
     world.run(6 * SECOND);
     assert_eq!(world.engine.sizes().requests, 1);
     assert_eq!(ends(&world), 0, "who ended it is owed nothing");
@@ -427,9 +435,9 @@
 fn a_whole_list_replaces_the_one_before_and_numbers_never_go_back() {
     let (mut world, _) = standing();
     let line = |id, port| line(id, port, "east", "active", 0);
-    world.tell(Input::Board(told(5, true, &[line("h-2", 2)])));
+    world.tell(Input::Discovery(told(5, true, &[line("h-2", 2)])));
     assert_eq!((ends(&world), world.engine.rev()), (2, 5), "h-1 is gone with all that it held");
-    world.tell(Input::Board(told(4, false, &[line("h-3", 3)])));
+    world.tell(Input::Discovery(told(4, false, &[line("h-3", 3)])));
     world.run(4 * SECOND);
     assert_eq!((world.engine.rev(), world.engine.sizes().hosts), (5, 1), "h-3 was told of before");
 }
@@ -460,10 +468,10 @@
     world.run(SECOND);
 }
 
-/// Whether an owner was told the ends of all of these tasks.
+/// Whether a client was told the ends of all of these tasks.
 fn told_all(world: &World, count: u16) -> bool {
     let told = |id: u64| {
-        world.to_owners.iter().any(|(_, m)| matches!(m, ToOwner::Release { id: told, .. } if *told == id))
+        world.to_clients.iter().any(|(_, m)| matches!(m, ToOwner::Release { id: told, .. } if *told == id))
     };
     (1..=u64::from(count)).all(told)
 }
@@ -511,8 +519,8 @@
     world.ask(conn, setup(1, "print", 3_000));
     let asked = world.asked_links();
     assert_eq!(asked.len(), 1);
-    // Its owner does not wait for it, and neither does a second one whose time ends.
-    world.tell(Input::Owner(conn, Ok(FromOwner::Release { id: 1, cause: GIVEN_UP })));
+    // Its client does not wait for it, and neither does a second one whose time ends.
+    world.tell(Input::Client(conn, Ok(FromOwner::Release { id: 1, cause: GIVEN_UP })));
     world.ask(conn, setup(2, "print", 300));
     world.run(3 * SECOND);
     let setups = world.to_hosts.iter().filter(|(_, m)| matches!(m, ToHost::Setup { .. })).count();
@@ -536,7 +544,7 @@
             world.ask(conn, setup(2, "print", 3_000));
             world.connects = Some(Down::Closed);
         }
-        world.tell(Input::Board(told(2, false, &[line("h-1", 1, "west", "leaving", 0)])));
+        world.tell(Input::Discovery(told(2, false, &[line("h-1", 1, "west", "leaving", 0)])));
         let before = world.to_hosts.len();
         for link in world.links_up() {
             world.tell(Input::LinkDown { link, down: Down::Closed, begun: 0 });
@@ -563,7 +571,7 @@
     assert_eq!((world.heard[&1].answers, world.heard[&1].ends, world.finished), (1, 1, true));
 }
 
-/// All places are taken by owners that wait for answers: whoever comes then is answered too, and at once.
+/// All places are taken by clients that wait for answers: whoever comes then is answered too, and at once.
 #[test]
 fn who_comes_when_all_places_are_taken_is_answered() {
     let mut world = World::new(28, &hosts(2));
@@ -575,8 +583,8 @@
     let late = world.connect();
     world.ask(late, setup(17, "play", 3_000));
     assert_eq!(world.heard[&17].failures, 1);
-    assert!(!world.owners.contains(&late), "and closed on, for the next one's sake");
-    assert_eq!(world.owners.len(), 16, "and costs the others nothing");
+    assert!(!world.clients.contains(&late), "and closed on, for the next one's sake");
+    assert_eq!(world.clients.len(), 16, "and costs the others nothing");
     world.run(4 * SECOND);
     for id in 1..=16 {
         let heard = &world.heard[&id];
@@ -593,6 +601,6 @@
     let up = world.links_up();
     assert_eq!(up.len(), world.most_links());
     world.ask(conn, Setup { at: Some("h-nowhere".to_owned()), ..setup(30, "play", 4_294_967) });
-    world.tell(Input::Owner(conn, Ok(FromOwner::Release { id: 30, cause: GIVEN_UP })));
+    world.tell(Input::Client(conn, Ok(FromOwner::Release { id: 30, cause: GIVEN_UP })));
     assert_eq!(world.links_up(), up);
 }
--- a/crates/platform/tests/loopback.rs
+++ b/crates/platform/tests/loopback.rs
@@ -7,21 +7,21 @@
 use reedring_net::Asked;
 use reedring_platproto::FULL;
 use serde_json::json;
-use standins::{Board, Host, Mood, Owner, alone, message, obliged, placer, setup, soon};
+use standins::{Client, Discovery, Host, Mood, alone, message, obliged, placer, setup, soon};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const ANSWER: u8 = 9;
 const RELEASE: u8 = 12;
 
 #[tokio::test]
-async fn a_task_goes_from_its_owner_to_a_host_and_its_end_back() {
-    let (host, _placer, mut owner) = alone().await;
-    owner.send(&message(52, 3, &[(194, &[0])])).await;
+async fn a_task_goes_from_its_client_to_a_host_and_its_end_back() {
+    let (host, _placer, mut client) = alone().await;
+    client.send(&message(52, 3, &[(194, &[0])])).await;
     assert_eq!(
-        owner.got().await.unwrap(),
+        client.got().await.unwrap(),
         standins::Got { kind: 53, id: 3, parameters: vec![(194, vec![1])] }
     );
-    owner.send(&setup(0x51, "take", 1_500, "")).await;
+    client.send(&setup(0x51, "take", 1_500, "")).await;
     let mut link = host.link().await;
     let line = link.line().await.unwrap();
     assert_eq!((&line["type"], &line["id"]), (&json!("setup"), &json!("0000000000000051")));
@@ -32,30 +32,30 @@
     let left: u64 = line["fields"]["left"].as_str().unwrap().parse().unwrap();
     assert!((1_000..=1_500).contains(&left), "{left}");
     link.answer(&line["id"], "t=0 \u{fc}\r\n\u{1}").await;
-    let answer = owner.got().await.unwrap();
+    let answer = client.got().await.unwrap();
     assert_eq!((answer.kind, answer.id), (ANSWER, 0x51));
     assert_eq!(answer.description(), "t=0 \u{fc}\r\n\u{1}".as_bytes());
     link.release(&line["id"], 16).await;
-    let end = owner.got().await.unwrap();
+    let end = client.got().await.unwrap();
     assert_eq!((end.kind, end.id, end.cause()), (RELEASE, 0x51, Some(16)));
 }
 
 #[tokio::test]
-async fn an_owner_ends_its_task_from_another_connection() {
-    let (host, placer, mut owner) = alone().await;
-    owner.send(&setup(1, "play", 1_500, "")).await;
+async fn an_client_ends_its_task_from_another_connection() {
+    let (host, placer, mut client) = alone().await;
+    client.send(&setup(1, "play", 1_500, "")).await;
     let mut link = host.link().await;
     let line = link.line().await.unwrap();
     link.answer(&line["id"], "x").await;
-    owner.got().await.unwrap();
-    let mut other = Owner::connect(placer.address).await;
+    client.got().await.unwrap();
+    let mut other = Client::connect(placer.address).await;
     other.send(&message(12, 1, &[(194, &[16])])).await;
     let cut = link.line().await.unwrap();
     assert_eq!((&cut["type"], &cut["id"]), (&json!("release"), &line["id"]));
     // Who ended it is owed nothing: the next thing it hears is the answer to its test.
     link.release(&line["id"], 31).await;
-    owner.send(&message(52, 9, &[(194, &[0])])).await;
-    assert_eq!(owner.got().await.unwrap().kind, 53);
+    client.send(&message(52, 9, &[(194, &[0])])).await;
+    assert_eq!(client.got().await.unwrap().kind, 53);
 }
 
 /// What is bad gets a failing release or a close in time, and nothing of it reaches a host.
@@ -97,10 +97,10 @@
     let address = placer.address;
     let each = bad.into_iter().map(|bytes| {
         tokio::spawn(async move {
-            let mut owner = Owner::connect(address).await;
+            let mut client = Client::connect(address).await;
             // It may be closed on before all of it is written.
-            let _ = owner.stream.write_all(&bytes).await;
-            if let Some(got) = owner.got().await {
+            let _ = client.stream.write_all(&bytes).await;
+            if let Some(got) = client.got().await {
                 assert!(got.kind == RELEASE && got.cause() != Some(FULL), "{got:?} for {bytes:?}");
             }
         })
@@ -109,7 +109,7 @@
         one.await.unwrap();
     }
     assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
-    let mut good = Owner::connect(placer.address).await;
+    let mut good = Client::connect(placer.address).await;
     good.send(&setup(7, "play", 1_500, "")).await;
     assert_eq!(good.got().await.unwrap().kind, ANSWER);
     assert_eq!(soon("the good one", reached.recv()).await.unwrap()["id"], "0000000000000007");
@@ -120,14 +120,14 @@
 #[tokio::test]
 async fn a_body_without_end_is_cut() {
     let (_told, placer) = obliged().await;
-    let mut flood = Owner::connect(placer.address).await;
+    let mut flood = Client::connect(placer.address).await;
     let chunk = vec![0x5a; 64 * 1024];
     let mut sent = 0;
     while sent < 60 * 1024 * 1024 && flood.stream.write_all(&chunk).await.is_ok() {
         sent += chunk.len();
     }
     assert!(sent < 60 * 1024 * 1024, "all of it was taken");
-    let mut good = Owner::connect(placer.address).await;
+    let mut good = Client::connect(placer.address).await;
     good.send(&setup(7, "play", 1_500, "")).await;
     assert_eq!(good.got().await.unwrap().kind, ANSWER);
 }
@@ -136,8 +136,8 @@
 #[tokio::test]
 async fn a_connection_reset_under_a_set_up_is_what_its_class_allows() {
     for (class, again, read) in [("play", true, true), ("print", false, true), ("play", true, false)] {
-        let (host, _placer, mut owner) = alone().await;
-        owner.send(&setup(1, class, 3_000, "")).await;
+        let (host, _placer, mut client) = alone().await;
+        client.send(&setup(1, class, 3_000, "")).await;
         let mut link = host.link().await;
         // One that is reset while it is new may have been read, or not.
         if read {
@@ -148,9 +148,9 @@
             let mut link = host.link().await;
             let line = link.line().await.unwrap();
             link.answer(&line["id"], "second").await;
-            assert_eq!(owner.got().await.unwrap().description(), b"second");
+            assert_eq!(client.got().await.unwrap().description(), b"second");
         } else {
-            let failed = owner.got().await.unwrap();
+            let failed = client.got().await.unwrap();
             assert!(failed.kind == RELEASE && failed.cause() != Some(FULL), "{failed:?}");
         }
     }
@@ -159,28 +159,28 @@
 /// A connection that was reset while idle costs no attempt, and while tasks stand it is made again.
 #[tokio::test]
 async fn an_idle_connection_that_is_reset_is_made_again_and_the_end_heard() {
-    let (host, _placer, mut owner) = alone().await;
-    owner.send(&setup(1, "print", 3_000, "")).await;
+    let (host, _placer, mut client) = alone().await;
+    client.send(&setup(1, "print", 3_000, "")).await;
     let mut link = host.link().await;
     let line = link.line().await.unwrap();
     link.answer(&line["id"], "x").await;
-    owner.got().await.unwrap();
+    client.got().await.unwrap();
     link.reset();
     let mut link = host.link().await;
     link.release(&line["id"], 16).await;
-    let end = owner.got().await.unwrap();
+    let end = client.got().await.unwrap();
     assert_eq!((end.kind, end.id, end.cause()), (RELEASE, 1, Some(16)));
-    owner.send(&setup(2, "print", 3_000, "")).await;
+    client.send(&setup(2, "print", 3_000, "")).await;
     let line = link.line().await.unwrap();
     link.answer(&line["id"], "y").await;
-    assert_eq!(owner.got().await.unwrap().description(), b"y");
+    assert_eq!(client.got().await.unwrap().description(), b"y");
 }
 
 /// What can't be read ends the connection; what is more than was asked for is passed over.
 #[tokio::test]
 async fn spoilt_answers_never_pass_on() {
-    let (host, _placer, mut owner) = alone().await;
-    owner.send(&setup(1, "play", 5_000, "")).await;
+    let (host, _placer, mut client) = alone().await;
+    client.send(&setup(1, "play", 5_000, "")).await;
     let spoilt: [&[u8]; 3] = [
         b"\x00\xff noise\n",
         b"{\"type\":\"answer\",\"id\":\"0000000000000001\",\"fields\":{}}\n",
@@ -198,20 +198,20 @@
     link.answer(&json!("00000000000000ff"), "nobody's").await;
     link.answer(&line["id"], "good").await;
     link.answer(&line["id"], "once more").await;
-    let answer = owner.got().await.unwrap();
+    let answer = client.got().await.unwrap();
     assert_eq!((answer.kind, answer.description()), (ANSWER, b"good".to_vec()));
-    owner.send(&message(52, 9, &[(194, &[0])])).await;
-    assert_eq!(owner.got().await.unwrap().kind, 53, "no second answer");
+    client.send(&message(52, 9, &[(194, &[0])])).await;
+    assert_eq!(client.got().await.unwrap().kind, 53, "no second answer");
 }
 
 #[tokio::test]
-async fn a_host_that_says_nothing_costs_its_owner_no_more_than_its_time() {
-    let (host, _placer, mut owner) = alone().await;
-    owner.send(&setup(1, "print", 800, "")).await;
+async fn a_host_that_says_nothing_costs_its_client_no_more_than_its_time() {
+    let (host, _placer, mut client) = alone().await;
+    client.send(&setup(1, "print", 800, "")).await;
     let mut link = host.link().await;
     let line = link.line().await.unwrap();
     let began = Instant::now();
-    let failed = owner.got().await.unwrap();
+    let failed = client.got().await.unwrap();
     assert!(failed.kind == RELEASE && failed.cause() != Some(FULL), "{failed:?}");
     assert!(began.elapsed() < Duration::from_secs(5));
     // The host is told that nobody waits any more.
@@ -226,24 +226,24 @@
 /// A new host at the address of one that left gets its own connection.
 #[tokio::test]
 async fn an_address_is_taken_over_by_another_host() {
-    let (host, placer, mut owner) = alone().await;
-    owner.send(&setup(1, "play", 3_000, "")).await;
+    let (host, placer, mut client) = alone().await;
+    client.send(&setup(1, "play", 3_000, "")).await;
     let mut old = host.link().await;
     let line = old.line().await.unwrap();
     old.answer(&line["id"], "old").await;
-    owner.got().await.unwrap();
-    placer.board.tell(false, vec![host.line("h-1", "east", "left"), host.line("h-2", "east", "active")]);
+    client.got().await.unwrap();
+    placer.discovery.tell(false, vec![host.line("h-1", "east", "left"), host.line("h-2", "east", "active")]);
     old.reset();
-    let end = owner.got().await.unwrap();
+    let end = client.got().await.unwrap();
     assert_eq!((end.kind, end.id), (RELEASE, 1), "it is over with its host");
     // What was connected to for the old host before its end was told carries nothing of the new one.
     let mut told = host.obliging();
-    owner.send(&setup(2, "play", 3_000, "")).await;
-    assert_eq!(owner.got().await.unwrap().description(), b"here \"0000000000000002\"");
+    client.send(&setup(2, "play", 3_000, "")).await;
+    assert_eq!(client.got().await.unwrap().description(), b"here \"0000000000000002\"");
     assert_eq!(soon("the set-up", told.recv()).await.unwrap()["id"], "0000000000000002");
 }
 
-/// Whatever the board does, what it told before holds, and what it tells then comes through.
+/// Whatever discovery does, what it told before holds, and what it tells then comes through.
 #[tokio::test]
 async fn a_board_that_breaks_or_falls_silent_is_asked_again() {
     for mood in [Mood::Breaks, Mood::Silent, Mood::Errs] {
@@ -251,28 +251,28 @@
         let (line, drained) = (first.line("h-1", "east", "active"), first.line("h-1", "east", "leaving"));
         let mut at_first = first.obliging();
         let placer = placer(vec![line]).await;
-        placer.board.set(mood);
-        let mut owner = Owner::connect(placer.address).await;
-        owner.send(&setup(1, "play", 3_000, "")).await;
-        assert_eq!(owner.got().await.unwrap().kind, ANSWER, "{mood:?}");
-        placer.board.tell(false, vec![drained, second.line("h-2", "east", "active")]);
-        let asked = placer.board.asked.lock().unwrap().len();
-        placer.board.until_asked(|asks| asks.len() >= asked + 2).await;
-        placer.board.set(Mood::Well);
+        placer.discovery.set(mood);
+        let mut client = Client::connect(placer.address).await;
+        client.send(&setup(1, "play", 3_000, "")).await;
+        assert_eq!(client.got().await.unwrap().kind, ANSWER, "{mood:?}");
+        placer.discovery.tell(false, vec![drained, second.line("h-2", "east", "active")]);
+        let asked = placer.discovery.asked.lock().unwrap().len();
+        placer.discovery.until_asked(|asks| asks.len() >= asked + 2).await;
+        placer.discovery.set(Mood::Well);
         let mut at_second = second.obliging();
         // Until the event came through, tasks go where it was told before.
         let mut id = 10;
         soon("the event", async {
             while at_second.try_recv().is_err() {
                 id += 1;
-                owner.send(&setup(id, "play", 3_000, "")).await;
-                owner.got().await.unwrap();
+                client.send(&setup(id, "play", 3_000, "")).await;
+                client.got().await.unwrap();
             }
         })
         .await;
         while at_first.try_recv().is_ok() {}
-        owner.send(&setup(9, "play", 3_000, "")).await;
-        assert_eq!(owner.got().await.unwrap().kind, ANSWER);
+        client.send(&setup(9, "play", 3_000, "")).await;
+        assert_eq!(client.got().await.unwrap().kind, ANSWER);
         assert!(at_first.try_recv().is_err(), "{mood:?}: nothing new to a host that drains");
     }
 }
@@ -281,23 +281,23 @@
 async fn a_new_configuration_moves_the_board_and_the_numbers_go_on() {
     let (first, second) = (Host::new().await, Host::new().await);
     let mut placer = placer(vec![first.line("h-1", "east", "active")]).await;
-    let board = Board::new().await;
-    board.continues(&placer.board);
-    board.tell(false, vec![first.line("h-1", "east", "left"), second.line("h-2", "east", "active")]);
+    let discovery = Discovery::new().await;
+    discovery.continues(&placer.discovery);
+    discovery.tell(false, vec![first.line("h-1", "east", "left"), second.line("h-2", "east", "active")]);
     // One that can't be read leaves the old in force, and is read again.
     std::fs::write(&placer.path, "{").unwrap();
     placer.ask.send(Asked::Reload).await.unwrap();
-    placer.configure(&board);
-    board.until_asked(|asks| !asks.is_empty()).await;
-    assert!(board.asked.lock().unwrap()[0].starts_with("/board/poll?watch=1&linger="));
+    placer.configure(&discovery);
+    discovery.until_asked(|asks| !asks.is_empty()).await;
+    assert!(discovery.asked.lock().unwrap()[0].starts_with("/board/poll?watch=1&linger="));
     let mut told = second.obliging();
-    let mut owner = Owner::connect(placer.address).await;
+    let mut client = Client::connect(placer.address).await;
     let mut id = 0;
-    soon("the new board's host", async {
+    soon("the new discovery's host", async {
         while told.try_recv().is_err() {
             id += 1;
-            owner.send(&setup(id, "play", 300, "")).await;
-            owner.got().await.unwrap();
+            client.send(&setup(id, "play", 300, "")).await;
+            client.got().await.unwrap();
         }
     })
     .await;
@@ -305,28 +305,28 @@
 
 #[tokio::test]
 async fn a_placer_asked_to_end_takes_what_still_comes_and_answers_all() {
-    let (host, placer, mut owner) = alone().await;
-    owner.send(&setup(1, "play", 5_000, "")).await;
+    let (host, placer, mut client) = alone().await;
+    client.send(&setup(1, "play", 5_000, "")).await;
     let mut link = host.link().await;
     let first = link.line().await.unwrap();
     placer.ask.send(Asked::End).await.unwrap();
     // Until it knows, its test passes.
     soon("the test to fail", async {
         loop {
-            owner.send(&message(52, 2, &[(194, &[0])])).await;
-            if owner.got().await.unwrap().cause() == Some(0) {
+            client.send(&message(52, 2, &[(194, &[0])])).await;
+            if client.got().await.unwrap().cause() == Some(0) {
                 return;
             }
         }
     })
     .await;
-    let mut late = Owner::connect(placer.address).await;
+    let mut late = Client::connect(placer.address).await;
     late.send(&setup(3, "play", 5_000, "")).await;
     let second = link.line().await.unwrap();
     link.answer(&second["id"], "late").await;
     assert_eq!(late.got().await.unwrap().description(), b"late");
     link.answer(&first["id"], "first").await;
-    assert_eq!(owner.got().await.unwrap().description(), b"first");
+    assert_eq!(client.got().await.unwrap().description(), b"first");
     soon("the end", placer.served).await.unwrap();
     assert!(late.got().await.is_none());
 }
@@ -337,50 +337,50 @@
 async fn a_burst_of_ends_cuts_nobody_who_reads() {
     let host = Host::new().await;
     let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let mut owner = Owner::connect(placer.address).await;
+    let mut client = Client::connect(placer.address).await;
     let count = 2_000;
     let held: Vec<u8> = (1..=count).flat_map(|id| setup(id, "play", 4_294_967, ";at:h-1")).collect();
-    owner.send(&held).await;
+    client.send(&held).await;
     // Its test is passed once all of that was taken in.
-    owner.send(&message(52, 9, &[(194, &[0])])).await;
-    assert_eq!(owner.got().await.unwrap().kind, 53);
-    placer.board.tell(false, vec![host.line("h-1", "east", "left")]);
+    client.send(&message(52, 9, &[(194, &[0])])).await;
+    assert_eq!(client.got().await.unwrap().kind, 53);
+    placer.discovery.tell(false, vec![host.line("h-1", "east", "left")]);
     for _ in 0..count {
-        assert_eq!(owner.got().await.expect("it is not closed on").kind, RELEASE);
+        assert_eq!(client.got().await.expect("it is not closed on").kind, RELEASE);
     }
 }
 
 #[tokio::test]
-async fn an_owner_that_said_all_it_has_to_say_gets_its_answers_and_its_close() {
+async fn an_client_that_said_all_it_has_to_say_gets_its_answers_and_its_close() {
     let (_told, placer) = obliged().await;
-    let mut owner = Owner::connect(placer.address).await;
+    let mut client = Client::connect(placer.address).await;
     let asks: Vec<u8> = (1..=3).flat_map(|id| setup(id, "play", 5_000, "")).collect();
-    owner.send(&asks).await;
-    owner.stream.shutdown().await.unwrap();
+    client.send(&asks).await;
+    client.stream.shutdown().await.unwrap();
     for _ in 1..=3 {
-        assert_eq!(owner.got().await.expect("all it asked for").kind, ANSWER);
+        assert_eq!(client.got().await.expect("all it asked for").kind, ANSWER);
     }
-    assert_eq!(owner.got().await, None);
+    assert_eq!(client.got().await, None);
 }
 
 /// What can't be read comes after a set-up on the same connection: that one still ends with an answer.
 #[tokio::test]
 async fn what_was_asked_before_bytes_that_are_no_message_is_answered() {
-    let (_host, _placer, mut owner) = alone().await;
-    owner.send(&setup(1, "play", 5_000, "")).await;
-    owner.send(&[0, 3, 1, 2, 3]).await;
-    let end = owner.got().await.expect("an answer");
+    let (_host, _placer, mut client) = alone().await;
+    client.send(&setup(1, "play", 5_000, "")).await;
+    client.send(&[0, 3, 1, 2, 3]).await;
+    let end = client.got().await.expect("an answer");
     assert!((end.kind, end.id) == (RELEASE, 1) && end.cause() != Some(FULL), "{end:?}");
-    assert_eq!(owner.got().await, None);
+    assert_eq!(client.got().await, None);
 }
 
 #[tokio::test]
 async fn who_does_not_read_is_cut() {
     let (_told, placer) = obliged().await;
-    let mut deaf = Owner::connect(placer.address).await;
+    let mut deaf = Client::connect(placer.address).await;
     let test = message(52, 2, &[(194, &[0])]).repeat(1_000);
     soon("the cut", async { while deaf.stream.write_all(&test).await.is_ok() {} }).await;
-    let mut good = Owner::connect(placer.address).await;
+    let mut good = Client::connect(placer.address).await;
     good.send(&setup(7, "play", 1_500, "")).await;
     assert_eq!(good.got().await.unwrap().kind, ANSWER);
     let mut rest = Vec::new();
@@ -393,9 +393,9 @@
     let (_told, placer) = obliged().await;
     let mut silent = Vec::new();
     for _ in 0..200 {
-        silent.push(Owner::connect(placer.address).await);
+        silent.push(Client::connect(placer.address).await);
     }
-    let mut good = Owner::connect(placer.address).await;
+    let mut good = Client::connect(placer.address).await;
     good.send(&setup(7, "play", 1_500, "")).await;
     assert_eq!(good.got().await.unwrap().kind, ANSWER);
     for mut one in silent {
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -1,4 +1,4 @@
-//! Small stand-ins on loopback: an owner, a host and a notice board, with an encoding of their own.
+//! Small stand-ins on loopback: a client, a host and discovery, with an encoding of their own.
 #![allow(dead_code)]
 
 #[path = "../../../platproto/tests/wire/mod.rs"]
@@ -26,13 +26,13 @@
     timeout(LONG, wait).await.unwrap_or_else(|_| panic!("{what}: not within {LONG:?}"))
 }
 
-// ---- Owner ----
+// ---- Client ----
 
-pub struct Owner {
+pub struct Client {
     pub stream: TcpStream,
 }
 
-/// A message as an owner reads it.
+/// A message as a client reads it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Got {
     pub kind: u8,
@@ -69,7 +69,7 @@
     )
 }
 
-impl Owner {
+impl Client {
     pub async fn connect(address: SocketAddr) -> Self {
         Self { stream: soon("connecting", TcpStream::connect(address)).await.expect("the placer listens") }
     }
@@ -187,9 +187,9 @@
     }
 }
 
-// ---- Board ----
+// ---- Discovery ----
 
-/// What a board does with an ask.
+/// What discovery does with an ask.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Mood {
     Well,
@@ -202,27 +202,27 @@
 }
 
 #[derive(Clone)]
-pub struct Board {
+pub struct Discovery {
     pub address: SocketAddr,
     state: Arc<watch::Sender<(Mood, Vec<Value>)>>,
     /// What was asked for, in order.
     pub asked: Arc<Mutex<Vec<String>>>,
 }
 
-impl Board {
+impl Discovery {
     pub async fn new() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("it is bound");
         let (state, _) = watch::channel((Mood::Well, Vec::new()));
-        let board = Self { address, state: Arc::new(state), asked: Arc::default() };
-        let serve = board.clone();
+        let discovery = Self { address, state: Arc::new(state), asked: Arc::default() };
+        let serve = discovery.clone();
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("it listens");
                 tokio::spawn(serve.clone().serve(stream));
             }
         });
-        board
+        discovery
     }
 
     async fn serve(self, stream: TcpStream) {
@@ -259,7 +259,7 @@
 
     /// Waits until what was asked for so far is enough.
     pub async fn until_asked(&self, enough: impl Fn(&[String]) -> bool) {
-        soon("an ask of the board", async {
+        soon("an ask of discovery", async {
             while !enough(&self.asked.lock().expect("no panic")) {
                 tokio::task::yield_now().await;
             }
@@ -291,7 +291,7 @@
 
 pub struct Running {
     pub address: SocketAddr,
-    pub board: Board,
+    pub discovery: Discovery,
     pub path: PathBuf,
     pub ask: mpsc::Sender<Asked>,
     pub served: JoinHandle<()>,
@@ -302,20 +302,20 @@
 pub const SETTINGS: &str = include_str!("settings.json");
 
 /// A configuration whose list holds these hosts.
-pub fn config(address: SocketAddr, board: &Board, hosts: Vec<Value>) -> Value {
+pub fn config(address: SocketAddr, discovery: &Discovery, hosts: Vec<Value>) -> Value {
     json!({"name": "n1", "listen": address, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": board.address,
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": discovery.address,
         "known": {"rev": 1, "notices": [notice(1, true, hosts)]},
         "settings": serde_json::from_str::<Value>(SETTINGS).expect("JSON")})
 }
 
 /// A placer on loopback that knows these hosts.
 pub async fn placer(hosts: Vec<Value>) -> Running {
-    let board = Board::new().await;
-    board.tell(true, hosts.clone());
+    let discovery = Discovery::new().await;
+    discovery.tell(true, hosts.clone());
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it is bound");
-    let config = config(address, &board, hosts);
+    let config = config(address, &discovery, hosts);
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("config.json");
     std::fs::write(&path, config.to_string()).expect("it can be written");
@@ -323,23 +323,23 @@
     let (ask, asked) = mpsc::channel(4);
     let serving = path.clone();
     let served = tokio::spawn(async move { reedring_platform::serve(&serving, read, listener, asked).await });
-    Running { address, board, path, ask, served, config, _folder: folder }
+    Running { address, discovery, path, ask, served, config, _folder: folder }
 }
 
 impl Running {
-    /// Replaces the configuration's board.
-    pub fn configure(&mut self, board: &Board) {
-        self.config["board"] = json!(board.address);
+    /// Replaces the configuration's discovery.
+    pub fn configure(&mut self, discovery: &Discovery) {
+        self.config["board"] = json!(discovery.address);
         std::fs::write(&self.path, self.config.to_string()).expect("it can be written");
     }
 }
 
-/// A host, a placer that knows it alone, and an owner of that placer.
-pub async fn alone() -> (Host, Running, Owner) {
+/// A host, a placer that knows it alone, and a client of that placer.
+pub async fn alone() -> (Host, Running, Client) {
     let host = Host::new().await;
     let placer = placer(vec![host.line("h-1", "east", "active")]).await;
-    let owner = Owner::connect(placer.address).await;
-    (host, placer, owner)
+    let client = Client::connect(placer.address).await;
+    (host, placer, client)
 }
 
 /// A placer with one host that answers every set-up, and what that host was asked.
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! An engine in simulated time: owners, hosts and connections that do anything that sockets allow.
+//! An engine in simulated time: clients, hosts and connections that do anything that sockets allow.
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -66,7 +66,7 @@
     port: u16,
 }
 
-/// What an owner has heard of one set-up.
+/// What a client has heard of one set-up.
 #[derive(Clone, Debug, Default)]
 pub struct Heard {
     pub class: String,
@@ -75,7 +75,7 @@
     pub failures: u32,
     /// Releases after the answer.
     pub ends: u32,
-    /// Its owner went, or took it back.
+    /// Its client went, or took it back.
     pub withdrawn: bool,
     /// An attempt may have run.
     pub ran: bool,
@@ -93,7 +93,7 @@
     pub now: u64,
     pub rng: Pcg32,
     pub heard: BTreeMap<u64, Heard>,
-    pub owners: BTreeSet<ConnId>,
+    pub clients: BTreeSet<ConnId>,
     links: BTreeMap<LinkId, (u16, bool)>,
     /// Attempts that are out at a host, by id.
     live: BTreeMap<u64, Live>,
@@ -105,7 +105,7 @@
     planned: u64,
     pub finished: bool,
     pub to_hosts: Vec<(LinkId, ToHost)>,
-    pub to_owners: Vec<(ConnId, ToOwner)>,
+    pub to_clients: Vec<(ConnId, ToOwner)>,
     /// Hosts do as they please; else they answer each set-up.
     pub unruly: bool,
     /// How every new connection to a host ends; `None`: it stands.
@@ -121,17 +121,17 @@
 
 impl World {
     pub fn new(seed: u64, hosts: &[String]) -> Self {
-        let settings = reedring::told::read(SETTINGS).expect("the settings are whole");
-        let bounds = Bounds { all: 40, owners: 16, door: 2, kept: 16, links_each: 4 };
+        let settings = reedring::settings::read(SETTINGS).expect("the settings are whole");
+        let bounds = Bounds { all: 40, clients: 16, overflow: 2, kept: 16, links_each: 4 };
         let now = 1_700_000_000 * SECOND;
         let known = told(1, true, hosts);
-        let engine = Engine::new(Start { now, seed, told: settings, known, bounds });
+        let engine = Engine::new(Start { now, seed, settings, known, bounds });
         let mut world = Self {
             engine,
             now,
             rng: Pcg32::new(seed, 3),
             heard: BTreeMap::new(),
-            owners: BTreeSet::new(),
+            clients: BTreeSet::new(),
             links: BTreeMap::new(),
             live: BTreeMap::new(),
             standing: BTreeMap::new(),
@@ -140,7 +140,7 @@
             planned: 0,
             finished: false,
             to_hosts: Vec::new(),
-            to_owners: Vec::new(),
+            to_clients: Vec::new(),
             unruly: false,
             connects: None,
             slow: None,
@@ -187,8 +187,8 @@
     pub fn connect(&mut self) -> ConnId {
         self.next_conn += 1;
         let conn = self.next_conn;
-        self.owners.insert(conn);
-        self.tell(Input::OwnerCame(conn));
+        self.clients.insert(conn);
+        self.tell(Input::ClientCame(conn));
         conn
     }
 
@@ -197,13 +197,13 @@
             let heard = self.heard.entry(setup.id).or_default();
             heard.class = setup.class.clone();
         }
-        self.tell(Input::Owner(conn, Ok(FromOwner::Setup(Box::new(setup)))));
+        self.tell(Input::Client(conn, Ok(FromOwner::Setup(Box::new(setup)))));
     }
 
-    /// The owner closes.
+    /// The client closes.
     pub fn close(&mut self, conn: ConnId) {
-        if self.owners.remove(&conn) {
-            self.tell(Input::OwnerGone(conn));
+        if self.clients.remove(&conn) {
+            self.tell(Input::ClientGone(conn));
         }
     }
 
@@ -289,13 +289,13 @@
 
     fn carry_out(&mut self, output: Output) {
         match output {
-            Output::ToOwner(conn, message) => {
+            Output::ToClient(conn, message) => {
                 self.hear(conn, &message);
-                self.to_owners.push((conn, message));
+                self.to_clients.push((conn, message));
             }
-            Output::CloseOwner(conn) => {
-                self.owners.remove(&conn);
-                self.later(0, Input::OwnerGone(conn));
+            Output::CloseClient(conn) => {
+                self.clients.remove(&conn);
+                self.later(0, Input::ClientGone(conn));
             }
             Output::Connect(link, address) => {
                 self.links.insert(link, (address.port(), false));
@@ -328,7 +328,7 @@
     }
 
     fn hear(&mut self, conn: ConnId, message: &ToOwner) {
-        assert!(self.owners.contains(&conn), "written to a connection that was closed");
+        assert!(self.clients.contains(&conn), "written to a connection that was closed");
         match message {
             ToOwner::Answer { id, description } => {
                 let heard = self.heard.entry(*id).or_default();
@@ -360,7 +360,7 @@
                 let heard = self.heard.entry(id).or_default();
                 assert!(!heard.ran || class != "print", "{id} may have run and is sent again");
                 assert!(heard.finals() == 0, "{id} is sent after its answer");
-                assert!(!heard.withdrawn, "{id} is sent after its owner went");
+                assert!(!heard.withdrawn, "{id} is sent after its client went");
                 let other = self.live.insert(id, Live { link, port });
                 assert!(other.is_none(), "{id} is out twice");
                 self.answer(link, id);
--- a/crates/platproto/src/board.rs
+++ b/crates/platproto/src/board.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use reedring::told::Told as Settings;
+use reedring::settings::Deployment as Settings;
 use serde::Deserialize;
 
 /// Events, numbered from 1 at each start of a placer.
--- a/crates/platproto/src/config.rs
+++ b/crates/platproto/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use reedring::told::{self, Told as Settings};
+use reedring::settings::{self, Deployment as Settings};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -81,7 +81,7 @@
     /// Where any part of it can't be used.
     pub fn read(text: &str) -> Result<Self, Error> {
         let file: File = serde_json::from_str(text)?;
-        let settings = told::read(file.settings.get()).map_err(Error::Settings)?;
+        let settings = settings::read(file.settings.get()).map_err(Error::Settings)?;
         file.known.check(&Names::from(&settings))?;
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(Error::Sockets(file.limits.sockets));
--- a/src/bin/reedring-drill/main.rs
+++ b/src/bin/reedring-drill/main.rs
@@ -9,7 +9,7 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use reedring::{Action, Event, Listing, Machine, Micros, Placer, told};
+use reedring::{Action, Event, Listing, Machine, Micros, Placer, settings};
 use wire::{HEADER, How, Record, Reply};
 
 struct Instance {
@@ -92,10 +92,11 @@
                 }
                 Record::Init(seed, text) => {
                     let at = current.ok_or_else(|| format!("record {n}: placer: Init before At"))?;
-                    let told = told::read(&text).map_err(|error| format!("record {n}: settings: {error}"))?;
-                    let placer = Placer::new(told.settings, seed);
+                    let deployment =
+                        settings::read(&text).map_err(|error| format!("record {n}: settings: {error}"))?;
+                    let placer = Placer::new(deployment.module, seed);
                     waiting.remove(&at);
-                    self.instances.insert(at, Instance { placer, lists_free: told.lists_free });
+                    self.instances.insert(at, Instance { placer, lists_free: deployment.lists_free });
                 }
                 Record::Exit => {
                     let at = started(current, &self.instances)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,8 +61,8 @@
 mod load;
 pub mod logic;
 pub mod names;
+pub mod settings;
 pub mod timers;
-pub mod told;
 
 pub use api::*;
 pub use logic::Placer;
--- a/src/told.rs
+++ b/src/settings.rs
@@ -1,4 +1,4 @@
-//! The settings that a placer is told as JSON, by the simulator's first message and by the platform's
+//! The settings of a deployment as JSON, from the simulator's first message and by the platform's
 //! configuration alike.
 
 use serde::Deserialize;
@@ -7,11 +7,11 @@
     Class, Effect, Group, Kind, Micros, Place, Prices, ReportField, ReportStyle, Rules, Settings,
 };
 
-/// What a placer is told: the module's settings, and what concerns only those who speak for it.
+/// A deployment's settings: the module's settings, and what concerns only those who speak for it.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Told {
+pub struct Deployment {
     /// The settings of the module.
-    pub settings: Settings,
+    pub module: Settings,
     /// List lines tell what is free.
     pub lists_free: bool,
     /// Names of the classes, by number.
@@ -26,7 +26,7 @@
     pub report: Vec<String>,
     /// Idle connections to machines are closed after this time.
     pub idle_close_us: Option<Micros>,
-    /// How long an owner waits for an answer, in the class that waits longest.
+    /// How long a client waits for an answer, in the class that waits longest.
     pub longest_wait_us: Option<Micros>,
     /// Most set-ups on one connection to a machine.
     pub per_connection: Option<usize>,
@@ -174,11 +174,11 @@
     must_ask_in_us: Option<Micros>,
 }
 
-/// Reads what is told.
+/// Reads the settings JSON.
 ///
 /// # Errors
 /// Where the text is no JSON or lacks what every site tells.
-pub fn read(text: &str) -> Result<Told, serde_json::Error> {
+pub fn read(text: &str) -> Result<Deployment, serde_json::Error> {
     let wire: Wire = serde_json::from_str(text)?;
     let (facts, limits) = (wire.specifics, wire.policy_limits);
     let nth = |list: &Option<Vec<f64>>, n: usize| list.as_ref().and_then(|l| l.get(n).copied());
@@ -208,7 +208,7 @@
         spread: place(n),
         calm: nth(&facts.easy_until, n),
     };
-    let settings = Settings {
+    let module = Settings {
         schedulers: wire.n_instances,
         zone: wire.zone,
         classes: wire.classes.iter().enumerate().map(class).collect(),
@@ -253,8 +253,8 @@
         }),
     };
     let longest_wait_us = wire.classes.iter().filter_map(|class| class.hard_limit_us).max();
-    Ok(Told {
-        settings,
+    Ok(Deployment {
+        module,
         lists_free: facts.lists_free == Some(true),
         classes: wire.classes.into_iter().map(|class| class.name).collect(),
         tenants: wire.tenants.into_iter().map(|tenant| tenant.name).collect(),
