Kills: a client that waits leaves only when nothing was submitted during its last call

Cause: one test run of crates/cli failed beside other busy processes: 'no outcome: ...1' to '...6', the last six ids of one session, which is the bulk that its submitter had a call out for when the trial was over. The waiting thread looked at 'over' after its call had answered that there is no job, and left (crates/site/src/kills.rs, waits). Ruled out: the placer (313 acknowledged, 307 placed, no end told twice, the ledger whole after each kill).

Change: the submitter says when its last call is over, and the flag is read before the call. No assertion changes.

--- a/crates/site/src/kills.rs
+++ b/crates/site/src/kills.rs
@@ -96,7 +96,7 @@
 type Client = std::thread::JoinHandle<Result<(), reedring_client::drmaa::Error>>;
 
 /// One client submits small batches of all classes, ...
-fn submits(session: Arc<Session>, told: Arc<Told>, mut draw: Pcg32) -> Client {
+fn submits(session: Arc<Session>, told: Arc<Told>, mut draw: Pcg32, done: Arc<AtomicBool>) -> Client {
     std::thread::spawn(move || {
         while !told.over.load(Ordering::Relaxed) {
             let class = ["play", "capture", "edition"][draw.next_u32() as usize % 3];
@@ -109,21 +109,24 @@
             lock(&told.taken).extend(jobs);
             std::thread::sleep(Duration::from_millis(u64::from(draw.next_u32() % 10)));
         }
+        done.store(true, Ordering::Relaxed);
         Ok(())
     })
 }
 
 /// ... and another thread of it waits for any job until none is left.
-fn waits(session: Arc<Session>, told: Arc<Told>) -> Client {
+fn waits(session: Arc<Session>, told: Arc<Told>, done: Arc<AtomicBool>) -> Client {
     std::thread::spawn(move || {
         loop {
+            // Before the call: what is submitted during it is not among what it looked at.
+            let last = done.load(Ordering::Relaxed);
             match session.wait(None, Some(Duration::from_secs(5))) {
                 Ok(info) => {
                     let outcome = info.usage("reedring.outcome").unwrap_or("none").to_owned();
                     lock(&told.outcomes).insert(info.job, outcome);
                 }
                 Err(error) if error.code == ErrorCode::InvalidJob => {
-                    if told.over.load(Ordering::Relaxed) {
+                    if last {
                         return Ok(());
                     }
                     std::thread::sleep(Duration::from_millis(1));
@@ -166,8 +169,9 @@
         let mut sessions = Vec::new();
         for n in 0..3 {
             let session = Arc::new(Session::open(&contact).map_err(client)?);
-            clients.push(submits(Arc::clone(&session), Arc::clone(&told), Pcg32::new(self.seed, 10 + n)));
-            clients.push(waits(Arc::clone(&session), Arc::clone(&told)));
+            let (draw, done) = (Pcg32::new(self.seed, 10 + n), Arc::new(AtomicBool::new(false)));
+            clients.push(submits(Arc::clone(&session), Arc::clone(&told), draw, Arc::clone(&done)));
+            clients.push(waits(Arc::clone(&session), Arc::clone(&told), done));
             sessions.push(session);
         }
         for _ in 0..self.count {
