--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -1,20 +1,25 @@
 //! Clients: their connections, what they ask, and the ends that are owed to them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use reedring::names::machine_id;
-use reedring::{Event, Micros, RequestId, ServiceId, Task, TaskKey};
+use reedring::{Event, Micros, Outcome, RequestId, ServiceId, Task, TaskKey};
 use reedring_platproto::board::number;
 use reedring_platproto::owner::{FromOwner, Setup, ToOwner, Unusable};
 use reedring_platproto::{CANCELLED, CUT, ERROR};
 
-use crate::decide::{self, Route};
-use crate::engine::{Engine, Phase};
+use crate::decide::{self, Leaving, Parting, Route, Stage};
+use crate::engine::{Engine, Out, Phase, Request, Timer};
 use crate::io::{ConnId, Output};
 
 /// A client that says nothing of use for so long is closed on. One that was answered is not: it may be the only
 /// way to tell the ends of its tasks, and goes when its place is needed.
 const SILENCE_US: Micros = 2_400_000;
+/// A client that asks and says at once that it said all may have its first attempts for this long: a quarter of
+/// the 0.1 s after which none may begin for one that has gone, as what is late on its way counts too.
+const MOMENT_US: Micros = 25_000;
+/// For so long arrivals wait for what their client said after them to be read.
+const READ_US: Micros = 50_000;
 /// Messages that can't be used, one after the other, after which a connection is closed.
 const MOST_UNUSABLE: u32 = 16;
 /// Ends are told again if their connection ends this soon after.
@@ -37,10 +42,22 @@
     /// It says nothing more: it is closed once nothing is open on it.
     ended: bool,
     closing: bool,
+    /// It is closed if it said nothing meanwhile.
+    leaving: bool,
+    /// Some of what it said was not read yet.
+    more: bool,
+    /// Arrivals of which the module was not told yet.
+    fresh: VecDeque<RequestId>,
     /// It came when all places were taken by such as wait for answers: what it asks for fails at once.
     in_overflow: bool,
 }
 
+impl Conn {
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && !self.closing && !self.leaving
+    }
+}
+
 /// The end of a task that its client is to hear of.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct End {
@@ -65,11 +82,137 @@
         }
     }
 
-    /// A client that said all it has to say still gets its answers.
-    pub(crate) fn client_ended(&mut self, conn: ConnId) {
+    pub(crate) fn client_read(&mut self, conn: ConnId, more: bool) {
         if let Some(entry) = self.conns.get_mut(&conn) {
-            entry.ended = true;
-            self.close_ended(conn);
+            entry.more = more;
+        }
+    }
+
+    /// A client that said all it has to say has gone, or waits for its answers.
+    pub(crate) fn client_ended(&mut self, now: Micros, conn: ConnId) {
+        let Some(entry) = self.conns.get_mut(&conn) else { return };
+        (entry.ended, entry.more) = (true, false);
+        let open: Vec<u64> = entry.open.iter().copied().collect();
+        let moments = open.into_iter().filter(|id| self.part(now, *id, Leaving::Ended) == Parting::Moment);
+        if moments.count() > 0 {
+            self.timers.set(now + MOMENT_US, Timer::Gone(conn));
+        }
+        self.close_ended(conn);
+    }
+
+    pub(crate) fn client_ended_long(&mut self, now: Micros, conn: ConnId) {
+        let open: Vec<u64> = self.conns.get(&conn).into_iter().flat_map(|entry| entry.open.clone()).collect();
+        for id in open {
+            self.part(now, id, Leaving::EndedLong);
+        }
+    }
+
+    fn stage(&self, entry: &Request) -> Stage {
+        let unsent = |out: &Out| self.links.get(&out.link).is_some_and(|link| !link.is_up());
+        match entry.phase {
+            Phase::Open if !entry.told => Stage::Fresh,
+            Phase::Open => match &entry.out {
+                None => Stage::Held,
+                Some(out) if unsent(out) => Stage::Connecting,
+                Some(_) => Stage::Out,
+            },
+            Phase::Standing { .. } => Stage::Standing,
+            Phase::Ending { .. } | Phase::Closed => Stage::Over,
+        }
+    }
+
+    /// What becomes of a request whose client leaves, and that it comes to be.
+    fn part(&mut self, now: Micros, id: u64, leaving: Leaving) -> Parting {
+        let Some((request, stage)) = self.request_of(id).map(|(request, entry)| (request, self.stage(entry)))
+        else {
+            return Parting::Nothing;
+        };
+        let parting = decide::parting(stage, leaving);
+        match parting {
+            Parting::Nothing | Parting::Moment => {}
+            Parting::Answer | Parting::LastAttempt => self.last(now, request),
+            Parting::Recall => {
+                self.recall(request);
+                self.last(now, request);
+            }
+            Parting::GiveUp => {
+                // What waits for a connection would begin when it stands, whether attempts may be stopped or not.
+                self.recall(request);
+                if self.close(request).is_some() {
+                    self.events.push(Event::Withdrawn(request));
+                }
+            }
+            Parting::End => self.cut(now, request, CANCELLED),
+        }
+        parting
+    }
+
+    /// Takes an attempt back that waits for a connection.
+    fn recall(&mut self, request: RequestId) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let (id, Some(out)) = (entry.setup.id, entry.out) else { return };
+        if self.unsend(out.link, id) {
+            self.take_back(request, Outcome::Unsent, None, Vec::new());
+        }
+    }
+
+    /// No attempt begins any more: the module gives the final answer as soon as none is out.
+    fn last(&mut self, now: Micros, request: RequestId) {
+        if self.requests.get(&request).is_some_and(|entry| !entry.told) {
+            self.tell_module(now, request, true);
+        } else if let Some(entry) = self.requests.get_mut(&request).filter(|entry| !entry.last) {
+            entry.last = true;
+            self.events.push(Event::Last(request));
+        }
+    }
+
+    /// Tells the module of an arrival; of one whose client has gone so that it answers it at once.
+    fn tell_module(&mut self, now: Micros, request: RequestId, last: bool) {
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        (entry.told, entry.last) = (true, last);
+        let grace_us = if last { 0 } else { entry.deadline.saturating_sub(now) };
+        if let Some(Ok(task)) = self.requests.get(&request).map(|entry| self.task(&entry.setup)) {
+            self.events.push(Event::Arrived { task: Task { request, ..task }, grace_us });
+        }
+    }
+
+    /// When the arrivals of a connection have their turn: at once, or, where more of it is to be read, once that was or
+    /// could have been, as they may be taken back there.
+    fn turn(&self, conn: ConnId) -> Option<Micros> {
+        let entry = self.conns.get(&conn)?;
+        let came =
+            entry.fresh.front().and_then(|first| self.requests.get(first)).map_or(0, |first| first.came);
+        Some(if entry.more { came + READ_US } else { 0 })
+    }
+
+    /// When the next arrival has its turn.
+    pub(crate) fn next_turn(&self) -> Option<Micros> {
+        self.turns.iter().filter_map(|conn| self.turn(*conn)).min()
+    }
+
+    /// Tells the module of the next `most` arrivals, each connection's in turn.
+    pub(crate) fn hand_over(&mut self, now: Micros, most: usize) {
+        let (mut told, mut passed) = (0, 0);
+        while told < most && passed < self.turns.len() {
+            let Some(conn) = self.turns.pop_front() else { return };
+            let Some(due) = self.turn(conn) else { continue };
+            if due > now {
+                self.turns.push_back(conn);
+                passed += 1;
+                continue;
+            }
+            let Some(entry) = self.conns.get_mut(&conn) else { continue };
+            let next = entry.fresh.pop_front();
+            if !entry.fresh.is_empty() {
+                self.turns.push_back(conn);
+            }
+            let open = |request: &RequestId| {
+                self.requests.get(request).is_some_and(|entry| entry.phase == Phase::Open && !entry.told)
+            };
+            if let Some(request) = next.filter(open) {
+                (told, passed) = (told + 1, 0);
+                self.tell_module(now, request, false);
+            }
         }
     }
 
@@ -80,24 +223,25 @@
     }
 
     /// Whoever can't be read is closed on; what it had asked for ends with that.
-    pub(crate) fn client_spoilt(&mut self, conn: ConnId, why: &str) {
+    pub(crate) fn client_spoilt(&mut self, now: Micros, conn: ConnId, why: &str) {
         self.log(format!("client {conn}: closed: {why}"));
         let Some(entry) = self.conns.get_mut(&conn) else { return };
         for id in std::mem::take(&mut entry.open) {
             self.send_client(conn, ToOwner::failure(id, CUT));
-            self.withdraw(id);
+            self.part(now, id, Leaving::Reset);
         }
         self.close_client(conn);
     }
 
     pub(crate) fn client_came(&mut self, now: Micros, conn: ConnId) {
         let mut in_overflow = false;
-        if self.conns.len() >= self.bounds.clients {
-            let idle = |conn: &Conn| conn.open.is_empty() && !conn.closing && !conn.in_overflow;
+        let leaving = self.conns.values().filter(|conn| conn.leaving && !conn.closing).count();
+        if self.conns.len() - leaving >= self.bounds.clients {
+            let idle = |conn: &Conn| conn.is_idle() && !conn.in_overflow;
             let idle = self.conns.iter().filter(|(_, conn)| idle(conn));
             let oldest = idle.min_by_key(|(_, conn)| (conn.answered, conn.heard_at)).map(|(id, _)| *id);
             match oldest {
-                Some(oldest) => self.close_client(oldest),
+                Some(oldest) => self.close_idle_client(oldest),
                 None if self.conns.len() < self.bounds.clients + self.bounds.overflow => in_overflow = true,
                 None => return self.outputs.push_back(Output::CloseClient(conn)),
             }
@@ -113,9 +257,19 @@
         }
     }
 
+    /// Closes on a client that is idle, unless it says something before it learns of that.
+    fn close_idle_client(&mut self, conn: ConnId) {
+        if let Some(entry) = self.conns.get_mut(&conn).filter(|entry| !entry.closing && !entry.leaving) {
+            entry.leaving = true;
+            self.outputs.push_back(Output::CloseIdleClient(conn));
+        }
+    }
+
     pub(crate) fn client_gone(&mut self, now: Micros, conn: ConnId) {
         let Some(gone) = self.conns.remove(&conn) else { return };
-        gone.open.into_iter().for_each(|id| self.withdraw(id));
+        for id in gone.open {
+            self.part(now, id, Leaving::Reset);
+        }
         // An end that was just written may have crossed the close.
         let crossed: Vec<u64> =
             self.told_ends.iter().filter(|(_, (to, _))| *to == conn).map(|(id, _)| *id).collect();
@@ -126,17 +280,9 @@
         }
     }
 
-    /// The client waits no more.
-    fn withdraw(&mut self, id: u64) {
-        if let Some(request) = self.by_id.get(&id).copied()
-            && self.close(request).is_some()
-        {
-            self.events.push(Event::Withdrawn(request));
-        }
-    }
-
     pub(crate) fn client_says(&mut self, now: Micros, conn: ConnId, message: Result<FromOwner, Unusable>) {
         let Some(entry) = self.conns.get_mut(&conn).filter(|entry| !entry.closing) else { return };
+        entry.leaving = false;
         match message {
             Ok(FromOwner::Setup(setup)) => self.setup(now, conn, *setup),
             Ok(FromOwner::Release { id, .. }) => self.client_releases(now, conn, id),
@@ -147,15 +293,15 @@
             }
             Ok(FromOwner::Released(id)) => drop(self.told_ends.remove(&id)),
             Ok(FromOwner::Free) => {}
-            Err(Unusable { id, why }) => self.unusable(conn, id, &why),
+            Err(Unusable { id, why }) => self.unusable(now, conn, id, &why),
         }
     }
 
-    fn unusable(&mut self, conn: ConnId, id: u64, why: &str) {
+    fn unusable(&mut self, now: Micros, conn: ConnId, id: u64, why: &str) {
         self.log(format!("client {conn}: turned away: message on {id:016x}: {why}"));
         // One whole answer at most for one id on one connection: what is open under it ends with this.
         if self.conns.get_mut(&conn).is_some_and(|entry| entry.open.remove(&id)) {
-            self.withdraw(id);
+            self.part(now, id, Leaving::Cancelled);
         }
         self.send_client(conn, ToOwner::failure(id, ERROR));
         let Some(entry) = self.conns.get_mut(&conn) else { return };
@@ -166,31 +312,26 @@
     }
 
     fn client_releases(&mut self, now: Micros, conn: ConnId, id: u64) {
-        let Some((request, phase, home)) = self.request_of(id).map(|(r, entry)| (r, entry.phase, entry.conn))
-        else {
+        let Some((phase, home)) = self.request_of(id).map(|(_, entry)| (entry.phase, entry.conn)) else {
             return;
         };
-        match phase {
-            // Only who asked may take it back.
-            Phase::Open if home == conn => {
-                self.closed_on(conn, id);
-                self.withdraw(id);
-            }
-            Phase::Standing { .. } => {
-                if let Some(entry) = self.conns.get_mut(&conn) {
-                    entry.heard_at = now;
-                }
-                self.cut(now, request, CANCELLED);
-            }
-            _ => {}
+        // Only who asked may take back what is open; a task that stands belongs to no connection.
+        if phase == Phase::Open && home != conn {
+            return;
+        }
+        if phase == Phase::Open {
+            self.closed_on(conn, id);
+        } else if let Some(entry) = self.conns.get_mut(&conn) {
+            entry.heard_at = now;
         }
+        self.part(now, id, Leaving::Cancelled);
     }
 
     fn setup(&mut self, now: Micros, conn: ConnId, setup: Setup) {
         let id = setup.id;
         let task = match self.task(&setup) {
             Ok(task) => task,
-            Err(why) => return self.unusable(conn, id, &why),
+            Err(why) => return self.unusable(now, conn, id, &why),
         };
         let known = self.request_of(id).map(|(_, entry)| (entry.phase, entry.conn));
         if let Some(host) = &setup.at {
@@ -215,19 +356,25 @@
             Some((Phase::Standing { .. } | Phase::Ending { .. }, home)) if home == conn => {
                 return self.close_client(conn);
             }
-            Some(_) => return self.unusable(conn, id, "this id is open"),
+            Some(_) => return self.unusable(now, conn, id, "this id is open"),
         }
         if self.conns.get(&conn).is_some_and(|conn| conn.in_overflow) {
             self.send_client(conn, ToOwner::failure(id, CUT));
             return self.close_client(conn);
         }
-        if let Some(conn) = self.conns.get_mut(&conn) {
-            conn.open.insert(id);
-            (conn.heard_at, conn.good, conn.unusable) = (now, true, 0);
+        if self.waiting + setup.description.len() > self.bounds.waiting {
+            self.log(format!("client {conn}: turned away: set-ups hold {} bytes", self.waiting));
+            return self.send_client(conn, ToOwner::failure(id, CUT));
         }
         let request = self.new_request(now, setup, conn, Phase::Open);
-        let grace_us = self.requests[&request].deadline - now;
-        self.events.push(Event::Arrived { task: Task { request, ..task }, grace_us });
+        if let Some(entry) = self.conns.get_mut(&conn) {
+            entry.open.insert(id);
+            (entry.heard_at, entry.good, entry.unusable) = (now, true, 0);
+            if entry.fresh.is_empty() {
+                self.turns.push_back(conn);
+            }
+            entry.fresh.push_back(request);
+        }
         self.tell_owed(now);
     }
 
@@ -284,12 +431,13 @@
 
     /// The connection on which an end is told.
     pub(crate) fn route(&self, home: ConnId) -> Option<ConnId> {
-        if self.conns.get(&home).is_some_and(|conn| !conn.closing) {
+        if self.conns.get(&home).is_some_and(|conn| !conn.closing && !conn.leaving) {
             return Some(home);
         }
-        let routes = self.conns.iter().filter(|(_, conn)| !conn.closing).map(|(id, conn)| {
-            (*id, Route { answered: conn.answered, good: conn.good, heard_at: conn.heard_at })
-        });
+        let routes =
+            self.conns.iter().filter(|(_, conn)| !conn.closing && !conn.leaving).map(|(id, conn)| {
+                (*id, Route { answered: conn.answered, good: conn.good, heard_at: conn.heard_at })
+            });
         decide::which_route(routes)
     }
 
@@ -302,10 +450,10 @@
 
     pub(crate) fn sweep_clients(&mut self, now: Micros) {
         let over = |(_, conn): &(&ConnId, &Conn)| {
-            conn.open.is_empty() && !conn.closing && !conn.answered && conn.heard_at + SILENCE_US <= now
+            conn.is_idle() && !conn.answered && conn.heard_at + SILENCE_US <= now
         };
         let idle: Vec<ConnId> = self.conns.iter().filter(over).map(|(id, _)| *id).collect();
-        idle.into_iter().for_each(|conn| self.close_client(conn));
+        idle.into_iter().for_each(|conn| self.close_idle_client(conn));
         self.ends.retain(|end| now < end.at + OWED_US);
         self.told_ends.retain(|_, (_, end)| now < end.at + TOLD_US);
     }
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use reedring_net::Backoff;
 use reedring_platproto::board::{Names, Told};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
@@ -27,6 +27,24 @@
 
 type Sender = SendRequest<Empty<Bytes>>;
 
+/// A socket that is made before it is needed: whoever fills the descriptors meanwhile keeps nobody from asking again.
+#[derive(Default)]
+struct Spare(Option<TcpSocket>);
+
+impl Spare {
+    /// Makes one where there is none; without a descriptor left it is tried again later.
+    fn keep(&mut self, address: SocketAddr) {
+        let new = || if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        self.0 = self.0.take().or_else(|| new().ok());
+    }
+
+    async fn connect(&mut self, address: SocketAddr) -> Result<TcpStream, String> {
+        self.keep(address);
+        let socket = self.0.take().ok_or("no descriptor is left")?;
+        socket.connect(address).await.map_err(|error| format!("{address}: {error}"))
+    }
+}
+
 /// Polls until the placer ends. An address that `addresses` names later is asked at once.
 pub(crate) async fn poll(
     mut addresses: watch::Receiver<SocketAddr>,
@@ -34,11 +52,12 @@
     mut rev: u64,
     came: mpsc::Sender<Input>,
 ) {
-    let (mut waits, mut sender, mut lost) = (WAITS, None, false);
+    let (mut waits, mut sender, mut lost, mut spare) = (WAITS, None, false, Spare::default());
     loop {
         let address = *addresses.borrow_and_update();
+        spare.keep(address);
         let asked = tokio::select! {
-            asked = ask(address, &mut sender, rev, &names) => asked,
+            asked = ask(address, &mut sender, &mut spare, rev, &names) => asked,
             changed = addresses.changed() => {
                 if changed.is_err() {
                     return;
@@ -77,6 +96,7 @@
 async fn ask(
     address: SocketAddr,
     sender: &mut Option<Sender>,
+    spare: &mut Spare,
     rev: u64,
     names: &Names,
 ) -> Result<Told, String> {
@@ -84,7 +104,7 @@
     let asked = timeout(most, async {
         let mut open = match sender.take().filter(|sender| !sender.is_closed()) {
             Some(open) => open,
-            None => connect(address).await?,
+            None => connect(address, spare).await?,
         };
         let (told, whole) = exchange(&mut open, address, rev, names).await?;
         if whole {
@@ -95,8 +115,10 @@
     asked.await.unwrap_or_else(|_| Err(format!("no answer within {} ms", most.as_millis())))
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, String> {
-    let stream = TcpStream::connect(address).await.map_err(|error| format!("{address}: {error}"))?;
+async fn connect(address: SocketAddr, spare: &mut Spare) -> Result<Sender, String> {
+    let stream = spare.connect(address).await?;
+    // The next one, while this one still holds its own.
+    spare.keep(address);
     let _ = stream.set_nodelay(true);
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| format!("{address}: {error}"))?;
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -25,6 +25,9 @@
 /// little: what stands goes on, and its ends are told until it goes.
 const STAY_US: Micros = 3_000_000;
 const STAY_MORE_US: Micros = 400_000;
+/// Arrivals that the module is told of at once, before others get their turn: what is cancelled or ends meanwhile
+/// is known before the next.
+const TURN: usize = 32;
 /// Kept in hand of a client's time, for the way of the last answer.
 const ANSWER_US: Micros = 10_000;
 /// How long a connection may take where no time-out is told.
@@ -48,6 +51,8 @@
     pub kept: usize,
     /// Connections to one host.
     pub links_each: usize,
+    /// Bytes of set-ups that wait for their answer.
+    pub waiting: usize,
 }
 
 impl Bounds {
@@ -57,7 +62,9 @@
         let sockets = limits.sockets;
         let kept = sockets / 3 + sockets / 16;
         let (all, clients, overflow) = (sockets - OWN_SOCKETS, sockets / 2, sockets / 16);
-        Self { all, clients, overflow, kept, links_each: LINKS_EACH }
+        // An eighth of the memory; outboxes may hold another.
+        let waiting = (limits.memory_mb as usize * 1024 * 1024 / 8).max(64 * 1024);
+        Self { all, clients, overflow, kept, links_each: LINKS_EACH, waiting }
     }
 
     /// Connections to hosts, beside so many of clients.
@@ -122,6 +129,14 @@
     pub attempts: u16,
     pub out: Option<Out>,
     pub phase: Phase,
+    /// When it came.
+    pub came: Micros,
+    /// The module was told of it.
+    pub told: bool,
+    /// No attempt begins any more: its client has gone.
+    pub last: bool,
+    /// Bytes that it holds while it waits for its answer.
+    pub weight: usize,
 }
 
 /// What a timer is for. None is ever withdrawn: what it asks is checked when it comes due.
@@ -135,6 +150,8 @@
     Probe(u64),
     /// A host that holds tasks may be due to be connected to again.
     Reconnect(MachineId),
+    /// A client ended a moment ago.
+    Gone(ConnId),
     /// Idle connections and old records are looked through.
     Sweep,
 }
@@ -181,6 +198,10 @@
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// Requests by the id on the wire.
     pub(crate) by_id: BTreeMap<u64, RequestId>,
+    /// Connections with arrivals of which the module was not told yet, in turn.
+    pub(crate) turns: VecDeque<ConnId>,
+    /// Bytes of set-ups that wait for their answer.
+    pub(crate) waiting: usize,
     pub(crate) probes: BTreeMap<u64, Probe>,
     /// Ends of tasks that clients are to hear of.
     pub(crate) ends: Vec<End>,
@@ -192,7 +213,7 @@
     pub(crate) timers: Timers<Timer>,
     pub(crate) events: Vec<Event>,
     pub(crate) outputs: VecDeque<Output>,
-    placer: Placer,
+    pub(crate) placer: Placer,
     last_request: u64,
     last_probe: u64,
     /// Since when it is to end.
@@ -217,6 +238,8 @@
             on_list: 0,
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
+            turns: VecDeque::new(),
+            waiting: 0,
             probes: BTreeMap::new(),
             ends: Vec::new(),
             told_ends: BTreeMap::new(),
@@ -239,7 +262,13 @@
 
     /// When [`Engine::flush`] must be called at the latest, if no input comes before.
     pub fn next_wake(&self) -> Option<Micros> {
-        if self.events.is_empty() { self.timers.next() } else { Some(0) }
+        let due = if self.events.is_empty() { self.next_turn() } else { Some(0) };
+        due.into_iter().chain(self.timers.next()).min()
+    }
+
+    /// Arrivals wait for their turn.
+    pub fn has_backlog(&self) -> bool {
+        !self.turns.is_empty()
     }
 
     /// The next thing to do.
@@ -267,8 +296,9 @@
         match input {
             Input::ClientCame(conn) => self.client_came(now, conn),
             Input::Client(conn, message) => self.client_says(now, conn, message),
-            Input::ClientEnded(conn) => self.client_ended(conn),
-            Input::ClientSpoilt(conn, why) => self.client_spoilt(conn, &why),
+            Input::ClientRead { conn, more } => self.client_read(conn, more),
+            Input::ClientEnded(conn) => self.client_ended(now, conn),
+            Input::ClientSpoilt(conn, why) => self.client_spoilt(now, conn, &why),
             Input::ClientGone(conn) => self.client_gone(now, conn),
             Input::LinkUp(link) => self.link_up(now, link),
             Input::Host(link, message) => self.host_says(now, link, message),
@@ -287,6 +317,7 @@
                 Timer::Attempt(attempt) => self.attempt_due(now, attempt),
                 Timer::Probe(id) => self.probe_over(now, id, false, &Figures::new()),
                 Timer::Reconnect(machine) => self.reconnect(now, machine),
+                Timer::Gone(conn) => self.client_ended_long(now, conn),
                 Timer::Sweep => {
                     self.sweep_clients(now);
                     self.sweep_hosts(now);
@@ -294,6 +325,7 @@
                 }
             }
         }
+        self.hand_over(now, TURN);
         if !self.events.is_empty() {
             let (events, mut actions) = (std::mem::take(&mut self.events), Vec::new());
             self.placer.step(now, &events, &mut actions);
@@ -359,17 +391,21 @@
         self.last_request += 1;
         let (request, id) = (RequestId(self.last_request), setup.id);
         let deadline = now + (setup.left_ms * 1_000).saturating_sub(ANSWER_US);
-        let attempts = u16::from(phase != Phase::Open);
+        let (open, weight) = (phase == Phase::Open, setup.description.len() + std::mem::size_of::<Request>());
+        let (attempts, weight) = (u16::from(!open), if open { weight } else { 0 });
+        self.waiting += weight;
         self.by_id.insert(id, request);
-        self.requests.insert(request, Request { setup, conn, deadline, attempts, out: None, phase });
+        let (out, told, last) = (None, !open, false);
+        let entry = Request { setup, conn, deadline, attempts, out, phase, came: now, told, last, weight };
+        self.requests.insert(request, entry);
         request
     }
 
     /// Forgets a request of which nothing is left.
     pub(crate) fn forget(&mut self, request: RequestId) {
-        if let Some(gone) = self.requests.remove(&request)
-            && self.by_id.get(&gone.setup.id) == Some(&request)
-        {
+        let Some(gone) = self.requests.remove(&request) else { return };
+        self.waiting -= gone.weight;
+        if self.by_id.get(&gone.setup.id) == Some(&request) {
             self.by_id.remove(&gone.setup.id);
         }
     }
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -10,6 +10,7 @@
 pub(crate) fn input(input: &Input) -> Option<String> {
     Some(match input {
         Input::ClientCame(conn) => format!("client {conn} came"),
+        Input::ClientRead { .. } => return None,
         Input::ClientEnded(conn) => format!("client {conn} says nothing more"),
         Input::ClientSpoilt(conn, why) => format!("client {conn} can't be read: {why}"),
         Input::ClientGone(conn) => format!("client {conn} went"),
@@ -55,6 +56,7 @@
             ToOwner::Tested { id, passed } => format!("to client {conn}: tested {id:016x}: {passed}"),
         },
         Output::CloseClient(conn) => format!("close client {conn}"),
+        Output::CloseIdleClient(conn) => format!("close client {conn} if it says nothing"),
         Output::Connect(link, address) => format!("link {link} to {address}"),
         Output::ToHost(link, message) => match message {
             ToHost::Setup { id, left_ms, .. } => format!("to link {link}: set-up {id:016x}: {left_ms} ms"),
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -126,6 +126,10 @@
 }
 
 impl Link {
+    pub(crate) fn is_up(&self) -> bool {
+        self.up
+    }
+
     fn is_idle(&self) -> bool {
         self.open.is_empty() && self.probes == 0
     }
@@ -464,17 +468,28 @@
         true
     }
 
-    /// Writes what waited for the connection to stand.
-    fn send_queue(&mut self, id: LinkId) {
+    /// Writes what waited for the connection to stand. A set-up is judged once more: its host may drain by now, its
+    /// client have gone, or its window be over.
+    fn send_queue(&mut self, now: Micros, id: LinkId) {
         let queue = self.links.get_mut(&id).map(|link| std::mem::take(&mut link.queue));
-        for message in queue.unwrap_or_default() {
-            let request = match &message {
-                ToHost::Setup { id, .. } => self.by_id.get(id).copied(),
-                _ => None,
+        for mut message in queue.unwrap_or_default() {
+            let ToHost::Setup { id: task, left_ms, .. } = &mut message else {
+                self.send_host(id, message);
+                continue;
             };
+            let found = self.by_id.get(task).copied();
+            let entry = found.and_then(|request| Some((request, self.requests.get(&request)?)));
+            let out = entry.and_then(|(request, entry)| Some((request, entry, entry.out?)));
+            let Some((request, entry, out)) = out.filter(|(_, _, out)| out.link == id) else { continue };
+            let attempt = AttemptId { request, number: out.number };
+            let wanted = entry.phase == Phase::Open && !entry.last && now < out.until;
+            if !wanted || !self.placer.may_leave(now, attempt) {
+                self.take_back(request, Outcome::Unsent, None, Vec::new());
+                continue;
+            }
+            *left_ms = (out.until.saturating_sub(now) / 1_000).max(1);
             let position = self.send_host(id, message);
-            let out = request.and_then(|request| self.requests.get_mut(&request)?.out.as_mut());
-            if let Some(out) = out.filter(|out| out.link == id) {
+            if let Some(out) = self.requests.get_mut(&request).and_then(|entry| entry.out.as_mut()) {
                 out.position = position;
             }
         }
@@ -505,7 +520,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         (link.up, link.used, link.since) = (true, now, now);
         let (machine, check) = (link.machine, link.check);
-        self.send_queue(id);
+        self.send_queue(now, id);
         let Some(host) = self.hosts.get_mut(&machine) else { return };
         host.refused = 0;
         host.waits.reset();
@@ -552,11 +567,13 @@
     /// The connection of an attempt that is out ended.
     fn broken(&mut self, now: Micros, attempt: AttemptId, down: Down, begun: u64) {
         let request = attempt.request;
-        let out = self.requests.get_mut(&request).and_then(|entry| entry.out.as_mut());
-        let Some(out) = out.filter(|out| out.number == attempt.number) else { return };
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        // Sent once more it would begin after its client went.
+        let last = entry.last || entry.phase != Phase::Open;
+        let Some(out) = entry.out.as_mut().filter(|out| out.number == attempt.number) else { return };
         let fate = decide::did_it_run(down, out.position < begun);
         let active = self.hosts.get(&out.machine).and_then(Host::health) == Some(State::Active);
-        if fate == Fate::Unsent && out.resent < MOST_RESENT && now < out.until && active {
+        if fate == Fate::Unsent && out.resent < MOST_RESENT && now < out.until && active && !last {
             out.resent += 1;
             return self.send_setup(now, request);
         }
@@ -655,6 +672,7 @@
         entry.phase = Phase::Standing { machine, number, since: now };
         // A standing task needs no description any more.
         entry.setup.description = String::new();
+        self.waiting -= std::mem::take(&mut entry.weight);
         let took_us = now.saturating_sub(out.sent);
         self.events.push(Event::Placed { attempt, machine, took_us });
         self.send_client(conn, ToOwner::Answer { id, description });
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -20,6 +20,14 @@
     ClientCame(ConnId),
     /// A client's message, or one that can't be used.
     Client(ConnId, Result<FromOwner, Unusable>),
+    /// All that a client had said was read, or (`more`) some of it still waits to be: a cancel or the end may be
+    /// among that.
+    ClientRead {
+        /// The connection.
+        conn: ConnId,
+        /// More waits to be read.
+        more: bool,
+    },
     /// A client will say nothing more on its connection, and may still read.
     ClientEnded(ConnId),
     /// A client said what can't be read, in words; nothing more is read from it.
@@ -54,6 +62,8 @@
     ToClient(ConnId, ToOwner),
     /// Close a client's connection once all is written.
     CloseClient(ConnId),
+    /// Close a client's connection if it said nothing that was not read yet: else that goes on.
+    CloseIdleClient(ConnId),
     /// Connect to a host.
     Connect(LinkId, SocketAddr),
     /// Write to a host, as soon as the connection stands.
--- a/crates/platform/src/outbox.rs
+++ b/crates/platform/src/outbox.rs
@@ -14,7 +14,7 @@
 
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit};
 
 /// Bytes that all outboxes of a placer hold.
 #[derive(Clone, Debug, Default)]
@@ -43,6 +43,8 @@
     closed: bool,
     /// What waits is not written any more.
     cut: bool,
+    /// The connection ends, unless its other end says something first.
+    idle: bool,
 }
 
 impl Waiting {
@@ -70,8 +72,8 @@
 
 #[derive(Debug)]
 struct Shared {
-    /// None as long as it is being made.
-    stream: OnceLock<Arc<TcpStream>>,
+    /// None as long as it is being made; and its places, which are free once it is closed.
+    stream: OnceLock<(Arc<TcpStream>, Vec<OwnedSemaphorePermit>)>,
     waiting: Mutex<Waiting>,
     news: Notify,
     budget: Budget,
@@ -84,7 +86,7 @@
 
     /// Writes what the other end takes now.
     fn write(&self) -> io::Result<()> {
-        let Some(stream) = self.stream.get() else { return Ok(()) };
+        let Some((stream, _)) = self.stream.get() else { return Ok(()) };
         let mut waiting = self.waiting();
         while waiting.len() > 0 && !waiting.cut {
             match stream.try_write(&waiting.bytes[waiting.left..]) {
@@ -151,10 +153,16 @@
         self.0.waiting().len()
     }
 
+    /// The connection is to end if its other end says nothing before it learns of that.
+    pub fn close_idle(&self) {
+        self.0.waiting().idle = true;
+        self.0.news.notify_one();
+    }
+
     /// Gives up what waits: the connection ends at once.
     pub fn cut(&self) {
         self.0.cut();
-        if let Some(stream) = self.0.stream.get() {
+        if let Some((stream, _)) = self.0.stream.get() {
             // The other end is to see it before anything that is written elsewhere after this.
             let _ = SockRef::from(&**stream).shutdown(Shutdown::Both);
         }
@@ -170,9 +178,9 @@
 }
 
 impl Outbox {
-    /// The connection stands.
-    pub fn attach(&self, stream: &Arc<TcpStream>) {
-        let _ = self.0.stream.set(stream.clone());
+    /// The connection stands, and holds these places until it is closed.
+    pub fn attach(&self, stream: &Arc<TcpStream>, places: Vec<OwnedSemaphorePermit>) {
+        let _ = self.0.stream.set((stream.clone(), places));
     }
 
     /// Comes back when something was put in, or nothing more will be, since it last did.
@@ -191,6 +199,17 @@
         waiting.closed || waiting.cut
     }
 
+    /// Whether the connection is to end unless its other end said something.
+    pub fn is_idle_closed(&self) -> bool {
+        let waiting = self.0.waiting();
+        waiting.idle && waiting.len() == 0
+    }
+
+    /// Its other end said something.
+    pub fn stays(&self) {
+        self.0.waiting().idle = false;
+    }
+
     /// Whether the connection ends: nothing more comes, and what waits was written or given up.
     pub fn is_over(&self) -> bool {
         let waiting = self.0.waiting();
@@ -216,51 +235,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::net::TcpListener;
-
-    use super::*;
-
-    #[test]
-    fn messages_of_which_a_byte_left_are_counted() {
-        let budget = Budget::default();
-        let (sender, outbox) = outbox(&budget);
-        for message in ["abc", "de", "fgh"] {
-            sender.send(message.as_bytes());
-        }
-        assert_eq!((outbox.begun(), budget.held()), (0, 8));
-        for (count, begun) in [(1, 1), (2, 1), (1, 2), (1, 2), (2, 3), (1, 3)] {
-            outbox.0.waiting().leave(count);
-            assert_eq!(outbox.begun(), begun);
-        }
-        assert_eq!(sender.len(), 0);
-        sender.send(b"ij");
-        outbox.0.waiting().leave(1);
-        assert_eq!(outbox.begun(), 4);
-    }
-
-    #[tokio::test]
-    async fn what_waits_is_written_after_its_sender_went_and_not_once_it_is_cut() {
-        let budget = Budget::default();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-        stream.writable().await.unwrap();
-        let stream = Arc::new(stream);
-        let (sender, waits) = outbox(&budget);
-        sender.send(b"whole");
-        drop(sender);
-        assert!(waits.is_closed() && !waits.is_over());
-        waits.attach(&stream);
-        waits.write().unwrap();
-        assert!(waits.is_over() && budget.held() == 0);
-        let (sender, waits) = outbox(&budget);
-        waits.attach(&stream);
-        sender.send(b"whole");
-        sender.cut();
-        waits.write().unwrap();
-        assert_eq!((waits.is_over(), waits.begun(), budget.held()), (true, 0, 0));
-        drop(waits);
-        sender.send(b"nobody writes it");
-        assert_eq!(budget.held(), 0);
-    }
-}
+mod tests;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -17,12 +17,18 @@
 use crate::engine::{Bounds, Engine, Start, connect_us};
 use crate::io::{ConnId, Input, LinkId, Output};
 use crate::outbox::{self, Budget, outbox};
-use crate::{discovery, follow, sockets};
+use crate::sockets::{self, Places};
+use crate::{discovery, follow};
 
-/// Inputs taken into the engine before the module decides on them.
-const BATCH: usize = 256;
-/// Inputs that wait for the engine; whoever brings one more waits.
-const INPUTS: usize = 512;
+/// Items taken from the channel at once.
+const BATCH: usize = 64;
+/// Items that wait for the engine; whoever brings one more waits. One of a client may hold 32 KiB of messages.
+const INPUTS: usize = 128;
+/// Where so much came at once, or arrivals wait for their turn, all that there is to read is taken in before the module
+/// decides: in so many looks at the sockets, and up to so many inputs.
+const BUSY: usize = 16;
+const ROUNDS: usize = 8;
+const MOST: usize = 1_024;
 /// Answers of discovery that wait for the engine.
 const LISTED: usize = 4;
 /// Between two tries to read a configuration that could not be read.
@@ -70,6 +76,8 @@
 pub(crate) enum Came {
     Client(ConnId, outbox::Sender),
     Input(Input),
+    /// What a client said in one go.
+    Said(Vec<Input>),
     /// A line for the staff.
     Log(String),
 }
@@ -110,13 +118,9 @@
     let now = || unix_us + began.elapsed().as_micros() as u64;
     let (names, rev) = (Names::from(&config.settings), config.known.rev);
     let connect = connect_us(&config.settings);
-    let start = Start {
-        now: unix_us,
-        seed: config.seed,
-        settings: config.settings,
-        known: config.known,
-        bounds: Bounds::of(&config.limits),
-    };
+    let bounds = Bounds::of(&config.limits);
+    let start =
+        Start { now: unix_us, seed: config.seed, settings: config.settings, known: config.known, bounds };
     let mut engine = Engine::new(start);
     let (came, mut coming) = mpsc::channel(INPUTS);
     let (move_discovery, addresses) = watch::channel(config.board);
@@ -126,11 +130,13 @@
     tokio::spawn(answer(asked, path.to_owned(), move_discovery, came.clone()));
     let budget = Budget::default();
     let (stop, stopped) = oneshot::channel();
-    tokio::spawn(sockets::accept(listener, budget.clone(), came.clone(), stopped));
+    let places = Places::new(&bounds);
+    tokio::spawn(sockets::accept(listener, places.clone(), budget.clone(), came.clone(), stopped));
     let mut shell = Shell {
         clients: BTreeMap::new(),
         links: BTreeMap::new(),
         connect: Duration::from_micros(connect),
+        places,
         budget,
         most: (config.limits.memory_mb as usize * 1024 * 1024 / OUTBOXES).max(64 * 1024),
         stop: Some(stop),
@@ -152,25 +158,22 @@
         shell.write();
         let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
         let told = next(&mut listed, &mut coming, &mut batch, wake).await;
-        for news in told.into_iter().map(Came::Input).chain(batch.drain(..)) {
-            let input = match news {
-                Came::Client(conn, out) => {
-                    shell.clients.insert(conn, out);
-                    Input::ClientCame(conn)
-                }
-                Came::Input(input) => input,
-                Came::Log(line) => {
-                    shell.log(now(), &line);
-                    continue;
-                }
-            };
-            match &input {
-                Input::ClientGone(conn) => drop(shell.clients.remove(conn)),
-                Input::LinkDown { link, .. } => drop(shell.links.remove(link)),
-                _ => {}
+        let mut taken = 0;
+        for input in told {
+            taken += shell.take_in(&mut engine, now(), Came::Input(input));
+        }
+        // All that there is to read goes before the module's next draws: what ends or is taken back is among it.
+        for round in 0..ROUNDS {
+            taken += batch.drain(..).map(|news| shell.take_in(&mut engine, now(), news)).sum::<usize>();
+            let behind = engine.has_backlog() || taken >= BUSY;
+            if taken >= MOST || round + 1 == ROUNDS || !behind {
+                break;
+            }
+            tokio::task::yield_now().await;
+            batch.extend(std::iter::from_fn(|| coming.try_recv().ok()).take(INPUTS));
+            if batch.is_empty() {
+                break;
             }
-            follow(|| follow::input(&input));
-            engine.handle(now(), input);
         }
     }
 }
@@ -237,6 +240,7 @@
     clients: BTreeMap<ConnId, outbox::Sender>,
     links: BTreeMap<LinkId, outbox::Sender>,
     connect: Duration,
+    places: Places,
     /// What waits to be written, and how much may.
     budget: Budget,
     most: usize,
@@ -251,6 +255,33 @@
 }
 
 impl Shell {
+    /// Tells the engine what came; how much it was.
+    fn take_in(&mut self, engine: &mut Engine, now: u64, news: Came) -> usize {
+        match news {
+            Came::Client(conn, out) => {
+                self.clients.insert(conn, out);
+                self.tell(engine, now, Input::ClientCame(conn))
+            }
+            Came::Input(input) => self.tell(engine, now, input),
+            Came::Said(inputs) => inputs.into_iter().map(|input| self.tell(engine, now, input)).sum(),
+            Came::Log(line) => {
+                self.log(now, &line);
+                0
+            }
+        }
+    }
+
+    fn tell(&mut self, engine: &mut Engine, now: u64, input: Input) -> usize {
+        match &input {
+            Input::ClientGone(conn) => drop(self.clients.remove(conn)),
+            Input::LinkDown { link, .. } => drop(self.links.remove(link)),
+            _ => {}
+        }
+        follow(|| follow::input(&input));
+        engine.handle(now, input);
+        1
+    }
+
     fn carry_out(&mut self, now: u64, output: Output) {
         follow(|| follow::output(&output));
         match output {
@@ -266,10 +297,14 @@
                     out.flush();
                 }
             }
+            Output::CloseIdleClient(conn) => {
+                self.clients.get(&conn).map(outbox::Sender::close_idle);
+            }
             Output::Connect(link, address) => {
                 let (out, messages) = outbox(&self.budget);
                 self.links.insert(link, out);
-                tokio::spawn(sockets::link(link, address, self.connect, messages, self.came.clone()));
+                let (places, came) = (self.places.clone(), self.came.clone());
+                tokio::spawn(sockets::link(link, address, self.connect, places, messages, came));
             }
             Output::ToHost(link, message) => {
                 if let Some(out) = self.links.get(&link) {
@@ -351,76 +386,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::io::AsyncReadExt;
-    use tokio::net::TcpStream;
-
-    use super::*;
-
-    /// A drain counts from when it was told, however much waits before it.
-    #[tokio::test]
-    async fn the_list_goes_before_all_that_waits() {
-        for _ in 0..32 {
-            let (list, mut listed) = mpsc::channel(LISTED);
-            let (came, mut coming) = mpsc::channel(INPUTS);
-            for conn in 0..300 {
-                came.try_send(Came::Input(Input::ClientGone(conn))).ok().unwrap();
-            }
-            list.try_send(Input::DiscoveryLost("a".to_owned())).unwrap();
-            let told = next(&mut listed, &mut coming, &mut Vec::new(), None).await;
-            assert!(matches!(&told[..], [Input::DiscoveryLost(_)]), "{told:?}");
-        }
-    }
-
-    /// Seen on split+mass: the word that gave an attempt up left after the next set-up on another connection, as the
-    /// first one's task waited for the engine. Nothing but the loop may be needed to write it, and it writes it first.
-    #[tokio::test]
-    async fn an_attempt_is_given_up_before_the_next_one_leaves() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (came, _coming) = mpsc::channel(4);
-        let mut shell = Shell {
-            clients: BTreeMap::new(),
-            links: BTreeMap::new(),
-            connect: Duration::from_secs(1),
-            budget: Budget::default(),
-            most: 1 << 20,
-            touched_clients: Vec::new(),
-            touched_links: Vec::new(),
-            stop: None,
-            came,
-            second: (0, 0),
-        };
-        let mut ends = Vec::new();
-        for link in [1, 2] {
-            let (sender, messages) = outbox(&shell.budget);
-            let stream = std::sync::Arc::new(TcpStream::connect(address).await.unwrap());
-            stream.writable().await.unwrap();
-            messages.attach(&stream);
-            shell.links.insert(link, sender);
-            ends.push((listener.accept().await.unwrap().0, messages));
-        }
-        let setup = ToHost::Setup {
-            id: 7,
-            class: "play".to_owned(),
-            key: 1,
-            idem: None,
-            left_ms: 100,
-            description: "x".to_owned(),
-        };
-        // Both in one turn, whatever else was meant for the second before.
-        shell.carry_out(0, Output::ToHost(2, ToHost::Test { id: 1, report: false }));
-        shell.carry_out(0, Output::ToHost(1, ToHost::Release { id: 7, cause: GIVEN_UP }));
-        shell.carry_out(0, Output::ToHost(2, setup));
-        let mut bytes = [0; 256];
-        let count = ends[0].0.read(&mut bytes).await.unwrap();
-        assert!(std::str::from_utf8(&bytes[..count]).unwrap().contains("release"));
-        assert_eq!(ends[1].1.begun(), 0, "the set-up waits for the end of the turn");
-        shell.write();
-        let count = ends[1].0.read(&mut bytes).await.unwrap();
-        assert!(std::str::from_utf8(&bytes[..count]).unwrap().contains("setup"));
-        // A connection that is closed has ended for its host before anything else is done.
-        shell.carry_out(0, Output::CloseLink(2));
-        assert_eq!(ends[1].0.read(&mut bytes).await.unwrap(), 0);
-    }
-}
+mod tests;
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -8,10 +8,11 @@
 
 use reedring_platproto::{host, owner};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
 use crate::decide::Down;
+use crate::engine::Bounds;
 use crate::io::{ConnId, Input, LinkId};
 use crate::outbox::{Budget, Outbox, outbox};
 use crate::run::Came;
@@ -56,15 +57,51 @@
     })
 }
 
+/// Descriptors that connections may hold: all of them together, and those of clients alone. Who would go over waits, so
+/// that none ever fails for want of one.
+#[derive(Clone, Debug)]
+pub(crate) struct Places {
+    all: Arc<Semaphore>,
+    clients: Arc<Semaphore>,
+}
+
+/// A place, held until the connection is closed.
+type Place = OwnedSemaphorePermit;
+
+impl Places {
+    /// Places of connections, and of clients'.
+    pub fn new(bounds: &Bounds) -> Self {
+        let clients = bounds.clients + bounds.overflow + TURNED_AWAY;
+        let all = bounds.all + TURNED_AWAY;
+        Self { all: Arc::new(Semaphore::new(all)), clients: Arc::new(Semaphore::new(clients)) }
+    }
+
+    /// A place for one more connection to a host.
+    async fn link(&self) -> Option<Place> {
+        Arc::clone(&self.all).acquire_owned().await.ok()
+    }
+
+    /// Places for one more connection of a client.
+    async fn client(&self) -> Option<Vec<Place>> {
+        let client = Arc::clone(&self.clients).acquire_owned().await.ok()?;
+        Some(vec![client, self.link().await?])
+    }
+}
+
+/// Connections of clients beyond those that are served: they are closed on as soon as the engine sees them.
+const TURNED_AWAY: usize = 8;
+
 /// Takes clients' connections until it is told to stop; those that the system took by then are taken as well.
 pub(crate) async fn accept(
     listener: TcpListener,
+    places: Places,
     budget: Budget,
     came: mpsc::Sender<Came>,
     mut stop: oneshot::Receiver<()>,
 ) {
     let mut last: ConnId = 0;
     loop {
+        let Some(place) = places.client().await else { return };
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
@@ -75,7 +112,7 @@
                 last += 1;
                 let stream = Arc::new(stream);
                 let (out, messages) = outbox(&budget);
-                messages.attach(&stream);
+                messages.attach(&stream, place);
                 if came.send(Came::Client(last, out)).await.is_err() {
                     return;
                 }
@@ -91,6 +128,48 @@
     }
 }
 
+/// What was read of a client at once, up to two buffers of it.
+enum Heard {
+    /// The messages in it, and how it ended, where it did.
+    Said(Vec<Input>, bool),
+    /// Its connection broke.
+    Broke,
+}
+
+/// Reads all that is there, up to two buffers: whatever a client says, takes back and ends in one go is known together.
+fn hear(conn: ConnId, stream: &TcpStream, reader: &mut owner::Reader) -> Heard {
+    let mut said = Vec::new();
+    let mut more = false;
+    for _ in 0..2 {
+        match read(stream, |bytes| reader.push(bytes)) {
+            Ok(None) => {
+                more = false;
+                break;
+            }
+            Ok(Some(0)) => {
+                said.push(Input::ClientEnded(conn));
+                return Heard::Said(said, true);
+            }
+            Err(_) => return Heard::Broke,
+            Ok(Some(_)) => more = true,
+        }
+        loop {
+            match reader.next_message() {
+                Ok(Some(message)) => said.push(Input::Client(conn, message)),
+                Ok(None) => break,
+                Err(error) => {
+                    said.push(Input::ClientSpoilt(conn, error.to_string()));
+                    return Heard::Said(said, true);
+                }
+            }
+        }
+    }
+    if !said.is_empty() {
+        said.push(Input::ClientRead { conn, more });
+    }
+    Heard::Said(said, false)
+}
+
 async fn serve(conn: ConnId, stream: &TcpStream, messages: Outbox, came: &mpsc::Sender<Came>) {
     let _ = stream.set_nodelay(true);
     let mut reader = owner::Reader::default();
@@ -99,49 +178,51 @@
     // It may still say something.
     let mut listens = true;
     loop {
-        let ended = tokio::select! {
+        let ready = tokio::select! {
             ready = stream.readable(), if listens => {
                 if ready.is_err() {
                     return;
                 }
-                match read(stream, |bytes| reader.push(bytes)) {
-                    Ok(None) => continue,
-                    Ok(Some(0)) => Some(Input::ClientEnded(conn)),
-                    Err(_) => return,
-                    Ok(Some(_)) => loop {
-                        match reader.next_message() {
-                            Ok(Some(message)) => {
-                                begun = None;
-                                if came.send(Came::Input(Input::Client(conn, message))).await.is_err() {
-                                    return;
-                                }
-                            }
-                            Ok(None) => {
-                                begun = reader.is_partial().then(|| begun.unwrap_or_else(Instant::now));
-                                break None;
-                            }
-                            Err(error) => break Some(Input::ClientSpoilt(conn, error.to_string())),
-                        }
-                    },
-                }
+                true
             }
             ready = stream.writable(), if waits.is_some() => {
                 if ready.is_err() {
                     return;
                 }
-                None
+                false
             }
-            () = messages.news() => None,
+            // One that is to be closed for being idle may have said something meanwhile: that is heard first.
+            () = messages.news() => listens && messages.is_idle_closed(),
             () = over(waits, STUCK), if waits.is_some() => return,
             () = over(begun, WHOLE), if begun.is_some() => {
-                Some(Input::ClientSpoilt(conn, "a message that does not end".to_owned()))
+                (listens, begun) = (false, None);
+                let endless = Input::ClientSpoilt(conn, "a message that does not end".to_owned());
+                if came.send(Came::Said(vec![endless])).await.is_err() {
+                    return;
+                }
+                false
             }
         };
-        if let Some(ended) = ended {
-            // What it was promised is still written to it.
-            (listens, begun) = (false, None);
-            if came.send(Came::Input(ended)).await.is_err() {
-                return;
+        if ready {
+            match hear(conn, stream, &mut reader) {
+                Heard::Broke => return,
+                Heard::Said(said, ended) => {
+                    let heard = !said.is_empty();
+                    listens &= !ended;
+                    // What it was promised is still written to it after its end.
+                    let partial = listens && reader.is_partial();
+                    let since = if heard { None } else { begun };
+                    begun = partial.then(|| since.unwrap_or_else(Instant::now));
+                    if messages.is_idle_closed() {
+                        if !heard && !partial {
+                            return;
+                        }
+                        messages.stays();
+                    }
+                    if heard && came.send(Came::Said(said)).await.is_err() {
+                        return;
+                    }
+                }
             }
         }
         match write(&messages, waits) {
@@ -159,14 +240,20 @@
     link: LinkId,
     address: SocketAddr,
     limit: Duration,
+    places: Places,
     messages: Outbox,
     came: mpsc::Sender<Came>,
 ) {
+    // That the placer has no place for it for a moment is no sign of the host's.
+    let place = tokio::select! {
+        place = places.link() => place,
+        () = closed(&messages) => return,
+    };
     let down = tokio::select! {
         made = timeout(limit, connect(address)) => match made {
             Ok(Ok(stream)) => {
                 let stream = Arc::new(stream);
-                messages.attach(&stream);
+                messages.attach(&stream, place.into_iter().collect());
                 if came.send(Came::Input(Input::LinkUp(link))).await.is_err() {
                     return;
                 }
@@ -264,24 +351,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A placer that ends has taken whom the system took for it, however late its own turn comes.
-    #[tokio::test]
-    async fn who_waits_when_listening_stops_is_taken() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let mut clients = Vec::new();
-        for _ in 0..8 {
-            clients.push(TcpStream::connect(address).await.unwrap());
-        }
-        let ((stop, stopped), (came, mut coming)) = (oneshot::channel(), mpsc::channel(16));
-        drop(stop);
-        accept(listener, Budget::default(), came, stopped).await;
-        for _ in 0..8 {
-            assert!(matches!(coming.recv().await, Some(Came::Client(..))));
-        }
-        assert!(TcpStream::connect(address).await.is_err(), "and nobody after that");
-    }
-}
+mod tests;
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -43,10 +43,14 @@
                     &[line(&format!("h-{n}"), n, site, health, 0)],
                 )));
             }
+            17 if !conns.is_empty() => {
+                let conn = conns[at];
+                world.end(conn);
+            }
             4 if !conns.is_empty() && id > 0 => {
                 // Somebody's id, taken back by whoever: only who asked may.
                 let id = 1 + u64::from(world.below(id as u32));
-                world.tell(Input::Client(conns[at], Ok(FromOwner::Release { id, cause: GIVEN_UP })));
+                world.cancel(conns[at], id);
             }
             _ if !conns.is_empty() => {
                 id += 1;
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -211,7 +211,12 @@
 
 impl Discovery {
     pub async fn new() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Self::at("127.0.0.1:0".parse().expect("an address")).await
+    }
+
+    /// One at this address, which nobody listens at.
+    pub async fn at(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let address = listener.local_addr().expect("it is bound");
         let (state, _) = watch::channel((Mood::Well, Vec::new()));
         let discovery = Self { address, state: Arc::new(state), asked: Arc::default() };
@@ -303,8 +308,13 @@
 
 /// A configuration whose list holds these hosts.
 pub fn config(address: SocketAddr, discovery: &Discovery, hosts: Vec<Value>) -> Value {
+    config_at(address, discovery.address, 256, hosts)
+}
+
+/// One of a placer with so many descriptors, with discovery at this address.
+pub fn config_at(address: SocketAddr, discovery: SocketAddr, sockets: usize, hosts: Vec<Value>) -> Value {
     json!({"name": "n1", "listen": address, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": discovery.address,
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": sockets}, "board": discovery,
         "known": {"rev": 1, "notices": [notice(1, true, hosts)]},
         "settings": serde_json::from_str::<Value>(SETTINGS).expect("JSON")})
 }
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 use rand_core::Rng;
 use rand_pcg::Pcg32;
+use reedring::settings::Deployment;
 use reedring_platform::decide::Down;
 use reedring_platform::{Bounds, ConnId, Engine, Input, LinkId, Output, Start};
 use reedring_platproto::board::{Names, Told};
@@ -79,6 +80,10 @@
     pub withdrawn: bool,
     /// An attempt may have run.
     pub ran: bool,
+    /// Which connection it came on.
+    pub conn: ConnId,
+    /// When its client ended, went or took it back.
+    pub left: Option<u64>,
 }
 
 impl Heard {
@@ -114,6 +119,8 @@
     pub slow: Option<u64>,
     /// Hosts do nothing on a release.
     pub deaf: bool,
+    /// Hosts say nothing to a set-up.
+    pub mute: bool,
     /// Tasks that came to their end at a host with no connection, by its port.
     unsaid: BTreeMap<u16, Vec<u64>>,
     next_conn: ConnId,
@@ -121,8 +128,14 @@
 
 impl World {
     pub fn new(seed: u64, hosts: &[String]) -> Self {
-        let settings = reedring::settings::read(SETTINGS).expect("the settings are whole");
-        let bounds = Bounds { all: 40, clients: 16, overflow: 2, kept: 16, links_each: 4 };
+        Self::with(seed, hosts, |_| ())
+    }
+
+    /// One with other settings.
+    pub fn with(seed: u64, hosts: &[String], change: impl FnOnce(&mut Deployment)) -> Self {
+        let mut settings = reedring::settings::read(SETTINGS).expect("the settings are whole");
+        change(&mut settings);
+        let bounds = Bounds { all: 40, clients: 16, overflow: 2, kept: 16, links_each: 4, waiting: 1 << 20 };
         let now = 1_700_000_000 * SECOND;
         let known = told(1, true, hosts);
         let engine = Engine::new(Start { now, seed, settings, known, bounds });
@@ -145,6 +158,7 @@
             connects: None,
             slow: None,
             deaf: false,
+            mute: false,
             unsaid: BTreeMap::new(),
             next_conn: 0,
         };
@@ -195,14 +209,35 @@
     pub fn ask(&mut self, conn: ConnId, setup: Setup) {
         if setup.at.is_none() {
             let heard = self.heard.entry(setup.id).or_default();
-            heard.class = setup.class.clone();
+            (heard.class, heard.conn) = (setup.class.clone(), conn);
         }
         self.tell(Input::Client(conn, Ok(FromOwner::Setup(Box::new(setup)))));
     }
 
+    fn leave(&mut self, conn: ConnId) {
+        for heard in self.heard.values_mut().filter(|heard| heard.conn == conn) {
+            heard.left = heard.left.or(Some(self.now));
+        }
+    }
+
+    /// The client says that it said all, and may still read.
+    pub fn end(&mut self, conn: ConnId) {
+        self.leave(conn);
+        self.tell(Input::ClientEnded(conn));
+    }
+
+    /// The client takes a set-up back.
+    pub fn cancel(&mut self, conn: ConnId, id: u64) {
+        if let Some(heard) = self.heard.get_mut(&id).filter(|heard| heard.conn == conn) {
+            heard.left = heard.left.or(Some(self.now));
+        }
+        self.tell(Input::Client(conn, Ok(FromOwner::Release { id, cause: GIVEN_UP })));
+    }
+
     /// The client closes.
     pub fn close(&mut self, conn: ConnId) {
         if self.clients.remove(&conn) {
+            self.leave(conn);
             self.tell(Input::ClientGone(conn));
         }
     }
@@ -293,7 +328,7 @@
                 self.hear(conn, &message);
                 self.to_clients.push((conn, message));
             }
-            Output::CloseClient(conn) => {
+            Output::CloseClient(conn) | Output::CloseIdleClient(conn) => {
                 self.clients.remove(&conn);
                 self.later(0, Input::ClientGone(conn));
             }
@@ -361,9 +396,13 @@
                 assert!(!heard.ran || class != "print", "{id} may have run and is sent again");
                 assert!(heard.finals() == 0, "{id} is sent after its answer");
                 assert!(!heard.withdrawn, "{id} is sent after its client went");
+                let late = heard.left.is_some_and(|left| self.now > left + 100 * MS);
+                assert!(!late, "{id} is sent more than 0.1 s after its client left");
                 let other = self.live.insert(id, Live { link, port });
                 assert!(other.is_none(), "{id} is out twice");
-                self.answer(link, id);
+                if !self.mute {
+                    self.answer(link, id);
+                }
             }
             ToHost::Release { .. } if self.deaf => {}
             ToHost::Release { id, .. } => {
--- a/crates/processes/src/program.rs
+++ b/crates/processes/src/program.rs
@@ -79,13 +79,36 @@
         arguments: &[&str],
         file_kib: Option<u64>,
     ) -> Result<Self, ProcessError> {
-        let mut command = match file_kib {
+        // The limit is inherited, and the signal that comes with it ignored, so that the write fails.
+        let limit = file_kib.map(|kib| format!("trap '' XFSZ; ulimit -f {kib}"));
+        Self::limited(program, name, arguments, limit)
+    }
+
+    /// Starts the program with these arguments, with so many file descriptors at most.
+    ///
+    /// # Errors
+    /// Where the process can't be made.
+    pub fn start_with_descriptors(
+        program: &Path,
+        name: &str,
+        arguments: &[&str],
+        most: usize,
+    ) -> Result<Self, ProcessError> {
+        Self::limited(program, name, arguments, Some(format!("ulimit -n {most}")))
+    }
+
+    /// `limit`: what a shell does before it becomes the program.
+    fn limited(
+        program: &Path,
+        name: &str,
+        arguments: &[&str],
+        limit: Option<String>,
+    ) -> Result<Self, ProcessError> {
+        let mut command = match limit {
             None => Command::new(program),
-            Some(kib) => {
-                // The limit is inherited, and the signal that comes with it ignored, so that the write fails.
+            Some(limit) => {
                 let mut command = Command::new("sh");
-                command.arg("-c").arg(format!("trap '' XFSZ; ulimit -f {kib}; exec \"$0\" \"$@\""));
-                command.arg(program);
+                command.arg("-c").arg(format!("{limit}; exec \"$0\" \"$@\"")).arg(program);
                 command
             }
         };
--- a/src/api.rs
+++ b/src/api.rs
@@ -426,6 +426,9 @@
     Ended(Ended),
     /// The owner wants the task no more.
     Withdrawn(RequestId),
+    /// The owner has gone or will ask for nothing more: no attempt begins from now on. One that is out may still
+    /// place the task; without one the final answer comes at once.
+    Last(RequestId),
     /// A timer came due.
     Woken(u64),
     /// A probe came back.
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -1,5 +1,4 @@
-//! Every decision of reedring, a concept a file; the interface is `src/api.rs`, and `docs/design.md` says
-//! what was kept of the paper's Tidal Water Filling, what was changed and why, and when each exception acts.
+//! Every decision of reedring, a concept a file; interface: `src/api.rs`, each departure: `docs/design.md`.
 
 mod glance;
 mod ledger;
--- a/src/logic/placer/beliefs.rs
+++ b/src/logic/placer/beliefs.rs
@@ -26,8 +26,7 @@
         }
     }
 
-    /// Takes a former life's beliefs in where nothing newer is known. What bounds this life, a bar or a spent
-    /// cold budget, only ever grows by them.
+    /// Takes a former life's beliefs in where nothing newer is known; bars and spent budgets only grow.
     pub(super) fn recalled(&mut self, now: Micros, beliefs: &Beliefs) {
         let at = |ago: Micros| now.saturating_sub(ago);
         let news = |(ago, cores, memory): (Micros, f64, f64)| (at(ago), Load::told(cores, memory));
--- a/src/logic/placer/list.rs
+++ b/src/logic/placer/list.rs
@@ -57,7 +57,7 @@
         let base = self.settings.rules.connect_timeout_us.unwrap_or(BAR_US);
         let most = self.settings.rules.must_ask_us.map_or(Micros::MAX, |most| most / 4);
         let wait = (base << self.watch_failures.min(BAR_DOUBLINGS)).min(most);
-        let wait = (wait as f64 * (0.5 + self.rng.uniform())) as Micros;
+        let wait = (wait as f64 * (0.5 + self.uniform())) as Micros;
         self.watch_failures += 1;
         self.watch_due = Some(now + wait);
         actions.push(Action::Timer { token: WATCH, after_us: wait });
--- a/src/logic/placer/mod.rs
+++ b/src/logic/placer/mod.rs
@@ -7,7 +7,6 @@
 mod pool;
 mod silence;
 
-use self::pool::Draws;
 use super::*;
 
 /// Microseconds between looks at held tasks and silent machines: well under any aim, and a light load.
@@ -27,7 +26,7 @@
 #[derive(Default)]
 pub struct Placer {
     settings: Settings,
-    rng: Draws,
+    rng: Option<Pcg32>,
     seats: BTreeMap<MachineId, Seat>,
     /// Places among the seats, from the largest machine down, in an order that all schedulers share.
     order: Vec<usize>,
@@ -62,7 +61,7 @@
         // Without news of use, what machines accept tells by how much asks are expected to exceed it.
         let accepts = accepts(&settings);
         let ratio = Load { cores: 1.0 / accepts.cores.max(1.0), memory: 1.0 / accepts.memory.max(1.0) };
-        let rng = Draws(Some(Pcg32::new(seed, 0)));
+        let rng = Some(Pcg32::new(seed, 0));
         Self { settings, rng, ratio, awake_since: Micros::MAX, salt: mix(seed), ..Self::default() }
     }
 
@@ -165,6 +164,10 @@
                 let stop = out.map(|(_, number)| Action::Stop(AttemptId { request: *request, number }));
                 actions.extend(stop.filter(|_| self.settings.rules.may_stop));
             }
+            Event::Last(request) => {
+                self.entries.get_mut(request).into_iter().for_each(|entry| entry.deadline = now);
+                self.due.push(*request);
+            }
             Event::Woken(TICK) => {
                 self.tick_due = None;
                 self.due.append(&mut self.held);
--- a/src/logic/placer/news.rs
+++ b/src/logic/placer/news.rs
@@ -61,8 +61,7 @@
             seat.services.retain(|_, held| *held > 0);
             let sent = seat.waiting.get(&end.attempt);
             let passed = sent.is_some_and(|at| seat.passed_over(*at, &self.settings));
-            // Turned down or passed over with no shortage named, a task tells of its tenant or class, not the
-            // machine. An error may be its own fault, unless another machine takes it or none can be asked.
+            // With no shortage named a task tells of its tenant or class; an error may be its own fault.
             let shut = match end.outcome {
                 Outcome::TimedOut | Outcome::Stopped => passed,
                 Outcome::Refused => end.reason.is_none(),
--- a/src/logic/placer/offer.rs
+++ b/src/logic/placer/offer.rs
@@ -10,16 +10,12 @@
     /// Rules 2 to 5 for one offer; `full` holds the cells or zones that have their most. All sends pass here.
     fn may_offer(&self, now: Micros, entry: &Entry, class: &Class, seat: &Glance, full: &[u64]) -> bool {
         let grouped = |first: &Attempt| {
-            let other = self.seats.get(&first.machine).map(|seat| &seat.line);
-            other.is_some_and(|other| match class.group {
-                Group::All => true,
-                Group::Zone => other.zone == seat.line.zone,
-                Group::Cell => other.cell == seat.line.cell,
-            })
+            let of = |line: &Machine| [0, line.zone, line.cell][class.group as usize];
+            self.seats.get(&first.machine).is_some_and(|other| of(&other.line) == of(&seat.line))
         };
         let may_repeat = entry.first_perhaps().is_none_or(|first| match class.effect {
             Effect::Safe => true,
-            Effect::Keyed => grouped(first) && class.window_us.is_some_and(|long| now < first.sent + long),
+            Effect::Keyed => grouped(first) && Self::in_window(now, first, class),
             Effect::Unsafe => false,
         });
         seat.line.health == Health::Ready
@@ -32,6 +28,21 @@
             && seat.budget
     }
 
+    fn in_window(now: Micros, first: &Attempt, class: &Class) -> bool {
+        class.window_us.is_some_and(|long| now < first.sent + long)
+    }
+
+    /// Whether an offer that waited for its connection may still leave, by rules 2 and 3.
+    pub fn may_leave(&self, now: Micros, attempt: AttemptId) -> bool {
+        let Some(entry) = self.entries.get(&attempt.request) else { return false };
+        let class = self.settings.classes.get(usize::from(entry.task.class));
+        let first = entry.first_perhaps().filter(|first| first.run == Run::Perhaps);
+        let keyed = class.filter(|class| class.effect == Effect::Keyed).zip(first);
+        let machine = entry.attempts.get(usize::from(attempt.number)).map(|this| this.machine);
+        machine.and_then(|id| self.seats.get(&id)).is_some_and(|seat| seat.line.health == Health::Ready)
+            && keyed.is_none_or(|(class, first)| Self::in_window(now, first, class))
+    }
+
     /// The places that hold the most that a class allows of one service: one pass over the fleet.
     fn full_places(&self, class: &Class, service: ServiceId) -> Vec<u64> {
         let Some((place, most)) = class.spread else { return Vec::new() };
@@ -96,8 +107,7 @@
 
     fn offer(&mut self, now: Micros, request: RequestId, machine: MachineId, actions: &mut Vec<Action>) {
         let Some(entry) = self.entries.get_mut(&request) else { return };
-        // A copy of a start that only waits makes a jam worse, so an attempt has all the time there is;
-        // silent machines are told by stopping.
+        // A copy of a start that only waits makes a jam worse; silent machines are told by stopping.
         let within_us = Some(entry.deadline - now);
         let attempt = AttemptId { request, number: entry.attempts.len() as u16 };
         entry.attempts.push(Attempt { machine, sent: now, run: Run::Out, erred: false });
--- a/src/logic/placer/pool.rs
+++ b/src/logic/placer/pool.rs
@@ -17,17 +17,12 @@
 /// Fraction of its capacity up to which a machine of the smallest set is meant to be filled.
 const PACK_FILL: f64 = 0.6;
 
-/// The placer's random numbers; there are none before it is made.
-#[derive(Default)]
-pub(super) struct Draws(pub Option<Pcg32>);
-
-impl Draws {
-    pub fn uniform(&mut self) -> f64 {
-        self.0.as_mut().map_or(0.0, |rng| f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0))
+impl Placer {
+    /// The next random number; there are none before it is made.
+    pub(super) fn uniform(&mut self) -> f64 {
+        self.rng.as_mut().map_or(0.0, |rng| f64::from(rng.next_u32()) / (f64::from(u32::MAX) + 1.0))
     }
-}
 
-impl Placer {
     /// A load in tasks of mean size.
     pub(super) fn mean_size(&self, load: Load) -> f64 {
         let part = |x: f64, mean: Option<f64>| mean.filter(|mean| *mean > 0.0).map(|mean| x / mean);
@@ -37,8 +32,7 @@
         both.or(cores).or(memory).unwrap_or(1.0)
     }
 
-    /// The paper's a: the told number of schedulers times the own arrivals in a window, not this moment's; a
-    /// quiet one counts longer, as a count right after an arrival, M times over, is more than a fleet gets.
+    /// The paper's a: the told number of schedulers times the own arrivals, over longer where they are few.
     pub(super) fn poured(&mut self, now: Micros) -> f64 {
         let old = self.arrivals.partition_point(|(at, _)| at + SPAN_US < now);
         self.arrivals.drain(..old);
@@ -50,7 +44,7 @@
     }
 
     pub(super) fn draw(&mut self, odds: &[(MachineId, f64)]) -> MachineId {
-        let mut point = self.rng.uniform() * odds.iter().map(|(_, p)| p).sum::<f64>();
+        let mut point = self.uniform() * odds.iter().map(|(_, p)| p).sum::<f64>();
         let drawn = odds.iter().find(|(_, p)| {
             point -= p;
             point < 0.0
@@ -82,8 +76,7 @@
                 pool.retain(needed);
             }
         }
-        // The homes of a service are the same machines at every scheduler: without a word they
-        // gather its tasks where its program is. The other services' water falls elsewhere.
+        // Homes are the same at every scheduler: without a word tasks gather where their program is.
         let of = mix(service.0);
         let first = |seat: &&Glance| std::cmp::Reverse(mix(seat.line.id.0 ^ of));
         if pool.len() > HOMES {
--- a/src/logic/seat.rs
+++ b/src/logic/seat.rs
@@ -162,8 +162,7 @@
     }
 
     /// Guards rule 4: own offers in a window stay under an equal part of what a cold machine bears. Where it
-    /// is under one, turns are rarer and begin at a phase of the scheduler's own, or all would send at once;
-    /// phases fall by chance, so three deviations are kept in hand. Turns of those without tasks pass unused.
+    /// is under one, turns are rarer, begin at an own phase, and keep three deviations in hand.
     pub fn cold_budget_left(&self, now: Micros, settings: &Settings, salt: u64) -> bool {
         let (rules, schedulers) = (&settings.rules, f64::from(settings.schedulers.max(1)));
         let told = rules.cold_offers.zip(rules.overload_us).zip(self.line.ready_at);
@@ -195,14 +194,12 @@
         self.strikes /= 2;
     }
 
-    /// Asks are looked at in order: one sent before the latest answered one was seen and not answered, by a
-    /// machine that does not serve its class. It shows where a yes comes at acceptance, and needs that order.
+    /// Asks are looked at in order, so one sent before the latest answered one was seen (yes at acceptance).
     pub fn passed_over(&self, sent: Micros, settings: &Settings) -> bool {
         !settings.yes_when_running && sent < self.looked_at
     }
 
-    /// Offers wait and nothing at all came back since: a hang, a stall or a cut link. A machine that still
-    /// answers others or probes is slow, not silent: to give its offers up would only start copies.
+    /// Offers wait and nothing at all came back since; one that still answers others is slow, not silent.
     pub fn silent_since(&self, awake_since: Micros) -> Option<Micros> {
         self.waiting.values().min().map(|sent| (*sent).max(self.heard_at).max(awake_since))
     }
--- a/src/logic/tide.rs
+++ b/src/logic/tide.rs
@@ -16,8 +16,7 @@
     level + left / sorted.len().max(1) as f64
 }
 
-/// The probability of each column in a draw (eq. 14 of the paper), rescaled to sum to 1.
-/// With `a` of 1 or less the lowest columns share the draw evenly.
+/// The probability of each column (eq. 14), rescaled to sum to 1; up to an `a` of 1 the lowest share evenly.
 pub fn tidal_probabilities(columns: &[f64], a: f64) -> Vec<f64> {
     let level = water_level(columns, a);
     let gaps: Vec<f64> = columns.iter().map(|q| level.max(*q) - q).collect();
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -126,8 +126,8 @@
                 self.push(24, &[from.to_be_bytes().to_vec(), span]);
             }
             Event::Listed(_) => unreachable!("lists travel as updates"),
-            Event::Opened { .. } | Event::Recalled(_) | Event::Told(_) => {
-                unreachable!("the simulator neither opens nor recalls")
+            Event::Opened { .. } | Event::Recalled(_) | Event::Told(_) | Event::Last(_) => {
+                unreachable!("the simulator neither opens, recalls nor tells a last word")
             }
         }
     }
