--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -177,23 +177,47 @@
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("config.json");
     let config = path.to_str().unwrap();
-    for (content, words) in
-        [(None, "name a file"), (Some("{"), "line 1"), (Some("{}"), "missing field `name`")]
-    {
+    let listen = reedring_processes::free_address().unwrap();
+    let good = serde_json::json!({"name": "n1", "listen": listen, "seed": "00000000000000aa",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": "127.0.0.1:1",
+        "known": {"rev": 0, "notices": []}, "more": {"of": "what the platform may tell"},
+        "settings": {"nInstances": 1, "classes": [{"name": "play", "effect": "free", "aimUs": 1, "more": 1}],
+            "kinds": [], "discovery": "ask", "specifics": {"more": []}, "policyLimits": {}, "rules": {}}});
+    let changed = |at: &str, value: serde_json::Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(at).unwrap() = value;
+        Some(config.to_string())
+    };
+    let none = serde_json::Value::Null;
+    let mut lacking = good.clone();
+    lacking["limits"].as_object_mut().unwrap().remove("sockets");
+    for (content, words) in [
+        (None, "name a file"),
+        (Some("{".to_owned()), "line 1"),
+        (Some("{}".to_owned()), "missing field `name`"),
+        (Some(lacking.to_string()), "limits: missing field `sockets`"),
+        (changed("/limits/sockets", 0.into()), "limits.sockets: 0 are too few"),
+        (changed("/limits/sockets", (-1).into()), "limits.sockets: invalid value"),
+        (
+            changed("/settings/classes/0/effect", "twice".into()),
+            "settings.classes[0].effect: unknown variant `twice`",
+        ),
+        (changed("/settings/classes/0/aimUs", none.clone()), "settings.classes[0].aimUs: invalid type"),
+        (changed("/settings/policyLimits", none), "settings.policyLimits: invalid type"),
+        (changed("/board", "nowhere".into()), "board: invalid"),
+        (changed("/seed", "0".into()), "seed"),
+    ] {
         if let Some(content) = content {
             std::fs::write(&path, content).unwrap();
         }
+        let began = std::time::Instant::now();
         let wrong = reedring(&["platform", "--config", config]);
         assert_eq!(wrong.status.code(), Some(2));
         let said = text(&wrong.stderr);
         assert!(said.contains(words) && said.contains("config.json") && said.lines().count() == 1, "{said}");
+        assert!(began.elapsed() < Duration::from_secs(1), "{words}: {:?}", began.elapsed());
     }
-    let listen = reedring_processes::free_address().unwrap();
-    let good = serde_json::json!({"name": "n1", "listen": listen, "seed": "00000000000000aa",
-        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "board": "127.0.0.1:1",
-        "known": {"rev": 0, "notices": []},
-        "settings": {"nInstances": 1, "classes": [], "kinds": [], "discovery": "ask", "specifics": {},
-            "policyLimits": {}, "rules": {}}});
+    // What it does not know is passed by, and the rest holds.
     std::fs::write(&path, good.to_string()).unwrap();
     let program = Path::new(env!("CARGO_BIN_EXE_reedring"));
     let placer = Program::start(program, "placer", &["platform", "--config", config], None).unwrap();
--- a/crates/platproto/src/config.rs
+++ b/crates/platproto/src/config.rs
@@ -56,10 +56,10 @@
 pub enum Error {
     /// It is not in the platform's form.
     #[error("{0}; put it in the platform's form")]
-    Form(#[from] serde_json::Error),
+    Form(#[from] serde_path_to_error::Error<serde_json::Error>),
     /// The settings can't be read.
-    #[error("settings: {0}; put them in the form of the simulator's first message")]
-    Settings(serde_json::Error),
+    #[error("settings.{0}; put them in the form of the simulator's first message")]
+    Settings(settings::Error),
     /// The seed is none.
     #[error("seed: {0:?} is not 16 hex digits; give it as such")]
     Seed(String),
@@ -80,7 +80,7 @@
     /// # Errors
     /// Where any part of it can't be used.
     pub fn read(text: &str) -> Result<Self, Error> {
-        let file: File = serde_json::from_str(text)?;
+        let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
         let settings = settings::read(file.settings.get()).map_err(Error::Settings)?;
         file.known.check(&Names::from(&settings))?;
         if file.limits.sockets < LEAST_SOCKETS {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -174,12 +174,15 @@
     must_ask_in_us: Option<Micros>,
 }
 
+/// What is wrong with the settings, with the place in them.
+pub type Error = serde_path_to_error::Error<serde_json::Error>;
+
 /// Reads the settings JSON.
 ///
 /// # Errors
-/// Where the text is no JSON or lacks what every site tells.
-pub fn read(text: &str) -> Result<Deployment, serde_json::Error> {
-    let wire: Wire = serde_json::from_str(text)?;
+/// Where the text is no JSON, lacks what every site tells, or says what no site can mean.
+pub fn read(text: &str) -> Result<Deployment, Error> {
+    let wire: Wire = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
     let (facts, limits) = (wire.specifics, wire.policy_limits);
     let nth = |list: &Option<Vec<f64>>, n: usize| list.as_ref().and_then(|l| l.get(n).copied());
     let place = |n: usize| -> Option<(Place, u32)> {
