--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,16 +1,19 @@
 //! The engine: inputs to the module's events, the module's actions to outputs.
 
+mod attempts;
+mod bounds;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use reedring::settings::Deployment;
 use reedring::timers::Timers;
 use reedring::{Action, AttemptId, Ended, Event, MachineId, Micros, Outcome, Placer, RequestId};
 use reedring_platproto::board;
-use reedring_platproto::config::Limits;
 use reedring_platproto::host::{Figures, ToHost};
 use reedring_platproto::owner::{Setup, ToOwner};
 use reedring_platproto::{CANCELLED, CUT, GIVEN_UP};
 
+pub use self::bounds::Bounds;
 use crate::clients::{Conn, End};
 use crate::hosts::{Host, Link};
 use crate::io::{ConnId, Input, LinkId, Output};
@@ -38,47 +41,6 @@
     settings.module.rules.connect_timeout_us.unwrap_or(CONNECT_US)
 }
 
-/// What bounds the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bounds {
-    /// Connections of clients and to hosts together.
-    pub all: usize,
-    /// Connections of clients.
-    pub clients: usize,
-    /// Connections of clients beyond these, for as long as it takes to answer them.
-    pub overflow: usize,
-    /// So many of clients' places are never taken for hosts.
-    pub kept: usize,
-    /// Connections to one host.
-    pub links_each: usize,
-    /// Bytes of set-ups that wait for their answer.
-    pub waiting: usize,
-}
-
-impl Bounds {
-    /// What the descriptors allow. A third is all that clients hold by the protocol, and is kept for them with some
-    /// more for those that just come and go. Who does not keep to that gets what hosts leave, up to a half.
-    pub fn of(limits: &Limits) -> Self {
-        let sockets = limits.sockets;
-        let kept = sockets / 3 + sockets / 16;
-        let (all, clients, overflow) = (sockets - OWN_SOCKETS, sockets / 2, sockets / 16);
-        // An eighth of the memory; outboxes may hold another.
-        let waiting = (limits.memory_mb as usize * 1024 * 1024 / 8).max(64 * 1024);
-        Self { all, clients, overflow, kept, links_each: LINKS_EACH, waiting }
-    }
-
-    /// Connections to hosts, beside so many of clients.
-    pub fn links(&self, conns: usize) -> usize {
-        self.all.saturating_sub(conns.max(self.kept))
-    }
-}
-
-/// Descriptors of the placer itself: standard streams, the runtime's, signals, listener, discovery, and a few
-/// connections that are just being closed.
-const OWN_SOCKETS: usize = 24;
-/// Connections to one host: more set-ups than this wait there at once only in a jam.
-const LINKS_EACH: usize = 6;
-
 /// What an engine is told at its start.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -455,162 +417,4 @@
             self.send_host(link, ToHost::Release { id, cause });
         }
     }
-
-    fn offer(&mut self, now: Micros, request: RequestId, machine: MachineId, within_us: Option<Micros>) {
-        let most = self.settings.module.rules.max_attempts;
-        let Some(entry) = self.requests.get_mut(&request) else {
-            // Its client went in this very batch; the module's number for the attempt is the next one.
-            return;
-        };
-        let number = entry.attempts;
-        entry.attempts += 1;
-        let spent = most.is_some_and(|most| u32::from(number) >= most);
-        // A second attempt beside one that is out would be a second live one.
-        if entry.phase != Phase::Open || entry.out.is_some() || spent || entry.deadline <= now {
-            return self.ended(request, number, machine, Outcome::Unsent, None, Vec::new());
-        }
-        let until = within_us.map_or(entry.deadline, |within| (now + within).min(entry.deadline));
-        entry.out = Some(Out { number, machine, link: 0, position: 0, sent: now, until, resent: 0 });
-        self.timers.set(until, Timer::Attempt(AttemptId { request, number }));
-        self.send_setup(now, request);
-    }
-
-    /// Sends the attempt that is out on the connection that suits it.
-    pub(crate) fn send_setup(&mut self, now: Micros, request: RequestId) {
-        let Some(entry) = self.requests.get(&request) else { return };
-        let Some(out) = entry.out else { return };
-        let (number, machine, id) = (out.number, out.machine, entry.setup.id);
-        let Some(link) = self.link_for(now, machine) else {
-            if let Some(entry) = self.requests.get_mut(&request) {
-                entry.out = None;
-            }
-            return self.ended(request, number, machine, Outcome::Unconnected, None, Vec::new());
-        };
-        let Some(setup) = self.requests.get(&request).map(|entry| &entry.setup) else { return };
-        let message = ToHost::Setup {
-            id,
-            class: setup.class.clone(),
-            key: setup.key,
-            idem: setup.idem.clone(),
-            left_ms: (out.until.saturating_sub(now) / 1_000).max(1),
-            description: setup.description.clone(),
-        };
-        let position = self.send_host(link, message);
-        if let Some(link) = self.links.get_mut(&link) {
-            link.open.insert(id, AttemptId { request, number });
-            link.used = now;
-        }
-        if let Some(out) = self.requests.get_mut(&request).and_then(|entry| entry.out.as_mut()) {
-            (out.link, out.position) = (link, position);
-        }
-    }
-
-    /// Tells the module that an attempt ended.
-    pub(crate) fn ended(
-        &mut self,
-        request: RequestId,
-        number: u16,
-        machine: MachineId,
-        outcome: Outcome,
-        reason: Option<reedring::Reason>,
-        report: Vec<f64>,
-    ) {
-        let closed = self.requests.get(&request).is_none_or(|entry| entry.phase != Phase::Open);
-        let attempt = AttemptId { request, number };
-        self.events.push(Event::Ended(Ended { attempt, machine, outcome, reason, closed, report }));
-    }
-
-    /// Takes the attempt that is out back, and tells the module how it ended. What its host may still say to it
-    /// concerns nobody any more.
-    pub(crate) fn take_back(
-        &mut self,
-        request: RequestId,
-        outcome: Outcome,
-        reason: Option<reedring::Reason>,
-        report: Vec<f64>,
-    ) -> Option<Out> {
-        let entry = self.requests.get_mut(&request)?;
-        let out = entry.out.take()?;
-        let (id, closed) = (entry.setup.id, entry.phase == Phase::Closed);
-        if let Some(link) = self.links.get_mut(&out.link) {
-            link.open.remove(&id);
-        }
-        self.ended(request, out.number, out.machine, outcome, reason, report);
-        if closed {
-            self.forget(request);
-        }
-        Some(out)
-    }
-
-    /// Gives up waiting for the attempt that is out: its host is told, and its connection used no more, as
-    /// whatever kept the answer from coming may hold up the next one too. What waits for a connection that does not
-    /// stand never left.
-    fn give_up(&mut self, request: RequestId, outcome: Outcome) {
-        let Some(entry) = self.requests.get(&request) else { return };
-        let (id, Some(out)) = (entry.setup.id, entry.out) else { return };
-        let unsent = self.unsend(out.link, id);
-        let outcome = if unsent { Outcome::Unconnected } else { outcome };
-        self.take_back(request, outcome, None, Vec::new());
-        if !unsent {
-            self.send_host(out.link, ToHost::Release { id, cause: GIVEN_UP });
-        }
-        self.doubt(out.link);
-    }
-
-    /// The attempt, if it is the one that is out.
-    pub(crate) fn out(&self, attempt: AttemptId) -> Option<Out> {
-        let out = self.requests.get(&attempt.request).and_then(|entry| entry.out);
-        out.filter(|out| out.number == attempt.number)
-    }
-
-    fn stop(&mut self, attempt: AttemptId) {
-        if self.out(attempt).is_some() {
-            self.give_up(attempt.request, Outcome::Stopped);
-        }
-    }
-
-    fn attempt_due(&mut self, now: Micros, attempt: AttemptId) {
-        if self.out(attempt).is_some_and(|out| out.until <= now) {
-            self.give_up(attempt.request, Outcome::TimedOut);
-        }
-    }
-
-    fn probe(&mut self, now: Micros, machine: MachineId) {
-        let Some(link) = self.link_for(now, machine) else {
-            return self.events.push(Event::Probed {
-                machine,
-                answered: false,
-                took_us: 0,
-                report: Vec::new(),
-            });
-        };
-        self.last_probe += 1;
-        let (id, report) = (self.last_probe, !self.settings.report.is_empty());
-        self.probes.insert(id, Probe { machine, link, sent: now });
-        if let Some(link) = self.links.get_mut(&link) {
-            link.probes += 1;
-        }
-        self.send_host(link, ToHost::Test { id, report });
-        self.timers.set(now + connect_us(&self.settings), Timer::Probe(id));
-    }
-
-    pub(crate) fn probe_over(&mut self, now: Micros, id: u64, answered: bool, figures: &Figures) {
-        let Some(probe) = self.probes.remove(&id) else { return };
-        if let Some(link) = self.links.get_mut(&probe.link) {
-            link.probes -= 1;
-        }
-        if !answered {
-            self.doubt(probe.link);
-        }
-        let took_us = now.saturating_sub(probe.sent);
-        let report = self.report(figures);
-        self.events.push(Event::Probed { machine: probe.machine, answered, took_us, report });
-    }
-
-    /// A load report in the order of the settings; none unless all of it was told.
-    pub(crate) fn report(&self, figures: &Figures) -> Vec<f64> {
-        let report: Option<Vec<f64>> =
-            self.settings.report.iter().map(|name| figures.get(name).copied()).collect();
-        report.unwrap_or_default()
-    }
 }
