Cold ramp: one rule whose sum holds for all placers, by their numbers and over restarts

Cause, measured in simulated time (tests/ramp.rs: whole fleets of modules, one cold machine, 408 returns at 1, 16, 30, 170 and 350 placers, loads busy, in step, one busy, all late; nobody, some or all restarted). The rule as it was goes over N + 2 sqrt(N) + 2 in 15 of them; two causes, at the lines of `cold_budget_left` in src/logic/seat.rs: - a restarted placer knows nothing of its predecessor's window and draws a new phase from a new seed: 30 placers, N 400, all restarted within a second: 752 in a window, 442 allowed; 1 placer, N 40: 80, 54 allowed; - a turn, once begun, stays open until it is used: 170 placers that are idle until late, N 40: 88, 54 allowed. Ruled out: arrivals up to 3 ms apart from their sends alone, which broke only what lies at the bound.

Change: src/logic/ramp.rs in place of it, with its derivation: floor(N / M) each in a window; the rest goes round in turns by the placer's own number (`position`, told by simulator and platform, the same after a restart), each open for W min(1, 2 sqrt(N) / r), so that any window meets at most N + 2 sqrt(N) + 1. The window and the turn in which a placer started count as spent, unless the machine started later. 0.1 s more than the window, as offers may draw together on their way. What waited for its connection spends the budget when it leaves (`may_leave`). A budget that is no number or negative gives nothing. Without a number (the DRMAA placer) turns fall by chance, with three deviations in hand as before.

--- a/crates/settings/src/settings/module.rs
+++ b/crates/settings/src/settings/module.rs
@@ -33,6 +33,8 @@
         let site = &self.site;
         let jitter = self.jitter_us();
         module::Settings {
+            // No number is told: turns at a cold node fall by chance.
+            position: None,
             schedulers: site.placers,
             zone: hall,
             classes: self.classes.iter().map(class).collect(),
--- a/src/api.rs
+++ b/src/api.rs
@@ -154,6 +154,8 @@
 pub struct Settings {
     /// How many schedulers there are.
     pub schedulers: u32,
+    /// The number of this one among them, from 0, the same after a restart.
+    pub position: Option<u32>,
     /// The zone of this one.
     pub zone: Option<u16>,
     /// Classes, by number.
--- a/src/logic/glance.rs
+++ b/src/logic/glance.rs
@@ -5,8 +5,7 @@
 /// A machine as all draws of one step see it, in one piece of memory: only an own offer changes it.
 pub struct Glance {
     pub line: Machine,
-    /// Its place in the order that all schedulers share.
-    pub rank: usize,
+    pub rank: usize, // Its place in the order that all schedulers share.
     pub tasks: f64,
     pub limit: Load,
     pub memory_roof: f64,
@@ -15,8 +14,7 @@
     pub refused: Option<Load>,
     pub share: f64,
     pub heard: bool,
-    /// Back cold or from a failure, or never heard of: it only looks empty.
-    pub floored: bool,
+    pub floored: bool, // Back cold or from a failure, or never heard of: it only looks empty.
     pub budget: bool,
     pub barred: bool,
     pub shut: bool,
--- a/src/logic/ledger.rs
+++ b/src/logic/ledger.rs
@@ -13,8 +13,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub enum Run {
     Out,
-    /// Out, and asked to stop.
-    Stopping,
+    Stopping, // Out, and asked to stop.
     Never,
     Perhaps,
 }
@@ -23,8 +22,7 @@
     pub machine: MachineId,
     pub sent: Micros,
     pub run: Run,
-    /// The machine called it an error.
-    pub erred: bool,
+    pub erred: bool, // The machine called it an error.
 }
 
 /// A request that owes an answer.
@@ -32,8 +30,7 @@
     pub task: Task,
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
-    /// The only machines that may take it, in order, where such were told.
-    pub open: Option<Vec<MachineId>>,
+    pub open: Option<Vec<MachineId>>, // The only machines that may take it, in order, where such were told.
 }
 
 impl Entry {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -3,6 +3,7 @@
 mod glance;
 mod ledger;
 mod placer;
+mod ramp;
 mod seat;
 mod tide;
 
@@ -13,7 +14,7 @@
 
 pub use self::placer::Placer;
 pub use self::tide::{tidal_probabilities, water_level};
-use self::{glance::*, ledger::*, seat::*};
+use self::{glance::*, ledger::*, ramp::*, seat::*};
 use crate::api::*;
 use crate::load::{Load, ONCE};
 use crate::names::mix;
--- a/src/logic/placer/mod.rs
+++ b/src/logic/placer/mod.rs
@@ -30,28 +30,21 @@
     seats: BTreeMap<MachineId, Seat>,
     /// Places among the seats, from the largest machine down, in an order that all schedulers share.
     order: Vec<usize>,
-    /// How the seats look at the moment of this step, in their order.
-    glances: Vec<Glance>,
+    glances: Vec<Glance>, // How the seats look at the moment of this step, in their order.
     entries: BTreeMap<RequestId, Entry>,
     standing: BTreeMap<AttemptId, Standing>,
     arrivals: VecDeque<(Micros, f64)>,
     answers: VecDeque<Micros>,
-    /// Learnt ratio of use to ask.
-    ratio: Load,
-    /// Requests to draw for at the end of this step, in order.
-    due: Vec<RequestId>,
+    ratio: Load,         // Learnt ratio of use to ask.
+    due: Vec<RequestId>, // Requests to draw for at the end of this step, in order.
     held: Vec<RequestId>,
     /// When the watch on the list is to be asked for again; `None` before the first time.
     watch_due: Option<Micros>,
     watch_failures: u32,
-    /// Until when a task may wait for the report of a probe.
-    probing: Micros,
-    /// When this scheduler started or last came back from a gap in its own turns.
-    awake_since: Micros,
-    /// When the next look is due, if any.
-    tick_due: Option<Micros>,
-    /// Its own number for phases that must differ between schedulers.
-    salt: u64,
+    probing: Micros,          // Until when a task may wait for the report of a probe.
+    awake_since: Micros,      // When this scheduler started or last came back from a gap in its own turns.
+    tick_due: Option<Micros>, // When the next look is due, if any.
+    own: Own,
     logged_at: Option<Micros>,
 }
 
@@ -62,7 +55,8 @@
         let accepts = accepts(&settings);
         let ratio = Load { cores: 1.0 / accepts.cores.max(1.0), memory: 1.0 / accepts.memory.max(1.0) };
         let rng = Some(Pcg32::new(seed, 0));
-        Self { settings, rng, ratio, awake_since: Micros::MAX, salt: mix(seed), ..Self::default() }
+        let own = Own { number: settings.position.map_or(mix(seed), u64::from), started: Micros::MAX };
+        Self { settings, rng, ratio, awake_since: Micros::MAX, own, ..Self::default() }
     }
 
     /// Folds a batch of events in order, then draws for the tasks that are due.
@@ -73,12 +67,13 @@
         if self.awake_since == Micros::MAX || self.tick_due.is_some_and(|due| due + TICK_US < now) {
             // This scheduler stood still: the silence was its own, and no machine is blamed for it.
             self.awake_since = now;
+            self.own.started = self.own.started.min(now);
         }
         events.iter().for_each(|event| self.fold(now, event, actions));
         let held = self.held.len();
         if !self.due.is_empty() {
             let a = self.poured(now);
-            let glance = |seat: &Seat| seat.glance(now, &self.settings, self.salt, self.ratio);
+            let glance = |seat: &Seat| seat.glance(now, &self.settings, self.own, self.ratio);
             self.glances = self.seats.values().map(glance).collect();
             self.order.iter().zip(0..).for_each(|(at, rank)| self.glances[*at].rank = rank);
             let due = std::mem::take(&mut self.due);
--- a/src/logic/placer/offer.rs
+++ b/src/logic/placer/offer.rs
@@ -32,15 +32,19 @@
         class.window_us.is_some_and(|long| now < first.sent + long)
     }
 
-    /// Whether an offer that waited for its connection may still leave, by rules 2 and 3.
-    pub fn may_leave(&self, now: Micros, attempt: AttemptId) -> bool {
+    /// Whether an offer that waited for its connection may leave, by rules 2 to 4; it spends budget now.
+    pub fn may_leave(&mut self, now: Micros, attempt: AttemptId) -> bool {
         let Some(entry) = self.entries.get(&attempt.request) else { return false };
         let class = self.settings.classes.get(usize::from(entry.task.class));
         let first = entry.first_perhaps().filter(|first| first.run == Run::Perhaps);
         let keyed = class.filter(|class| class.effect == Effect::Keyed).zip(first);
-        let machine = entry.attempts.get(usize::from(attempt.number)).map(|this| this.machine);
-        machine.and_then(|id| self.seats.get(&id)).is_some_and(|seat| seat.line.health == Health::Ready)
-            && keyed.is_none_or(|(class, first)| Self::in_window(now, first, class))
+        let Some(this) = entry.attempts.get(usize::from(attempt.number)) else { return false };
+        let Some(seat) = self.seats.get_mut(&this.machine) else { return false };
+        let cold = seat.cold_offers.iter().rposition(|at| *at == this.sent);
+        cold.map(|at| seat.cold_offers.remove(at));
+        let may = seat.may_send(now, &self.settings, self.own) && seat.line.health == Health::Ready;
+        seat.cold_offers.extend(cold.filter(|_| may).map(|_| now));
+        may && keyed.is_none_or(|(class, first)| Self::in_window(now, first, class))
     }
 
     /// The places that hold the most that a class allows of one service: one pass over the fleet.
@@ -74,7 +78,6 @@
         let lost = entry.first_perhaps().is_some() && class.effect != Effect::Safe;
         if !seats.is_empty() && left > 0 {
             let odds = self.odds(seats, service, a);
-            // A wait must end in a look before the deadline.
             if left <= 2 * TICK_US || !self.ask_pool(now, &odds, actions) {
                 let machine = self.draw(&odds);
                 return self.offer(now, request, machine, actions);
@@ -120,7 +123,7 @@
             if seat.is_cold(now, &self.settings.rules) {
                 seat.cold_offers.push(now);
             }
-            let glance = seat.glance(now, &self.settings, self.salt, self.ratio);
+            let glance = seat.glance(now, &self.settings, self.own, self.ratio);
             if let Ok(at) = self.glances.binary_search_by_key(&machine, |glance| glance.line.id) {
                 self.glances[at] = Glance { rank: self.glances[at].rank, ..glance };
             }
--- a/src/logic/seat.rs
+++ b/src/logic/seat.rs
@@ -27,43 +27,28 @@
 pub struct Seat {
     pub line: Machine,
     pub size: Load,
-    /// Size, times what a machine accepts.
-    pub limit: Load,
-    /// Size, up to where service starts to fade.
-    pub ease: Load,
-    /// Capacity in tasks of mean size.
-    pub tasks: f64,
-    /// Asked by all, as the list told it.
-    pub asked: Option<(Micros, Load)>,
-    /// Used by all, as a report told it.
-    pub used: Option<(Micros, Load)>,
+    pub limit: Load,                   // Size, times what a machine accepts.
+    pub ease: Load,                    // Size, up to where service starts to fade.
+    pub tasks: f64,                    // Capacity in tasks of mean size.
+    pub asked: Option<(Micros, Load)>, // Asked by all, as the list told it.
+    pub used: Option<(Micros, Load)>,  // Used by all, as a report told it.
     /// Own binds, and ends as negative ones, young enough to be missing from news.
     pub changes: VecDeque<(Micros, Load)>,
-    /// Asked by own tasks.
-    pub own: Load,
-    /// The last ask refused, and when.
-    pub refused: Option<(Micros, Load)>,
-    /// Own tasks by service, attempts in flight too.
-    pub services: BTreeMap<ServiceId, u32>,
-    /// Own offers while cold.
-    pub cold_offers: Vec<Micros>,
-    /// Offers without an answer.
-    pub waiting: BTreeMap<AttemptId, Micros>,
-    /// Own tasks that are offered or accepted but not known to run.
-    pub starting: BTreeSet<AttemptId>,
+    pub own: Load,                            // Asked by own tasks.
+    pub refused: Option<(Micros, Load)>,      // The last ask refused, and when.
+    pub services: BTreeMap<ServiceId, u32>,   // Own tasks by service, attempts in flight too.
+    pub cold_offers: Vec<Micros>,             // Own offers while cold.
+    pub waiting: BTreeMap<AttemptId, Micros>, // Offers without an answer.
+    pub starting: BTreeSet<AttemptId>,        // Own tasks that are offered or accepted but not known to run.
     pub strikes: u32,
     pub barred_until: Micros,
-    /// When the latest offer or probe was sent that it answered.
-    pub looked_at: Micros,
-    /// When it last answered anything, probes too.
-    pub heard_at: Micros,
+    pub looked_at: Micros, // When the latest offer or probe was sent that it answered.
+    pub heard_at: Micros,  // When it last answered anything, probes too.
     pub probed_at: Option<Micros>,
-    /// The last probe was for its report, and has not come back.
-    pub asked_for: bool,
+    pub asked_for: bool, // The last probe was for its report, and has not come back.
     /// Tenants and classes that it turns away with no shortage named, and until when; a past time is a doubt.
     pub shut: BTreeMap<(u16, u16), Micros>,
-    /// Since when the list says that it is gone.
-    pub gone_at: Option<Micros>,
+    pub gone_at: Option<Micros>, // Since when the list says that it is gone.
 }
 
 impl Seat {
@@ -131,7 +116,7 @@
     }
 
     /// How it looks at a moment.
-    pub fn glance(&self, now: Micros, settings: &Settings, salt: u64, ratio: Load) -> Glance {
+    pub fn glance(&self, now: Micros, settings: &Settings, own: Own, ratio: Load) -> Glance {
         let (asked, used) = (self.asked(), self.used(ratio));
         let heard = self.asked.is_some() || self.used.is_some();
         let refused = self.refused.filter(|(at, _)| now < at + REFUSAL_US).map(|(_, load)| load);
@@ -150,7 +135,7 @@
             share: asked.share(self.limit).max(use_share).max(full),
             heard,
             floored: !heard || self.strikes > 0 || self.is_cold(now, &settings.rules),
-            budget: self.cold_budget_left(now, settings, salt),
+            budget: self.may_send(now, settings, own),
             barred: self.barred_until > now,
             shut: self.shut.values().any(|until| *until > now),
         }
@@ -161,24 +146,6 @@
         self.line.ready_at.is_some_and(|at| now < at.saturating_add(warm_after))
     }
 
-    /// Guards rule 4: own offers in a window stay under an equal part of what a cold machine bears. Where it
-    /// is under one, turns are rarer, begin at an own phase, and keep three deviations in hand.
-    pub fn cold_budget_left(&self, now: Micros, settings: &Settings, salt: u64) -> bool {
-        let (rules, schedulers) = (&settings.rules, f64::from(settings.schedulers.max(1)));
-        let told = rules.cold_offers.zip(rules.overload_us).zip(self.line.ready_at);
-        let Some(((offers, window), born)) = told.filter(|_| self.is_cold(now, rules)) else { return true };
-        let offers = offers.max(0.0);
-        if offers >= schedulers {
-            let young = self.cold_offers.iter().filter(|at| **at + window > now).count();
-            return (young as f64) < (offers / schedulers).floor();
-        }
-        let root = ((9.0 + 4.0 * offers).sqrt() - 3.0) / 2.0;
-        let turn = (window as f64 * schedulers / (root * root).max(1e-3)) as Micros;
-        let phase = mix(salt ^ mix(self.line.id.0 ^ mix(born))) as f64 / u64::MAX as f64;
-        let first = born.saturating_add((turn as f64 * phase) as Micros);
-        now >= first && self.cold_offers.last().is_none_or(|at| at.saturating_add(turn) <= now)
-    }
-
     /// A failed connect, probe or attempt: stay away, longer each time.
     pub fn strike(&mut self, now: Micros, settings: &Settings) {
         let bar = settings.rules.connect_timeout_us.unwrap_or(BAR_US);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -36,6 +36,7 @@
 #[serde(rename_all = "camelCase")]
 struct Wire {
     n_instances: u32,
+    position: Option<u32>,
     zone: Option<u16>,
     classes: Vec<WireClass>,
     kinds: Vec<String>,
@@ -213,6 +214,7 @@
     };
     let module = Settings {
         schedulers: wire.n_instances,
+        position: wire.position.filter(|position| *position < wire.n_instances),
         zone: wire.zone,
         classes: wire.classes.iter().enumerate().map(class).collect(),
         kinds: (0..wire.kinds.len())
