--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -88,7 +88,7 @@
             // Told of the start within half a second.
             if now >= START
                 && !told_at.contains_key(&n)
-                && (draw.next_u32() % 12 == 0 || now >= START + SECOND / 2)
+                && (draw.next_u32().is_multiple_of(12) || now >= START + SECOND / 2)
             {
                 told_at.insert(n, now);
                 events.push(Event::Listed(Listing::Changes(vec![line.clone()])));
@@ -96,7 +96,7 @@
             let turn = START + 3 * SECOND + n as u64 * SECOND / u64::from(schedulers) / TICK * TICK;
             let killed = match restarts {
                 Restarts::Nobody => false,
-                Restarts::Some => draw.next_u32() % 1_400 == 0,
+                Restarts::Some => draw.next_u32().is_multiple_of(1_400),
                 Restarts::All => now == turn,
             };
             if killed && now > START {
@@ -109,7 +109,7 @@
                 Load::Busy => waits[n] == 0,
                 Load::InStep => now % (2 * SECOND + 100 * MS) < TICK,
                 Load::Late => now >= START + 6 * SECOND,
-                Load::One => n == 0 || draw.next_u32() % 150 == 0,
+                Load::One => n == 0 || draw.next_u32().is_multiple_of(150),
             };
             if more && waits[n] < 4 {
                 request += 1;
