Platform: what is overdue behind a flood is answered in time

Found on rereading: arrivals take turns of 32, and one whose time ended while it waited for its turn would have been answered only in that turn. Where others wait, each request now has a timer for its own time, at which the module is told of it as over: it never ran, and is refused at once. Test: leaving.rs what_is_overdue_behind_a_flood_is_answered_in_time, which fails without the timer. The wait for a failing test stood twice in the tests; it is one function of the stand-ins.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -166,6 +166,14 @@
         }
     }
 
+    /// Whatever waits before it, a request whose time is over is answered: it never ran.
+    pub(crate) fn overdue(&mut self, now: Micros, request: RequestId) {
+        let fresh = |entry: &Request| entry.phase == Phase::Open && !entry.told;
+        if self.requests.get(&request).is_some_and(fresh) {
+            self.tell_module(now, request, true);
+        }
+    }
+
     /// Tells the module of an arrival; of one whose client has gone so that it answers it at once.
     fn tell_module(&mut self, now: Micros, request: RequestId, last: bool) {
         let Some(entry) = self.requests.get_mut(&request) else { return };
@@ -367,6 +375,9 @@
             return self.send_client(conn, ToOwner::failure(id, CUT));
         }
         let request = self.new_request(now, setup, conn, Phase::Open);
+        if self.has_backlog() {
+            self.timers.set(self.requests[&request].deadline, Timer::Overdue(request));
+        }
         if let Some(entry) = self.conns.get_mut(&conn) {
             entry.open.insert(id);
             (entry.heard_at, entry.good, entry.unusable) = (now, true, 0);
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -114,6 +114,8 @@
     Reconnect(MachineId),
     /// A client ended a moment ago.
     Gone(ConnId),
+    /// The time of a request is over that may still wait for its turn.
+    Overdue(RequestId),
     /// Idle connections and old records are looked through.
     Sweep,
 }
@@ -280,6 +282,7 @@
                 Timer::Probe(id) => self.probe_over(now, id, false, &Figures::new()),
                 Timer::Reconnect(machine) => self.reconnect(now, machine),
                 Timer::Gone(conn) => self.client_ended_long(now, conn),
+                Timer::Overdue(request) => self.overdue(now, request),
                 Timer::Sweep => {
                     self.sweep_clients(now);
                     self.sweep_hosts(now);
--- a/crates/platform/tests/ending.rs
+++ b/crates/platform/tests/ending.rs
@@ -23,15 +23,7 @@
     for asked in [Asked::Reload, Asked::End, Asked::Reload, Asked::End] {
         placer.ask.send(asked).await.unwrap();
     }
-    soon("the test to fail", async {
-        loop {
-            client.send(&message(52, 2, &[(194, &[0])])).await;
-            if client.got().await.unwrap().cause() == Some(0) {
-                return;
-            }
-        }
-    })
-    .await;
+    client.until_its_test_fails().await;
     let mut late = Client::connect(placer.address).await;
     late.send(&setup(3, "print", 8_000, "")).await;
     let second = link.line().await.unwrap();
--- a/crates/platform/tests/leaving.rs
+++ b/crates/platform/tests/leaving.rs
@@ -260,3 +260,28 @@
     });
     assert!(left.is_some_and(|left| left <= 4_600), "{left:?}");
 }
+
+/// Its time is over while it waits for its turn behind a flood: it is answered in time, and never sent.
+#[test]
+fn what_is_overdue_behind_a_flood_is_answered_in_time() {
+    use reedring_platform::Output;
+    use reedring_platproto::owner::FromOwner;
+    let mut world = world("active");
+    let conn = world.connect();
+    for id in 1..=1_000 {
+        let left = if id == 1_000 { 30 } else { 5_000 };
+        let asks = FromOwner::Setup(Box::new(setup(id, "print", left)));
+        world.engine.handle(world.now, Input::Client(conn, Ok(asks)));
+    }
+    // One turn takes this long.
+    let mut answered = false;
+    for turn in 0..3 {
+        world.engine.flush(world.now + turn * 10 * MS);
+        while let Some(output) = world.engine.poll() {
+            let of = |message: &ToOwner| matches!(message, ToOwner::Release { id: 1_000, cause: FULL, .. });
+            answered |= matches!(&output, Output::ToClient(to, message) if *to == conn && of(message));
+        }
+    }
+    assert!(answered, "its client waits for 30 ms, and the last turn is at 20");
+    assert!(world.engine.has_backlog());
+}
--- a/crates/platform/tests/loopback.rs
+++ b/crates/platform/tests/loopback.rs
@@ -311,15 +311,7 @@
     let first = link.line().await.unwrap();
     placer.ask.send(Asked::End).await.unwrap();
     // Until it knows, its test passes.
-    soon("the test to fail", async {
-        loop {
-            client.send(&message(52, 2, &[(194, &[0])])).await;
-            if client.got().await.unwrap().cause() == Some(0) {
-                return;
-            }
-        }
-    })
-    .await;
+    client.until_its_test_fails().await;
     let mut late = Client::connect(placer.address).await;
     late.send(&setup(3, "play", 5_000, "")).await;
     let second = link.line().await.unwrap();
--- a/crates/platform/tests/standins/mod.rs
+++ b/crates/platform/tests/standins/mod.rs
@@ -78,6 +78,19 @@
         self.stream.write_all(bytes).await.expect("the placer reads");
     }
 
+    /// Asks for its test until the placer fails it, as one that is to end does.
+    pub async fn until_its_test_fails(&mut self) {
+        soon("the test to fail", async {
+            loop {
+                self.send(&message(52, 2, &[(194, &[0])])).await;
+                if self.got().await.expect("an answer").cause() == Some(0) {
+                    return;
+                }
+            }
+        })
+        .await;
+    }
+
     /// The next message; `None` once the placer closed.
     pub async fn got(&mut self) -> Option<Got> {
         soon("a message", async {
