Ramp: a window without bound no longer overflows; late leaving and odd budgets are tested

Sums saturate now. A budget that is no number, negative or nought gives nothing, one without bound is bounded by the machine's room. And an_offer_that_leaves_late_spends_the_budget_when_it_leaves holds what may_leave does to the budget.

--- a/src/logic/ramp.rs
+++ b/src/logic/ramp.rs
@@ -29,16 +29,16 @@
         let root = ((9.0 + 4.0 * offers).sqrt() - 3.0) / 2.0;
         let by_chance = if steady > 0.0 { 0.0 } else { root * root };
         let left = settings.position.map_or(by_chance, |_| offers - steady * schedulers as f64);
-        let newborn = born >= own.started;
-        let before = if newborn || now >= own.started + window { 0.0 } else { steady };
-        let young = before + self.cold_offers.iter().filter(|at| **at + window > now).count() as f64;
+        let (started, newborn) = (own.started, born >= own.started);
+        let before = if newborn || now >= started.saturating_add(window) { 0.0 } else { steady };
+        let young =
+            before + self.cold_offers.iter().filter(|at| at.saturating_add(window) > now).count() as f64;
         let (space, valid) = (span / left, span.min(2.0 * span * offers.sqrt() / left));
         let age = now.saturating_sub(born) as f64;
         let first = mix(self.line.id.0 ^ mix(born)).wrapping_add(own.number) % schedulers;
-        let begun = (age / space) as u64;
-        let begun =
-            begun.checked_sub((begun + schedulers - first) % schedulers).map(|turn| turn as f64 * space);
-        let own_turn = |at: f64| age < at + valid && (newborn || born as f64 + at >= own.started as f64);
-        young < steady || left > 0.0 && young < steady + 1.0 && begun.is_some_and(own_turn)
+        let turn = (age / space) as u64;
+        let own = turn.checked_sub((turn + schedulers - first) % schedulers).map(|own| own as f64 * space);
+        let open = |at: f64| age < at + valid && (newborn || born as f64 + at >= started as f64);
+        young < steady || left > 0.0 && young < steady + 1.0 && own.is_some_and(open)
     }
 }
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -178,3 +178,45 @@
         assert!(used >= least, "{schedulers} {offers}: {used}");
     }
 }
+
+/// What waited for its connection spends the budget when it leaves, and does not leave where that is spent or over.
+#[test]
+fn an_offer_that_leaves_late_spends_the_budget_when_it_leaves() {
+    let mut bed = Bed::new(settings(), Vec::new());
+    bed.now += SECOND;
+    let cold = |health| Machine { ready_at: Some(START + SECOND), ..with(machine(1, 0), health) };
+    let mut batch = vec![Event::Listed(Listing::Changes(vec![cold(Health::Ready)]))];
+    batch.extend((0..2).map(|request| arrived(request, 0)));
+    assert_eq!(offers(&bed.step(&batch)).len(), 2, "8 offers over 4 placers");
+    bed.now += 3 * SECOND / 2;
+    assert!((0..2).all(|request| bed.placer.may_leave(bed.now, attempt(request, 0))));
+    assert!(offers(&bed.after(SECOND, &[arrived(2, 0)])).is_empty(), "a window from when they left");
+    assert_eq!(offers(&bed.after(3 * SECOND / 2, &[Event::Woken(1)])).len(), 1);
+    assert!(!bed.placer.may_leave(bed.now, attempt(9, 0)), "nobody knows of it");
+    // It drains before the connection stands.
+    bed.step(&[Event::Listed(Listing::Changes(vec![cold(Health::Draining)]))]);
+    assert!(!bed.placer.may_leave(bed.now, attempt(2, 0)));
+}
+
+/// A budget that is no number, negative or without bound, and a window of nothing: the safest reading.
+#[test]
+fn odd_budgets_are_read_safely() {
+    for (budget, window, most) in [
+        (f64::NAN, WINDOW, 0),
+        (-3.0, WINDOW, 0),
+        (f64::NEG_INFINITY, WINDOW, 0),
+        (0.0, WINDOW, 0),
+        (8.0, 0, 2),
+        (8.0, Micros::MAX, 2),
+        (f64::INFINITY, WINDOW, 6),
+    ] {
+        let mut told = settings();
+        (told.rules.cold_offers, told.rules.overload_us) = (Some(budget), Some(window));
+        let mut bed = Bed::new(told, Vec::new());
+        bed.now += SECOND;
+        let cold = Machine { ready_at: Some(bed.now), ..machine(1, 0) };
+        let mut batch = vec![Event::Listed(Listing::Changes(vec![cold]))];
+        batch.extend((0..6).map(|request| arrived(request, 0)));
+        assert_eq!(offers(&bed.step(&batch)).len(), most, "{budget} {window}");
+    }
+}
