Platform: an idle client with something left to write is closed on once that is written

Found on rereading: the flag of an idle close was looked at only when the engine spoke; where bytes still waited for the client then, nobody looked again, and the connection stayed, out of the engine's count of idle ones. It is looked at in each turn of the connection now. Test: sockets/tests.rs who_is_idle_gets_what_waits_for_it_before_its_close, which runs into its limit without the mend ('the close: Elapsed'). descriptors.rs ends the program with all places taken.

--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -52,7 +52,8 @@
     let placer = Program::start_with_descriptors(program, "the placer", &arguments, SOCKETS).unwrap();
     placer.wait_line(0, "that discovery is down", LONG, |line| line.contains("refused")).unwrap();
     let idle: Vec<_> = (0..IDLE).map(|_| tokio::spawn(says_nothing(address))).collect();
-    let most = || std::fs::read_dir(format!("/proc/{}/fd", placer.id())).expect("it runs").count();
+    let id = placer.id();
+    let most = || std::fs::read_dir(format!("/proc/{id}/fd")).expect("it runs").count();
     // They fill what there is for clients.
     standins::soon("the crowd", async {
         while most() < SOCKETS / 2 {
@@ -70,8 +71,10 @@
     discovery.tell(true, hosts);
     discovery.until_asked(|asks| asks.len() >= 2).await;
     is_served(address, 11).await;
-    idle.iter().for_each(tokio::task::JoinHandle::abort);
     let short = |line: &String| line.contains("could not be accepted") || line.contains("no descriptor");
     assert!(!placer.said().iter().any(short), "{:?}", placer.said().iter().find(|line| short(line)));
-    assert_eq!(placer.end(Duration::from_secs(10)).unwrap().code(), Some(0));
+    // Asked to end it does, with all places taken and more at the door.
+    let ended = tokio::task::spawn_blocking(move || placer.end(Duration::from_secs(10)));
+    assert_eq!(standins::soon("the end", ended).await.unwrap().unwrap().code(), Some(0));
+    idle.iter().for_each(tokio::task::JoinHandle::abort);
 }
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -178,7 +178,10 @@
     // It may still say something.
     let mut listens = true;
     loop {
+        // One that is to be closed for being idle may have said something meanwhile: that is heard first.
+        let leaves = listens && messages.is_idle_closed();
         let ready = tokio::select! {
+            () = std::future::ready(()), if leaves => true,
             ready = stream.readable(), if listens => {
                 if ready.is_err() {
                     return;
@@ -191,8 +194,7 @@
                 }
                 false
             }
-            // One that is to be closed for being idle may have said something meanwhile: that is heard first.
-            () = messages.news() => listens && messages.is_idle_closed(),
+            () = messages.news() => false,
             () = over(waits, STUCK), if waits.is_some() => return,
             () = over(begun, WHOLE), if begun.is_some() => {
                 (listens, begun) = (false, None);
--- a/crates/platform/src/sockets/tests.rs
+++ b/crates/platform/src/sockets/tests.rs
@@ -113,3 +113,19 @@
     drop(taken.pop());
     while !matches!(coming.recv().await, Some(Came::Client(..))) {}
 }
+
+/// What still waits for an idle client is written before it is closed on.
+#[tokio::test]
+async fn who_is_idle_gets_what_waits_for_it_before_its_close() {
+    let (mut client, out, _coming, serving) = served().await;
+    let all = vec![7; 8 * 1024 * 1024];
+    out.send(&all);
+    out.flush();
+    assert!(out.len() > 0, "more than the sockets take");
+    out.close_idle();
+    let mut read = vec![0; all.len()];
+    let whole = tokio::io::AsyncReadExt::read_exact(&mut client, &mut read);
+    tokio::time::timeout(Duration::from_secs(20), whole).await.expect("all of it").unwrap();
+    assert_eq!(read, all);
+    tokio::time::timeout(Duration::from_secs(20), serving).await.expect("the close").unwrap();
+}
