--- a/crates/capacity/src/measurement.rs
+++ b/crates/capacity/src/measurement.rs
@@ -2,8 +2,8 @@
 
 mod validation;
 
+use crate::names::kebab_case_names;
 use serde::{Deserialize, Serialize};
-use std::fmt;
 
 pub use validation::{Fault, RunFileError, ValidationError};
 
@@ -127,33 +127,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunFile(pub Vec<Run>);
 
-macro_rules! kebab_case_names {
-    ($kind:ident { $($variant:ident => $name:literal),+ $(,)? }) => {
-        impl $kind {
-            /// All variants, in the order of declaration.
-            pub const ALL: &'static [Self] = &[$(Self::$variant),+];
-
-            /// The name in run files and on pages.
-            pub fn name(self) -> &'static str {
-                match self {
-                    $(Self::$variant => $name),+
-                }
-            }
-
-            /// The variant with this name.
-            pub fn from_name(name: &str) -> Option<Self> {
-                Self::ALL.iter().copied().find(|variant| variant.name() == name)
-            }
-        }
-
-        impl fmt::Display for $kind {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str(self.name())
-            }
-        }
-    };
-}
-
 kebab_case_names!(Role {
     Placer => "placer",
     Node => "node",
--- a/crates/capacity/src/measurement/validation.rs
+++ b/crates/capacity/src/measurement/validation.rs
@@ -36,6 +36,8 @@
     Zero,
     /// A text that must say something is empty.
     Empty,
+    /// A text that must fit on one line has a line break or another control character.
+    NotOneLine,
     /// The run already has a value for this size, role, phase and quantity.
     Duplicate {
         /// The index of the first of the two in the run.
@@ -55,6 +57,7 @@
             Self::NotAMeasure(value) => write!(formatter, "{value} is not a finite number of at least 0"),
             Self::Zero => write!(formatter, "must be at least 1"),
             Self::Empty => write!(formatter, "must not be empty"),
+            Self::NotOneLine => write!(formatter, "must be one line without control characters"),
             Self::Duplicate { first, role, phase, quantity } => {
                 write!(
                     formatter,
@@ -92,9 +95,7 @@
 fn validate_run(run: &Run, place: &str) -> Result<(), ValidationError> {
     let texts = [("command", &run.command), ("mechanism", &run.mechanism), ("revision", &run.revision)];
     for (field, text) in texts {
-        if text.trim().is_empty() {
-            return Err(ValidationError { place: format!("{place}.{field}"), fault: Fault::Empty });
-        }
+        validate_text(text, &format!("{place}.{field}"))?;
     }
     for (index, measurement) in run.measurements.iter().enumerate() {
         let place = format!("{place}.measurements[{index}]");
@@ -105,6 +106,17 @@
     Ok(())
 }
 
+fn validate_text(text: &str, place: &str) -> Result<(), ValidationError> {
+    let fault = if text.trim().is_empty() {
+        Fault::Empty
+    } else if text.chars().any(char::is_control) {
+        Fault::NotOneLine
+    } else {
+        return Ok(());
+    };
+    Err(ValidationError { place: place.to_owned(), fault })
+}
+
 fn validate_size(size: &Size, place: &str) -> Result<(), ValidationError> {
     for (field, count) in [("nodes", size.nodes), ("placers", size.placers)] {
         if count == 0 {
