--- a/crates/capacity/tests/page_check.rs
+++ b/crates/capacity/tests/page_check.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use common::{nodes, placer, run};
+use reedring_capacity::axis::Axis;
+use reedring_capacity::fit::{Fit, Point};
 use reedring_capacity::measurement::{Measurement, Phase, Quantity, Role, Run, RunFile, Size};
 use reedring_capacity::page::{PageProblem, check, render};
 use reedring_capacity::target::TARGET;
@@ -337,6 +339,30 @@
     );
 }
 
+/// One quantity measured along two axes, so that its two rows differ in their formulas alone.
+fn two_lines_of_one_quantity() -> RunFile {
+    let sizes = [nodes(1_000), nodes(2_000), Size { teams: 100, ..nodes(1_000) }];
+    let memory = |(size, mib)| placer(size, Phase::Idle, Quantity::ResidentBytes, mib * MIB);
+    let measurements = sizes.into_iter().zip([30.0, 50.0, 20.0]).map(memory).collect();
+    RunFile(vec![Run { measurements, ..run("scale", "every node votes") }])
+}
+
+#[test]
+fn rows_of_one_quantity_are_told_apart_by_their_formulas() {
+    let runs = two_lines_of_one_quantity();
+    let page = render(&runs);
+    assert_eq!(check(&page, &runs), Ok(()));
+    let mut lines: Vec<&str> = page.lines().collect();
+    assert!(lines[3].contains("× nodes") && lines[4].contains("× teams"), "{page}");
+    lines.swap(3, 4);
+    let swapped = problems_with(&lines.join("\n"), &runs);
+    assert_eq!(swapped, ["line 5, column 3: out of order: belongs before the row of line 4"]);
+    lines.remove(4);
+    let missing = problems_with(&lines.join("\n"), &runs);
+    assert_eq!(missing.len(), 1, "{missing:?}");
+    assert!(missing[0].contains("missing row") && missing[0].contains("× nodes"), "{missing:?}");
+}
+
 #[test]
 fn a_line_that_overflows_is_no_line() {
     let steep = at_two_sizes(Role::Node, Phase::Idle, Quantity::Descriptors, [0.0, f64::MAX / 2.0]);
@@ -345,3 +371,18 @@
         render(&runs).contains("| node | idle | descriptors | no line (2 sizes) | - | - | - | `scale` |")
     );
 }
+
+#[test]
+fn a_prediction_that_overflows_is_no_line() {
+    let memory = |changes_per_hour, value| {
+        let size = Size { changes_per_hour, ..TARGET };
+        placer(size, Phase::Idle, Quantity::ResidentBytes, value)
+    };
+    let points = [(0.0, 0.0), (4e-155, 1e153)];
+    let measurements: Vec<Measurement> = points.map(|(rate, value)| memory(rate, value)).to_vec();
+    let points: Vec<Point> = measurements.iter().map(|m| Point { size: m.size, value: m.value }).collect();
+    let fit = Fit::along(Axis::ChangesPerHour, &points).expect("the line itself is finite");
+    assert_eq!(fit.at(TARGET.changes_per_hour), f64::INFINITY);
+    let runs = RunFile(vec![Run { measurements, ..run("scale", "every node votes") }]);
+    assert!(render(&runs).contains("| placer | idle | resident-bytes | no line (2 sizes) | - | - | - |"));
+}
