Platform: shared types move to state/, so that modules import one way

clients, engine and hosts imported each other, and run and sockets did. The types that they share stand in state/ (requests, clients, hosts, the Engine itself), Bounds in bounds.rs, Attempts' methods in attempts.rs, and the channel's messages (Came, now Incoming) in sockets.rs. Imports now go run, sockets, outbox, engine, clients and hosts and attempts, state, bounds and io, decide; the crate's page lists the layers. hosts/heard.rs is hosts/messages.rs. No behaviour changed, no assertion either.

--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/attempts.rs
@@ -1,6 +1,10 @@
 //! Attempts: made, taken back, given up; and probes.
 
-use super::*;
+use reedring::{AttemptId, Ended, Event, MachineId, Micros, Outcome, Reason, RequestId};
+use reedring_platproto::GIVEN_UP;
+use reedring_platproto::host::{Figures, ToHost};
+
+use crate::state::{Engine, Out, Phase, Probe, Timer, connect_us};
 
 impl Engine {
     pub(crate) fn offer(
@@ -65,7 +69,7 @@
         number: u16,
         machine: MachineId,
         outcome: Outcome,
-        reason: Option<reedring::Reason>,
+        reason: Option<Reason>,
         report: Vec<f64>,
     ) {
         let closed = self.requests.get(&request).is_none_or(|entry| entry.phase != Phase::Open);
@@ -79,7 +83,7 @@
         &mut self,
         request: RequestId,
         outcome: Outcome,
-        reason: Option<reedring::Reason>,
+        reason: Option<Reason>,
         report: Vec<f64>,
     ) -> Option<Out> {
         let entry = self.requests.get_mut(&request)?;
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -1,7 +1,5 @@
 //! Clients: their connections, what they ask, and the ends that are owed to them.
 
-use std::collections::{BTreeSet, VecDeque};
-
 use reedring::names::machine_id;
 use reedring::{Event, Micros, Outcome, RequestId, ServiceId, Task, TaskKey};
 use reedring_platproto::board::number;
@@ -9,8 +7,8 @@
 use reedring_platproto::{CANCELLED, CUT, ERROR};
 
 use crate::decide::{self, Leaving, Parting, Route, Stage};
-use crate::engine::{Engine, Out, Phase, Request, Timer};
 use crate::io::{ConnId, Output};
+use crate::state::{Conn, End, Engine, Out, Phase, Request, Timer};
 
 /// A client that says nothing of use for so long is closed on. One that was answered is not: it may be the only
 /// way to tell the ends of its tasks, and goes when its place is needed.
@@ -27,46 +25,6 @@
 /// An end that no client came to hear of in this time concerns nobody.
 const OWED_US: Micros = 30_000_000;
 
-#[derive(Debug, Default)]
-pub(crate) struct Conn {
-    /// Ids of open set-ups.
-    pub open: BTreeSet<u64>,
-    /// When it last said something of use, or came.
-    pub heard_at: Micros,
-    /// Answers passed on it, and standing tasks handed over on it.
-    pub answered: bool,
-    /// It carried a set-up that could be used.
-    pub good: bool,
-    /// Messages that could not be used, since the last one that could.
-    unusable: u32,
-    /// It says nothing more: it is closed once nothing is open on it.
-    ended: bool,
-    closing: bool,
-    /// It is closed if it said nothing meanwhile.
-    leaving: bool,
-    /// Some of what it said was not read yet.
-    more: bool,
-    /// Arrivals of which the module was not told yet.
-    fresh: VecDeque<RequestId>,
-    /// It came when all places were taken by such as wait for answers: what it asks for fails at once.
-    in_overflow: bool,
-}
-
-impl Conn {
-    fn is_idle(&self) -> bool {
-        self.open.is_empty() && !self.closing && !self.leaving
-    }
-}
-
-/// The end of a task that its client is to hear of.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct End {
-    at: Micros,
-    home: ConnId,
-    id: u64,
-    cause: u8,
-}
-
 impl Engine {
     pub(crate) fn send_client(&mut self, conn: ConnId, message: ToOwner) {
         if self.conns.get(&conn).is_some_and(|conn| !conn.closing) {
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine.rs
@@ -1,22 +1,17 @@
 //! The engine: inputs to the module's events, the module's actions to outputs.
 
-mod attempts;
-mod bounds;
-
 use std::collections::{BTreeMap, VecDeque};
 
 use reedring::settings::Deployment;
 use reedring::timers::Timers;
-use reedring::{Action, AttemptId, Ended, Event, MachineId, Micros, Outcome, Placer, RequestId};
-use reedring_platproto::board;
+use reedring::{Action, Event, Micros, Placer, RequestId};
 use reedring_platproto::host::{Figures, ToHost};
-use reedring_platproto::owner::{Setup, ToOwner};
-use reedring_platproto::{CANCELLED, CUT, GIVEN_UP};
+use reedring_platproto::owner::ToOwner;
+use reedring_platproto::{CANCELLED, CUT, board};
 
-pub use self::bounds::Bounds;
-use crate::clients::{Conn, End};
-use crate::hosts::{Host, Link};
-use crate::io::{ConnId, Input, LinkId, Output};
+use crate::bounds::Bounds;
+use crate::io::{Input, Output};
+use crate::state::{Engine, Phase, Request, Timer};
 
 /// Between two looks at idle connections and old records.
 const SWEEP_US: Micros = 250_000;
@@ -31,15 +26,6 @@
 /// Arrivals that the module is told of at once, before others get their turn: what is cancelled or ends meanwhile
 /// is known before the next.
 const TURN: usize = 32;
-/// Kept in hand of a client's time, for the way of the last answer.
-const ANSWER_US: Micros = 10_000;
-/// How long a connection may take where no time-out is told.
-const CONNECT_US: Micros = 250_000;
-
-/// How long a connection may take, and so a probe too; a visit to a host lasts no less.
-pub(crate) fn connect_us(settings: &Deployment) -> Micros {
-    settings.module.rules.connect_timeout_us.unwrap_or(CONNECT_US)
-}
 
 /// What an engine is told at its start.
 #[derive(Clone, Debug)]
@@ -56,83 +42,6 @@
     pub bounds: Bounds,
 }
 
-/// An attempt that is out.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Out {
-    pub number: u16,
-    pub machine: MachineId,
-    pub link: LinkId,
-    /// Which message of its link it is.
-    pub position: u64,
-    pub sent: Micros,
-    pub until: Micros,
-    /// Times that it was sent again, as no byte of it had left.
-    pub resent: u8,
-}
-
-/// Where a request stands.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Phase {
-    /// Its client waits.
-    Open,
-    /// Nothing is owed any more, and an attempt may still be out.
-    Closed,
-    /// It was accepted there by this attempt.
-    Standing { machine: MachineId, number: u16, since: Micros },
-    /// It stands there still, and was told to end.
-    Ending { machine: MachineId, number: u16, since: Micros },
-}
-
-pub(crate) struct Request {
-    pub setup: Setup,
-    /// The client's connection that it came on.
-    pub conn: ConnId,
-    pub deadline: Micros,
-    pub attempts: u16,
-    pub out: Option<Out>,
-    pub phase: Phase,
-    /// When it came.
-    pub came: Micros,
-    /// The module was told of it.
-    pub told: bool,
-    /// No attempt begins any more: its client has gone.
-    pub last: bool,
-    /// Bytes that it holds while it waits for its answer.
-    pub weight: usize,
-}
-
-impl Request {
-    /// Its client waits, and the module was not told of it yet.
-    pub fn is_fresh(&self) -> bool {
-        self.phase == Phase::Open && !self.told
-    }
-}
-
-/// What a timer is for. None is ever withdrawn: what it asks is checked when it comes due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Timer {
-    /// One of the module's own.
-    Module(u64),
-    /// The time of an attempt is over.
-    Attempt(AttemptId),
-    /// The time of a probe is over.
-    Probe(u64),
-    /// A host that holds tasks may be due to be connected to again.
-    Reconnect(MachineId),
-    /// A client ended a moment ago.
-    Gone(ConnId),
-    /// The time of a request is over that may still wait for its turn.
-    Overdue(RequestId),
-    /// Idle connections and old records are looked through.
-    Sweep,
-}
-
-pub(crate) struct Probe {
-    pub machine: MachineId,
-    pub link: LinkId,
-    pub sent: Micros,
-}
-
 /// Sizes of all that an engine keeps, for tests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sizes {
@@ -154,46 +63,6 @@
     pub module: [usize; 3],
 }
 
-/// One placer on the platform. The crate's page shows the loop around it.
-pub struct Engine {
-    pub(crate) settings: Deployment,
-    pub(crate) bounds: Bounds,
-    pub(crate) conns: BTreeMap<ConnId, Conn>,
-    pub(crate) hosts: BTreeMap<MachineId, Host>,
-    pub(crate) links: BTreeMap<LinkId, Link>,
-    pub(crate) last_link: LinkId,
-    /// Hosts that have a connection.
-    pub(crate) linked: usize,
-    /// Hosts that the list has.
-    pub(crate) on_list: usize,
-    pub(crate) requests: BTreeMap<RequestId, Request>,
-    /// Requests by the id on the wire.
-    pub(crate) by_id: BTreeMap<u64, RequestId>,
-    /// Connections with arrivals of which the module was not told yet, in turn.
-    pub(crate) turns: VecDeque<ConnId>,
-    /// Bytes of set-ups that wait for their answer.
-    pub(crate) waiting: usize,
-    pub(crate) probes: BTreeMap<u64, Probe>,
-    /// Ends of tasks that clients are to hear of.
-    pub(crate) ends: Vec<End>,
-    /// Ends that were told just now, by task, and on which connection.
-    pub(crate) told_ends: BTreeMap<u64, (ConnId, End)>,
-    pub(crate) rev: u64,
-    /// The module waits for word of the list.
-    pub(crate) asked_list: bool,
-    pub(crate) timers: Timers<Timer>,
-    pub(crate) events: Vec<Event>,
-    pub(crate) outputs: VecDeque<Output>,
-    pub(crate) placer: Placer,
-    last_request: u64,
-    last_probe: u64,
-    /// Since when it is to end.
-    pub(crate) ending: Option<Micros>,
-    stopped_listening: bool,
-    /// It was said that it may end, and nothing came since.
-    finished: bool,
-}
-
 impl Engine {
     /// A placer that knows its settings and the list as it was told.
     pub fn new(start: Start) -> Self {
@@ -355,50 +224,6 @@
         }
     }
 
-    pub(crate) fn log(&mut self, line: String) {
-        self.outputs.push_back(Output::Log(line));
-    }
-
-    pub(crate) fn new_request(&mut self, now: Micros, setup: Setup, conn: ConnId, phase: Phase) -> RequestId {
-        self.last_request += 1;
-        let (request, id) = (RequestId(self.last_request), setup.id);
-        let deadline = now + (setup.left_ms * 1_000).saturating_sub(ANSWER_US);
-        let (open, weight) = (phase == Phase::Open, setup.description.len() + std::mem::size_of::<Request>());
-        let (attempts, weight) = (u16::from(!open), if open { weight } else { 0 });
-        self.waiting += weight;
-        self.by_id.insert(id, request);
-        let (out, told, last) = (None, !open, false);
-        let entry = Request { setup, conn, deadline, attempts, out, phase, came: now, told, last, weight };
-        self.requests.insert(request, entry);
-        request
-    }
-
-    /// Forgets a request of which nothing is left.
-    pub(crate) fn forget(&mut self, request: RequestId) {
-        let Some(gone) = self.requests.remove(&request) else { return };
-        self.waiting -= gone.weight;
-        if self.by_id.get(&gone.setup.id) == Some(&request) {
-            self.by_id.remove(&gone.setup.id);
-        }
-    }
-
-    /// The request under an id on the wire.
-    pub(crate) fn request_of(&self, id: u64) -> Option<(RequestId, &Request)> {
-        let request = *self.by_id.get(&id)?;
-        Some((request, self.requests.get(&request)?))
-    }
-
-    /// Owes an open request nothing any more; on which connection it came, and its id.
-    pub(crate) fn close(&mut self, request: RequestId) -> Option<(ConnId, u64)> {
-        let entry = self.requests.get_mut(&request).filter(|entry| entry.phase == Phase::Open)?;
-        entry.phase = Phase::Closed;
-        let (whose, out) = ((entry.conn, entry.setup.id), entry.out.is_some());
-        if !out {
-            self.forget(request);
-        }
-        Some(whose)
-    }
-
     /// The final answer to a set-up, at once.
     fn answer(&mut self, request: RequestId, answer: impl FnOnce(u64) -> ToOwner) {
         if let Some((conn, id)) = self.close(request) {
--- a/crates/platform/src/hosts/mod.rs
+++ b/crates/platform/src/hosts/mod.rs
@@ -1,28 +1,22 @@
 //! Hosts: what is known of each, whether it is still there, and its connections.
 
-mod heard;
 mod links;
 mod list;
+mod messages;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-use std::time::Duration;
 
 use reedring::names::machine_id;
 use reedring::{AttemptId, Event, Health, Listing, Machine, MachineId, Micros, Outcome, RequestId};
-use reedring_net::Backoff;
 use reedring_platproto::board::{Entry, Notice, Pool, State, Told, number};
 use reedring_platproto::host::{FromHost, ToHost};
 use reedring_platproto::owner::ToOwner;
 use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
 
 use crate::decide::{self, Candidate, Choice, Down, Fate, Seen, Spent};
-use crate::engine::{Engine, Phase, Request, Timer, connect_us};
 use crate::io::{LinkId, Output};
+use crate::state::{Engine, FIRST_WAIT, Host, Link, Phase, Request, Timer, connect_us};
 
-/// Waits between two tries to reach a host that holds tasks.
-const FIRST_WAIT: Duration = Duration::from_millis(50);
-const WAITS: Backoff = Backoff::new(FIRST_WAIT, Duration::from_secs(1));
 /// Times that a set-up of which no byte left is sent again as the same attempt.
 const MOST_RESENT: u8 = 3;
 /// A host that holds tasks and says nothing for so long is connected to once more, and again after that: whether
@@ -37,108 +31,6 @@
 /// A host that left the list and still has a connection may wrap up for so long.
 const LEFT_US: Micros = 3_000_000;
 
-/// A host, for as long as the list has it or anything of ours is there.
-#[derive(Debug)]
-pub(crate) struct Host {
-    /// Its line; none where only a task handed over names it so far.
-    entry: Option<Entry>,
-    /// Since when the list does not have it any more.
-    left_at: Option<Micros>,
-    links: BTreeSet<LinkId>,
-    /// A connection to it was reset, and nothing was heard of it since.
-    broke: bool,
-    /// Tasks that stand there, by their names.
-    standing: BTreeSet<(u64, RequestId)>,
-    /// Refused connections in a row, since one last stood.
-    refused: u32,
-    /// Connections in a row that did not come up, since it was last heard of.
-    unreachable: u32,
-    heard_at: Micros,
-    checked_at: Micros,
-    waits: Backoff,
-    /// A timer for the next try is set.
-    waiting: bool,
-    /// Its last connection made room for another; when it is connected to again.
-    parked: Option<Micros>,
-}
-
-impl Host {
-    fn new() -> Self {
-        Self {
-            entry: None,
-            left_at: None,
-            links: BTreeSet::new(),
-            broke: false,
-            standing: BTreeSet::new(),
-            refused: 0,
-            unreachable: 0,
-            heard_at: 0,
-            checked_at: 0,
-            waits: WAITS,
-            waiting: false,
-            parked: None,
-        }
-    }
-
-    fn heard(&mut self, now: Micros) {
-        (self.heard_at, self.unreachable, self.broke) = (now, 0, false);
-    }
-
-    /// A new connection is to show whether its tasks still stand. One that was reset may be the first sign of
-    /// their end.
-    fn is_asked(&self) -> bool {
-        (self.links.is_empty() || self.broke) && !self.standing.is_empty()
-    }
-
-    fn tasks(&self) -> Vec<RequestId> {
-        self.standing.iter().map(|(_, request)| *request).collect()
-    }
-
-    fn health(&self) -> Option<State> {
-        self.entry.as_ref().map(|entry| entry.health)
-    }
-
-    fn is_listed(&self) -> bool {
-        self.health().is_some_and(|health| health != State::Left)
-    }
-
-    fn address(&self) -> Option<SocketAddr> {
-        self.entry.as_ref().filter(|_| self.is_listed()).map(|entry| entry.dial)
-    }
-}
-
-/// A connection to a host.
-#[derive(Debug)]
-pub(crate) struct Link {
-    machine: MachineId,
-    address: SocketAddr,
-    up: bool,
-    /// Messages written to it.
-    sent: u64,
-    /// What is to be written once it stands: until then it can be taken back.
-    queue: Vec<ToHost>,
-    /// Set-ups open on it, by id.
-    pub open: BTreeMap<u64, AttemptId>,
-    pub probes: u32,
-    doubtful: bool,
-    /// It was made to see whether the host is there.
-    check: bool,
-    /// When it was last of use; one that does not stand yet, its number.
-    pub used: Micros,
-    /// Since when it stands.
-    since: Micros,
-}
-
-impl Link {
-    pub(crate) fn is_up(&self) -> bool {
-        self.up
-    }
-
-    fn is_idle(&self) -> bool {
-        self.open.is_empty() && self.probes == 0
-    }
-}
-
 impl Engine {
     pub(crate) fn links_of(&self, machine: MachineId) -> impl Iterator<Item = (LinkId, &Link)> {
         let links = self.hosts.get(&machine).into_iter().flat_map(|host| &host.links);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,8 +14,26 @@
 //! ```
 //!
 //! [`run()`] is that loop on sockets, in one thread.
+//!
+//! Modules import one way, each only from those on the lines below it (`tests/layers.rs` holds them to it):
+//!
+//! ```text
+//! run                              the loop around the engine
+//! sockets, discovery, follow       tokio tasks, and log lines
+//! outbox                           bytes that wait to be written
+//! engine                           inputs to events, actions to outputs
+//! clients, hosts, attempts         methods on `Engine`, one concern each
+//! state                            the types that these share, `Engine` itself among them
+//! bounds, io                       limits; inputs and outputs
+//! decide                           pure decisions on connections
+//! ```
+//!
+//! `clients`, `hosts` and `attempts` import nothing of each other: where one needs another, it calls a method of
+//! [`Engine`].
 #![forbid(unsafe_code)]
 
+mod attempts;
+mod bounds;
 mod clients;
 pub mod decide;
 mod discovery;
@@ -26,7 +44,10 @@
 mod outbox;
 mod run;
 mod sockets;
+mod state;
 
-pub use engine::{Bounds, Engine, Sizes, Start};
+pub use bounds::Bounds;
+pub use engine::{Sizes, Start};
 pub use io::{ConnId, Input, LinkId, Output};
 pub use run::{RunError, run, serve};
+pub use state::Engine;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -14,11 +14,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::engine::{Bounds, Engine, Start, connect_us};
+use crate::bounds::Bounds;
+use crate::discovery;
+use crate::engine::Start;
+use crate::follow;
 use crate::io::{ConnId, Input, LinkId, Output};
 use crate::outbox::{self, Budget, outbox};
-use crate::sockets::{self, Places};
-use crate::{discovery, follow};
+use crate::sockets::{self, Incoming, Places};
+use crate::state::{Engine, connect_us};
 
 /// Items taken from the channel at once.
 const BATCH: usize = 64;
@@ -72,16 +75,6 @@
     Runtime(#[from] io::Error),
 }
 
-/// News for the engine's task.
-pub(crate) enum Came {
-    Client(ConnId, outbox::Sender),
-    Input(Input),
-    /// What a client said in one go.
-    Said(Vec<Input>),
-    /// A line for the staff.
-    Log(String),
-}
-
 fn read(path: &Path) -> Result<Config, RunError> {
     let text = std::fs::read_to_string(path);
     let text = text.map_err(|error| RunError::Read { path: path.to_owned(), error })?;
@@ -160,7 +153,7 @@
         let told = next(&mut listed, &mut coming, &mut batch, wake).await;
         let mut taken = 0;
         for input in told {
-            taken += shell.take_in(&mut engine, now(), Came::Input(input));
+            taken += shell.take_in(&mut engine, now(), Incoming::Input(input));
         }
         // All that there is to read goes before the module's next draws: what ends or is taken back is among it.
         for round in 0..ROUNDS {
@@ -181,8 +174,8 @@
 /// Waits for what comes or for the time to wake: all that the list told, which goes first, and a batch of the rest.
 async fn next(
     listed: &mut mpsc::Receiver<Input>,
-    coming: &mut mpsc::Receiver<Came>,
-    batch: &mut Vec<Came>,
+    coming: &mut mpsc::Receiver<Incoming>,
+    batch: &mut Vec<Incoming>,
     wake: Option<Duration>,
 ) -> Vec<Input> {
     let told = tokio::select! {
@@ -206,7 +199,7 @@
     mut asked: mpsc::Receiver<Asked>,
     path: PathBuf,
     discovery: watch::Sender<SocketAddr>,
-    came: mpsc::Sender<Came>,
+    came: mpsc::Sender<Incoming>,
 ) {
     let mut reading = false;
     loop {
@@ -217,7 +210,7 @@
         let Some(next) = next else { return };
         match next {
             Asked::End => {
-                if came.send(Came::Input(Input::Terminate)).await.is_err() {
+                if came.send(Incoming::Input(Input::Terminate)).await.is_err() {
                     return;
                 }
             }
@@ -249,22 +242,22 @@
     touched_links: Vec<LinkId>,
     /// Tells that no new connections are taken any more.
     stop: Option<oneshot::Sender<()>>,
-    came: mpsc::Sender<Came>,
+    came: mpsc::Sender<Incoming>,
     /// The second in which lines were logged last, and how many.
     second: (u64, u32),
 }
 
 impl Shell {
     /// Tells the engine what came; how much it was.
-    fn take_in(&mut self, engine: &mut Engine, now: u64, news: Came) -> usize {
+    fn take_in(&mut self, engine: &mut Engine, now: u64, news: Incoming) -> usize {
         match news {
-            Came::Client(conn, out) => {
+            Incoming::Client(conn, out) => {
                 self.clients.insert(conn, out);
                 self.tell(engine, now, Input::ClientCame(conn))
             }
-            Came::Input(input) => self.tell(engine, now, input),
-            Came::Said(inputs) => inputs.into_iter().map(|input| self.tell(engine, now, input)).sum(),
-            Came::Log(line) => {
+            Incoming::Input(input) => self.tell(engine, now, input),
+            Incoming::Said(inputs) => inputs.into_iter().map(|input| self.tell(engine, now, input)).sum(),
+            Incoming::Log(line) => {
                 self.log(now, &line);
                 0
             }
--- a/crates/platform/src/run/tests.rs
+++ b/crates/platform/src/run/tests.rs
@@ -13,7 +13,7 @@
         let (list, mut listed) = mpsc::channel(LISTED);
         let (came, mut coming) = mpsc::channel(INPUTS);
         for conn in 0..INPUTS as u64 {
-            came.try_send(Came::Input(Input::ClientGone(conn))).ok().unwrap();
+            came.try_send(Incoming::Input(Input::ClientGone(conn))).ok().unwrap();
         }
         list.try_send(Input::DiscoveryLost("a".to_owned())).unwrap();
         let told = next(&mut listed, &mut coming, &mut Vec::new(), None).await;
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -11,11 +11,10 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
+use crate::bounds::Bounds;
 use crate::decide::Down;
-use crate::engine::Bounds;
 use crate::io::{ConnId, Input, LinkId};
-use crate::outbox::{Budget, Outbox, outbox};
-use crate::run::Came;
+use crate::outbox::{self, Budget, Outbox, outbox};
 
 /// Nothing can be written for so long: whoever is there does not read.
 const STUCK: Duration = Duration::from_millis(2_400);
@@ -24,6 +23,18 @@
 /// Between two tries to connect while no descriptor is left.
 const SHORT: Duration = Duration::from_millis(10);
 
+/// What the tasks of connections, discovery and signals bring to the loop around the engine.
+pub(crate) enum Incoming {
+    /// A client connected; what it is sent goes here.
+    Client(ConnId, outbox::Sender),
+    /// Something for the engine.
+    Input(Input),
+    /// What a client said in one go.
+    Said(Vec<Input>),
+    /// A line for the staff.
+    Log(String),
+}
+
 thread_local! {
     /// What is read goes through one buffer, whatever the number of connections.
     static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; 16 * 1024]);
@@ -96,7 +107,7 @@
     listener: TcpListener,
     places: Places,
     budget: Budget,
-    came: mpsc::Sender<Came>,
+    came: mpsc::Sender<Incoming>,
     mut stop: oneshot::Receiver<()>,
 ) {
     let mut last: ConnId = 0;
@@ -113,14 +124,14 @@
                 let stream = Arc::new(stream);
                 let (out, messages) = outbox(&budget);
                 messages.attach(&stream, place);
-                if came.send(Came::Client(last, out)).await.is_err() {
+                if came.send(Incoming::Client(last, out)).await.is_err() {
                     return;
                 }
                 let (conn, came) = (last, came.clone());
                 tokio::spawn(async move {
                     serve(conn, &stream, messages, &came).await;
                     drop(stream);
-                    let _ = came.send(Came::Input(Input::ClientGone(conn))).await;
+                    let _ = came.send(Incoming::Input(Input::ClientGone(conn))).await;
                 });
             }
             Err(error) => reedring_net::accept_failed(&error).await,
@@ -170,7 +181,7 @@
     Heard::Said(said, false)
 }
 
-async fn serve(conn: ConnId, stream: &TcpStream, messages: Outbox, came: &mpsc::Sender<Came>) {
+async fn serve(conn: ConnId, stream: &TcpStream, messages: Outbox, came: &mpsc::Sender<Incoming>) {
     let _ = stream.set_nodelay(true);
     let mut reader = owner::Reader::default();
     // Since when a message in part waits for its rest, and what waits for the client, for it to read.
@@ -199,7 +210,7 @@
             () = over(begun, WHOLE), if begun.is_some() => {
                 (listens, begun) = (false, None);
                 let endless = Input::ClientSpoilt(conn, "a message that does not end".to_owned());
-                if came.send(Came::Said(vec![endless])).await.is_err() {
+                if came.send(Incoming::Said(vec![endless])).await.is_err() {
                     return;
                 }
                 false
@@ -221,7 +232,7 @@
                         }
                         messages.stays();
                     }
-                    if heard && came.send(Came::Said(said)).await.is_err() {
+                    if heard && came.send(Incoming::Said(said)).await.is_err() {
                         return;
                     }
                 }
@@ -244,7 +255,7 @@
     limit: Duration,
     places: Places,
     messages: Outbox,
-    came: mpsc::Sender<Came>,
+    came: mpsc::Sender<Incoming>,
 ) {
     // That the placer has no place for it for a moment is no sign of the host's.
     let place = tokio::select! {
@@ -256,14 +267,14 @@
             Ok(Ok(stream)) => {
                 let stream = Arc::new(stream);
                 messages.attach(&stream, place.into_iter().collect());
-                if came.send(Came::Input(Input::LinkUp(link))).await.is_err() {
+                if came.send(Incoming::Input(Input::LinkUp(link))).await.is_err() {
                     return;
                 }
                 carry(link, &stream, &messages, &came).await
             }
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Down::Refused,
             Ok(Err(error)) => {
-                let _ = came.send(Came::Log(format!("host at {address}: no connection: {error}"))).await;
+                let _ = came.send(Incoming::Log(format!("host at {address}: no connection: {error}"))).await;
                 Down::Unmade
             }
             Err(_) => Down::Unmade,
@@ -272,7 +283,7 @@
         () = closed(&messages) => return,
     };
     let begun = messages.begun();
-    let _ = came.send(Came::Input(Input::LinkDown { link, down, begun })).await;
+    let _ = came.send(Incoming::Input(Input::LinkDown { link, down, begun })).await;
 }
 
 async fn closed(messages: &Outbox) {
@@ -296,7 +307,7 @@
     matches!(error.raw_os_error(), Some(23 | 24))
 }
 
-async fn carry(link: LinkId, stream: &TcpStream, messages: &Outbox, came: &mpsc::Sender<Came>) -> Down {
+async fn carry(link: LinkId, stream: &TcpStream, messages: &Outbox, came: &mpsc::Sender<Incoming>) -> Down {
     let _ = stream.set_nodelay(true);
     let mut reader = host::Reader::default();
     let mut waits: Option<Instant> = None;
@@ -317,13 +328,13 @@
                 loop {
                     match reader.next_message() {
                         Ok(Some(message)) => {
-                            if came.send(Came::Input(Input::Host(link, message))).await.is_err() {
+                            if came.send(Incoming::Input(Input::Host(link, message))).await.is_err() {
                                 return Down::Broke;
                             }
                         }
                         Ok(None) => break,
                         Err(error) => {
-                            let _ = came.send(Came::Log(format!("link {link}: closed: {error}"))).await;
+                            let _ = came.send(Incoming::Log(format!("link {link}: closed: {error}"))).await;
                             return Down::Spoilt;
                         }
                     }
--- a/crates/platform/src/sockets/tests.rs
+++ b/crates/platform/src/sockets/tests.rs
@@ -1,4 +1,4 @@
-//! Who is taken at the door, and what is read in one go.
+//! Which connections are accepted, and what is read in one go.
 
 use reedring_platproto::config::Limits;
 
@@ -24,13 +24,13 @@
     drop(stop);
     accept(listener, Places::new(&bounds()), Budget::default(), came, stopped).await;
     for _ in 0..8 {
-        assert!(matches!(coming.recv().await, Some(Came::Client(..))));
+        assert!(matches!(coming.recv().await, Some(Incoming::Client(..))));
     }
     assert!(TcpStream::connect(address).await.is_err(), "and nobody after that");
 }
 
 /// A client's connection and the placer's end of it, served by a task.
-async fn served() -> (TcpStream, outboxes::Sender, mpsc::Receiver<Came>, tokio::task::JoinHandle<()>) {
+async fn served() -> (TcpStream, outboxes::Sender, mpsc::Receiver<Incoming>, tokio::task::JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let stream = Arc::new(listener.accept().await.unwrap().0);
@@ -53,7 +53,7 @@
         assert_eq!(client.try_write(&TEST).unwrap(), TEST.len());
         out.close_idle();
         let said = coming.recv().await.expect("it is not closed on");
-        assert!(matches!(said, Came::Said(said) if matches!(said[0], Input::Client(1, Ok(_)))));
+        assert!(matches!(said, Incoming::Said(said) if matches!(said[0], Input::Client(1, Ok(_)))));
         // With nothing more to hear it ends.
         out.close_idle();
         tokio::time::timeout(Duration::from_secs(20), serving).await.expect("the close").unwrap();
@@ -69,7 +69,7 @@
     out.close_idle();
     tokio::task::yield_now().await;
     tokio::io::AsyncWriteExt::write_all(&mut client, &TEST[5..]).await.unwrap();
-    assert!(matches!(coming.recv().await, Some(Came::Said(_))));
+    assert!(matches!(coming.recv().await, Some(Incoming::Said(_))));
 }
 
 /// What a client says, takes back and ends in one go is known together.
@@ -79,7 +79,7 @@
     client.writable().await.unwrap();
     assert_eq!(client.try_write(&TEST.repeat(3)).unwrap(), 3 * TEST.len());
     SockRef::from(&client).shutdown(std::net::Shutdown::Write).unwrap();
-    let Some(Came::Said(said)) = coming.recv().await else { panic!("nothing was said") };
+    let Some(Incoming::Said(said)) = coming.recv().await else { panic!("nothing was said") };
     assert!(matches!(
         said[..],
         [Input::Client(..), Input::Client(..), Input::Client(..), Input::ClientEnded(1)]
@@ -87,7 +87,7 @@
     drop(tokio::io::AsyncWriteExt::shutdown(&mut client).await);
 }
 
-/// Connections of clients wait at the door, not in descriptors, once all places are taken.
+/// Connections of clients wait in the listen queue, not in descriptors, once all places are taken.
 #[tokio::test]
 async fn no_more_are_taken_than_there_are_places() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -102,7 +102,7 @@
     }
     let mut taken = Vec::new();
     for _ in 0..most {
-        let Some(Came::Client(_, out)) = coming.recv().await else { panic!("one is not taken") };
+        let Some(Incoming::Client(_, out)) = coming.recv().await else { panic!("one is not taken") };
         taken.push(out);
     }
     for _ in 0..100 {
@@ -111,7 +111,7 @@
     assert!(coming.try_recv().is_err(), "more were taken than there are places");
     // As one ends the next is taken.
     drop(taken.pop());
-    while !matches!(coming.recv().await, Some(Came::Client(..))) {}
+    while !matches!(coming.recv().await, Some(Incoming::Client(..))) {}
 }
 
 /// What still waits for an idle client is written before it is closed on.
