Decision module: the field's names in place of tide, seat, glance and their kin

Files: tide.rs is water_filling.rs, seat.rs machine_state.rs, glance.rs machine_view.rs, placer/news.rs placer/feedback.rs; tests/tide.rs is tests/water_filling.rs. Types: Seat is MachineState, Glance MachineView, Standing LiveAttempt, Own Scheduler, Run AttemptState (Out, Never, Perhaps are InFlight, NeverRan, MayHaveRun). Functions: tidal_probabilities is water_filling_probabilities, poured arriving_load, odds weights, tell update, recalled restore, tend_silent stop_silent, patience silence_limit, whose tenant_class, first_perhaps first_may_have_run, Load::told Load::sanitized. Fields and constants likewise: ease is soft_limit, HOMES POOL_SIZE, DIP AFFINITY, and more.

--- a/src/load.rs
+++ b/src/load.rs
@@ -16,14 +16,14 @@
         Self { cores: x, memory: x }
     }
     /// A load from outside: what is no positive number counts as nothing.
-    pub fn told(cores: f64, memory: f64) -> Self {
+    pub fn sanitized(cores: f64, memory: f64) -> Self {
         let sane = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
         let (cores, memory) = (sane(cores), sane(memory));
         Self { cores, memory }
     }
     /// What a task asks for.
     pub fn of(task: &Task) -> Self {
-        Self::told(task.cores, task.memory)
+        Self::sanitized(task.cores, task.memory)
     }
     pub fn times(self, by: Self) -> Self {
         let (cores, memory) = (self.cores * by.cores, self.memory * by.memory);
--- a/src/logic/seat.rs
+++ b/src/logic/machine_state.rs
@@ -1,40 +1,40 @@
-//! What is known of one machine, and by how much its news lags. It says how a machine looks, not what to do.
+//! The state of one machine as this scheduler knows it, and by how much its reports lag. It decides nothing.
 
 use super::*;
 
-/// Microseconds by which list lines lag what they tell; own binds younger than that are added to them.
+/// Microseconds by which list lines lag what they say; own offers younger than that are added to them.
 const LIST_LAG_US: Micros = 2_500_000;
 /// Microseconds by which load reports lag; they come straight from the machine.
 const REPORT_LAG_US: Micros = 500_000;
-/// Microseconds a refusal counts without newer news: a little over the slowest news.
+/// Microseconds a refusal counts without a newer report: a little over the slowest.
 pub const REFUSAL_US: Micros = 3_000_000;
-/// Microseconds of the first bar after a failed attempt where no connect time-out is told.
+/// Microseconds of the first bar after a failed attempt where the settings have no connect time-out.
 pub const BAR_US: Micros = 250_000;
 /// Doublings of the bar at most: 2^5 connect time-outs is as long as most troubles last.
 pub const BAR_DOUBLINGS: u32 = 5;
 /// Part of its memory that a machine may use: tasks grow after their start, and a full machine evicts.
-const MEMORY_EASE: f64 = 0.85;
+const MEMORY_SOFT_LIMIT: f64 = 0.85;
 
-/// The told multiples of its size that a machine accepts.
+/// The multiples of its size that a machine accepts, by the settings.
 pub fn accepts(settings: &Settings) -> Load {
-    let told = |x: Option<f64>| x.filter(|x| x.is_finite() && *x > 0.0).unwrap_or(1.0);
-    let (cores, memory) = (told(settings.accepts_cores), told(settings.accepts_memory));
+    let multiple = |x: Option<f64>| x.filter(|x| x.is_finite() && *x > 0.0).unwrap_or(1.0);
+    let (cores, memory) = (multiple(settings.accepts_cores), multiple(settings.accepts_memory));
     Load { cores, memory }
 }
 
 /// What this scheduler knows of one machine.
 #[derive(Default)]
-pub struct Seat {
+pub struct MachineState {
     pub line: Machine,
     pub size: Load,
     pub limit: Load,                   // Size, times what a machine accepts.
-    pub ease: Load,                    // Size, up to where service starts to fade.
+    pub soft_limit: Load,              // Size, up to where service starts to fade.
     pub tasks: f64,                    // Capacity in tasks of mean size.
-    pub asked: Option<(Micros, Load)>, // Asked by all, as the list told it.
-    pub used: Option<(Micros, Load)>,  // Used by all, as a report told it.
-    /// Own binds, and ends as negative ones, young enough to be missing from news.
+    pub asked: Option<(Micros, Load)>, // Asked by all, by the list.
+    pub used: Option<(Micros, Load)>,  // Used by all, by a report.
+    /// Own offers, and ends as negative ones, young enough to be missing from reports.
     pub changes: VecDeque<(Micros, Load)>,
-    pub own: Load,                            // Asked by own tasks.
+    pub own_load: Load,                       // Asked by own tasks.
     pub refused: Option<(Micros, Load)>,      // The last ask refused, and when.
     pub services: BTreeMap<ServiceId, u32>,   // Own tasks by service, attempts in flight too.
     pub cold_offers: Vec<Micros>,             // Own offers while cold.
@@ -51,7 +51,7 @@
     pub gone_at: Option<Micros>, // Since when the list says that it is gone.
 }
 
-impl Seat {
+impl MachineState {
     pub fn new(line: &Machine, settings: &Settings) -> Self {
         Self { line: line.clone(), ..Self::default() }.sized(settings)
     }
@@ -59,24 +59,24 @@
     /// What the settings say of its size; all that was learned of it stays.
     pub fn sized(self, settings: &Settings) -> Self {
         let kind = settings.kinds.get(usize::from(self.line.kind)).cloned().unwrap_or_default();
-        let size = Load::told(kind.cores.unwrap_or(0.0), kind.memory.unwrap_or(0.0));
+        let size = Load::sanitized(kind.cores.unwrap_or(0.0), kind.memory.unwrap_or(0.0));
         let limit = size.times(accepts(settings));
         let calm = settings.classes.iter().filter_map(|class| class.calm).fold(1.0, f64::min);
         let mean = |of: Option<f64>, room: f64| of.map(|of| room / of);
         let fill = [mean(settings.mean_cores, limit.cores), mean(settings.mean_memory, limit.memory)];
-        let told = fill.into_iter().flatten().filter(|tasks| tasks.is_finite() && *tasks > 0.0);
-        let ease = size.times(Load { cores: calm, memory: MEMORY_EASE });
-        Self { size, limit, ease, tasks: told.reduce(f64::min).unwrap_or(1.0), ..self }
+        let tasks = fill.into_iter().flatten().filter(|tasks| tasks.is_finite() && *tasks > 0.0);
+        let soft_limit = size.times(Load { cores: calm, memory: MEMORY_SOFT_LIMIT });
+        Self { size, limit, soft_limit, tasks: tasks.reduce(f64::min).unwrap_or(1.0), ..self }
     }
 
-    /// A new line of the list. A new start makes all older news void.
-    pub fn tell(&mut self, now: Micros, line: &Machine) {
+    /// A new line of the list. A new start makes all older reports void.
+    pub fn update(&mut self, now: Micros, line: &Machine) {
         if line.ready_at != self.line.ready_at {
             (self.asked, self.used, self.refused) = (None, None, None);
             (self.strikes, self.barred_until) = (0, 0);
         }
         if let (Some(cores), Some(memory)) = (line.free_cores, line.free_memory) {
-            let asked = Load::told(self.size.cores - cores, self.size.memory - memory);
+            let asked = Load::sanitized(self.size.cores - cores, self.size.memory - memory);
             self.asked = Some((now, asked));
             // A line as old as the refusal says nothing against it.
             self.refused = self.refused.filter(|(at, _)| now < at + LIST_LAG_US);
@@ -86,7 +86,7 @@
 
     /// A load report: what nobody asked for, or what nobody uses.
     pub fn report(&mut self, now: Micros, left: Load, counts_asks: bool) {
-        let taken = Load::told(self.size.cores - left.cores, self.size.memory - left.memory);
+        let taken = Load::sanitized(self.size.cores - left.cores, self.size.memory - left.memory);
         if counts_asks {
             self.asked = Some((now, taken));
             self.refused = self.refused.filter(|(at, _)| now < at + REPORT_LAG_US);
@@ -100,34 +100,34 @@
         self.changes.push_back((now, load));
     }
 
-    /// News plus the own changes that it can't hold yet, so that no bind counts twice.
-    pub fn since(&self, news: (Micros, Load), lag: Micros, ratio: Load) -> Load {
-        let young = self.changes.iter().filter(|(at, _)| at + lag > news.0);
-        young.fold(news.1, |sum, (_, load)| sum.plus(load.times(ratio)))
+    /// A report plus the own changes that it can't hold yet, so that no offer counts twice.
+    pub fn since(&self, report: (Micros, Load), lag: Micros, ratio: Load) -> Load {
+        let young = self.changes.iter().filter(|(at, _)| at + lag > report.0);
+        young.fold(report.1, |sum, (_, load)| sum.plus(load.times(ratio)))
     }
 
     pub fn asked(&self) -> Load {
-        let told = self.asked.map_or(self.own, |news| self.since(news, LIST_LAG_US, ONCE));
-        Load::told(told.cores.max(self.own.cores), told.memory.max(self.own.memory))
+        let asked = self.asked.map_or(self.own_load, |report| self.since(report, LIST_LAG_US, ONCE));
+        Load::sanitized(asked.cores.max(self.own_load.cores), asked.memory.max(self.own_load.memory))
     }
 
     pub fn used(&self, ratio: Load) -> Option<Load> {
-        self.used.map(|news| self.since(news, REPORT_LAG_US, ratio))
+        self.used.map(|report| self.since(report, REPORT_LAG_US, ratio))
     }
 
-    /// How it looks at a moment.
-    pub fn glance(&self, now: Micros, settings: &Settings, own: Own, ratio: Load) -> Glance {
+    /// How the draws of one step see it.
+    pub fn view(&self, now: Micros, settings: &Settings, scheduler: Scheduler, ratio: Load) -> MachineView {
         let (asked, used) = (self.asked(), self.used(ratio));
         let heard = self.asked.is_some() || self.used.is_some();
         let refused = self.refused.filter(|(at, _)| now < at + REFUSAL_US).map(|(_, load)| load);
         let full = f64::from(u8::from(refused.is_some_and(|refused| Load::default().reaches(refused))));
-        let use_share = used.map_or(0.0, |used| used.share(self.ease));
-        Glance {
+        let use_share = used.map_or(0.0, |used| used.share(self.soft_limit));
+        MachineView {
             line: self.line.clone(),
             rank: 0,
             tasks: self.tasks,
             limit: self.limit,
-            memory_roof: self.ease.memory,
+            memory_roof: self.soft_limit.memory,
             asked,
             used,
             refused,
@@ -135,7 +135,7 @@
             share: asked.share(self.limit).max(use_share).max(full),
             heard,
             floored: !heard || self.strikes > 0 || self.is_cold(now, &settings.rules),
-            budget: self.may_send(now, settings, own),
+            budget: self.may_send(now, settings, scheduler),
             barred: self.barred_until > now,
             shut: self.shut.values().any(|until| *until > now),
         }
--- a/src/logic/glance.rs
+++ b/src/logic/machine_view.rs
@@ -1,9 +1,9 @@
-//! How machines look to the draws of one step. It holds what was worked out, and decides only what fits.
+//! How machines look to the draws of one step: derived values; it decides only whether an ask fits.
 
 use super::*;
 
 /// A machine as all draws of one step see it, in one piece of memory: only an own offer changes it.
-pub struct Glance {
+pub struct MachineView {
     pub line: Machine,
     pub rank: usize, // Its place in the order that all schedulers share.
     pub tasks: f64,
@@ -14,13 +14,13 @@
     pub refused: Option<Load>,
     pub share: f64,
     pub heard: bool,
-    pub floored: bool, // Back cold or from a failure, or never heard of: it only looks empty.
+    pub floored: bool, // Back cold or from a failure, or no report yet: it only looks empty.
     pub budget: bool,
     pub barred: bool,
     pub shut: bool,
 }
 
-impl Glance {
+impl MachineView {
     /// Whether the ask fits what the machine accepts and, by reports, its memory.
     pub fn has_room(&self, ask: Load, ratio: Load) -> bool {
         let (roof, grown) = (self.memory_roof, ask.memory * ratio.memory);
--- a/src/logic/placer/beliefs.rs
+++ b/src/logic/placer/beliefs.rs
@@ -6,20 +6,20 @@
     /// What it has learned so far.
     pub fn beliefs(&self, now: Micros) -> Beliefs {
         let ago = |at: Micros| now.saturating_sub(at);
-        let news = |news: Option<(Micros, Load)>| news.map(|(at, load)| (ago(at), load.cores, load.memory));
-        let belief = |(id, seat): (&MachineId, &Seat)| Belief {
+        let aged = |dated: Option<(Micros, Load)>| dated.map(|(at, load)| (ago(at), load.cores, load.memory));
+        let belief = |(id, state): (&MachineId, &MachineState)| Belief {
             machine: *id,
-            asked: news(seat.asked),
-            used: news(seat.used),
-            refused: news(seat.refused.filter(|(at, _)| now < at + REFUSAL_US)),
-            shut: seat.shut.iter().map(|(of, until)| (of.0, of.1, until.saturating_sub(now))).collect(),
-            strikes: seat.strikes,
-            barred_us: seat.barred_until.saturating_sub(now),
-            cold_offers: seat.cold_offers.iter().map(|at| ago(*at)).collect(),
+            asked: aged(state.asked),
+            used: aged(state.used),
+            refused: aged(state.refused.filter(|(at, _)| now < at + REFUSAL_US)),
+            shut: state.shut.iter().map(|(of, until)| (of.0, of.1, until.saturating_sub(now))).collect(),
+            strikes: state.strikes,
+            barred_us: state.barred_until.saturating_sub(now),
+            cold_offers: state.cold_offers.iter().map(|at| ago(*at)).collect(),
         };
-        let told = |belief: &Belief| *belief != Belief { machine: belief.machine, ..Belief::default() };
+        let learned = |belief: &Belief| *belief != Belief { machine: belief.machine, ..Belief::default() };
         Beliefs {
-            machines: self.seats.iter().map(belief).filter(told).collect(),
+            machines: self.machines.iter().map(belief).filter(learned).collect(),
             answers: self.answers.iter().copied().collect(),
             arrivals: self.arrivals.iter().map(|(at, size)| (ago(*at), *size)).collect(),
             ratio: Some((self.ratio.cores, self.ratio.memory)),
@@ -27,24 +27,24 @@
     }
 
     /// Takes a former life's beliefs in where nothing newer is known; bars and spent budgets only grow.
-    pub(super) fn recalled(&mut self, now: Micros, beliefs: &Beliefs) {
+    pub(super) fn restore(&mut self, now: Micros, beliefs: &Beliefs) {
         let at = |ago: Micros| now.saturating_sub(ago);
-        let news = |(ago, cores, memory): (Micros, f64, f64)| (at(ago), Load::told(cores, memory));
+        let load = |(ago, cores, memory): (Micros, f64, f64)| (at(ago), Load::sanitized(cores, memory));
         for belief in &beliefs.machines {
-            let Some(seat) = self.seats.get_mut(&belief.machine) else { continue };
-            seat.asked = seat.asked.or(belief.asked.map(news));
-            seat.used = seat.used.or(belief.used.map(news));
+            let Some(state) = self.machines.get_mut(&belief.machine) else { continue };
+            state.asked = state.asked.or(belief.asked.map(load));
+            state.used = state.used.or(belief.used.map(load));
             let refused = |(ago, cores, memory)| (at(ago), Load { cores, memory });
-            seat.refused = seat.refused.or(belief.refused.map(refused));
+            state.refused = state.refused.or(belief.refused.map(refused));
             for (tenant, class, left) in &belief.shut {
-                let until = seat.shut.entry((*tenant, *class)).or_default();
+                let until = state.shut.entry((*tenant, *class)).or_default();
                 *until = (*until).max(now + (*left).min(SHUT_US));
             }
-            seat.strikes = seat.strikes.max(belief.strikes.min(BAR_DOUBLINGS));
+            state.strikes = state.strikes.max(belief.strikes.min(BAR_DOUBLINGS));
             let bar = self.settings.rules.connect_timeout_us.unwrap_or(BAR_US) << BAR_DOUBLINGS;
-            seat.barred_until = seat.barred_until.max(now + belief.barred_us.min(bar));
-            seat.cold_offers.extend(belief.cold_offers.iter().map(|ago| at(*ago)));
-            seat.cold_offers.sort_unstable();
+            state.barred_until = state.barred_until.max(now + belief.barred_us.min(bar));
+            state.cold_offers.extend(belief.cold_offers.iter().map(|ago| at(*ago)));
+            state.cold_offers.sort_unstable();
         }
         let answers = beliefs.answers.iter().chain(&self.answers).copied().collect::<VecDeque<_>>();
         self.answers = answers.into_iter().rev().take(ANSWERS).rev().collect();
--- a/src/logic/placer/list.rs
+++ b/src/logic/placer/list.rs
@@ -17,25 +17,25 @@
             Listing::Failed => return,
             Listing::Changes(lines) => lines,
             Listing::Whole(lines) | Listing::Cached(lines) => {
-                self.seats.values_mut().for_each(|seat| seat.line.health = Health::Gone);
+                self.machines.values_mut().for_each(|state| state.line.health = Health::Gone);
                 lines
             }
         };
         for line in lines {
-            if !self.seats.contains_key(&line.id) {
-                self.seats.insert(line.id, Seat::new(line, &self.settings));
+            if !self.machines.contains_key(&line.id) {
+                self.machines.insert(line.id, MachineState::new(line, &self.settings));
                 // Tasks may have been adopted on it before the list named it.
-                let there = self.standing.iter().filter(|(_, standing)| standing.machine == line.id);
-                let there: Vec<_> = there.map(|(attempt, standing)| (*attempt, *standing)).collect();
-                there.into_iter().for_each(|(attempt, standing)| self.stand(attempt, standing));
+                let there = self.live.iter().filter(|(_, live)| live.machine == line.id);
+                let there: Vec<_> = there.map(|(attempt, live)| (*attempt, *live)).collect();
+                there.into_iter().for_each(|(attempt, live)| self.add_live(attempt, live));
             }
-            self.seats.entry(line.id).and_modify(|seat| seat.tell(now, line));
+            self.machines.entry(line.id).and_modify(|state| state.update(now, line));
         }
         // A machine that is gone for good is forgotten, once nothing it did matters any more.
-        self.seats.retain(|_, seat| {
-            let gone = seat.line.health == Health::Gone;
-            seat.gone_at = gone.then(|| seat.gone_at.unwrap_or(now));
-            !seat.services.is_empty() || seat.gone_at.is_none_or(|at| now < at + SHUT_US)
+        self.machines.retain(|_, state| {
+            let gone = state.line.health == Health::Gone;
+            state.gone_at = gone.then(|| state.gone_at.unwrap_or(now));
+            !state.services.is_empty() || state.gone_at.is_none_or(|at| now < at + SHUT_US)
         });
         self.rank();
         if !matches!(listing, Listing::Cached(_)) {
@@ -47,9 +47,9 @@
 
     /// The order of machines that all schedulers share, from the largest down.
     pub(super) fn rank(&mut self) {
-        let seats: Vec<_> = self.seats.values().map(|seat| (seat.tasks, mix(seat.line.id.0))).collect();
-        self.order = (0..seats.len()).collect();
-        self.order.sort_by(|x, y| seats[*y].0.total_cmp(&seats[*x].0).then(seats[*x].1.cmp(&seats[*y].1)));
+        let keys: Vec<_> = self.machines.values().map(|state| (state.tasks, mix(state.line.id.0))).collect();
+        self.order = (0..keys.len()).collect();
+        self.order.sort_by(|x, y| keys[*y].0.total_cmp(&keys[*x].0).then(keys[*x].1.cmp(&keys[*y].1)));
     }
 
     /// Waits longer after each failure, with jitter so that schedulers don't ask together.
--- a/src/logic/placer/mod.rs
+++ b/src/logic/placer/mod.rs
@@ -1,8 +1,8 @@
 //! The placer: folds events in order, then draws for what is due. Each file beside it decides one thing.
 
 mod beliefs;
+mod feedback;
 mod list;
-mod news;
 mod offer;
 mod pool;
 mod silence;
@@ -13,7 +13,7 @@
 const TICK_US: Micros = 100_000;
 /// Answer times remembered: enough to hold a slow one, few enough to forget a jam.
 const ANSWERS: usize = 64;
-/// Microseconds for which a tenant and class avoid a machine that turned them away: only a try brings news.
+/// Microseconds for which a tenant and class avoid a machine that turned them away: only a try shows more.
 const SHUT_US: Micros = 4 * REFUSAL_US;
 /// Microseconds between two lines for the staff.
 const LOG_US: Micros = 2_000_000;
@@ -27,12 +27,12 @@
 pub struct Placer {
     settings: Settings,
     rng: Option<Pcg32>,
-    seats: BTreeMap<MachineId, Seat>,
-    /// Places among the seats, from the largest machine down, in an order that all schedulers share.
+    machines: BTreeMap<MachineId, MachineState>,
+    /// Positions among the machines, from the largest down, in an order that all schedulers share.
     order: Vec<usize>,
-    glances: Vec<Glance>, // How the seats look at the moment of this step, in their order.
+    views: Vec<MachineView>, // How the machines look at the moment of this step, in their order.
     entries: BTreeMap<RequestId, Entry>,
-    standing: BTreeMap<AttemptId, Standing>,
+    live: BTreeMap<AttemptId, LiveAttempt>,
     arrivals: VecDeque<(Micros, f64)>,
     answers: VecDeque<Micros>,
     ratio: Load,         // Learnt ratio of use to ask.
@@ -44,19 +44,19 @@
     probing: Micros,          // Until when a task may wait for the report of a probe.
     awake_since: Micros,      // When this scheduler started or last came back from a gap in its own turns.
     tick_due: Option<Micros>, // When the next look is due, if any.
-    own: Own,
+    scheduler: Scheduler,
     logged_at: Option<Micros>,
 }
 
 impl Placer {
     /// A fresh scheduler that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        // Without news of use, what machines accept tells by how much asks are expected to exceed it.
+        // Without reports of use, what machines accept says by how much asks are expected to exceed it.
         let accepts = accepts(&settings);
         let ratio = Load { cores: 1.0 / accepts.cores.max(1.0), memory: 1.0 / accepts.memory.max(1.0) };
-        let rng = Some(Pcg32::new(seed, 0));
-        let own = Own { number: settings.position.map_or(mix(seed), u64::from), started: Micros::MAX };
-        Self { settings, rng, ratio, awake_since: Micros::MAX, own, ..Self::default() }
+        let (rng, started) = (Some(Pcg32::new(seed, 0)), Micros::MAX);
+        let scheduler = Scheduler { number: settings.position.map_or(mix(seed), u64::from), started };
+        Self { settings, rng, ratio, awake_since: started, scheduler, ..Self::default() }
     }
 
     /// Folds a batch of events in order, then draws for the tasks that are due.
@@ -67,15 +67,15 @@
         if self.awake_since == Micros::MAX || self.tick_due.is_some_and(|due| due + TICK_US < now) {
             // This scheduler stood still: the silence was its own, and no machine is blamed for it.
             self.awake_since = now;
-            self.own.started = self.own.started.min(now);
+            self.scheduler.started = self.scheduler.started.min(now);
         }
         events.iter().for_each(|event| self.fold(now, event, actions));
         let held = self.held.len();
         if !self.due.is_empty() {
-            let a = self.poured(now);
-            let glance = |seat: &Seat| seat.glance(now, &self.settings, self.own, self.ratio);
-            self.glances = self.seats.values().map(glance).collect();
-            self.order.iter().zip(0..).for_each(|(at, rank)| self.glances[*at].rank = rank);
+            let a = self.arriving_load(now);
+            let view = |state: &MachineState| state.view(now, &self.settings, self.scheduler, self.ratio);
+            self.views = self.machines.values().map(view).collect();
+            self.order.iter().zip(0..).for_each(|(at, rank)| self.views[*at].rank = rank);
             let due = std::mem::take(&mut self.due);
             due.into_iter().for_each(|request| self.place(now, request, a, actions));
         }
@@ -99,24 +99,24 @@
         match event {
             Event::Listed(listing) => self.listed(now, listing, actions),
             Event::Told(settings) => {
-                let seats = std::mem::take(&mut self.seats).into_iter();
-                self.seats = seats.map(|(id, seat)| (id, seat.sized(settings))).collect();
+                let machines = std::mem::take(&mut self.machines).into_iter();
+                self.machines = machines.map(|(id, state)| (id, state.sized(settings))).collect();
                 self.settings = (**settings).clone();
                 self.rank();
             }
-            Event::Recalled(beliefs) => self.recalled(now, beliefs),
+            Event::Recalled(beliefs) => self.restore(now, beliefs),
             Event::Arrived { task, grace_us } => {
                 self.arrivals.push_back((now, self.mean_size(Load::of(task))));
                 let deadline = now.saturating_add(*grace_us);
                 self.due.push(task.request);
-                let entry = Entry { task: task.clone(), deadline, attempts: Vec::new(), open: None };
+                let entry = Entry { task: task.clone(), deadline, attempts: Vec::new(), allowed: None };
                 self.entries.insert(task.request, entry);
             }
             Event::Opened { request, machines } => {
                 if let Some(entry) = self.entries.get_mut(request) {
                     // A held task that gets machines is drawn for at once, not at the next look.
-                    let held = !machines.is_empty() && !self.due.contains(request) && !entry.is_out();
-                    entry.open = Some(machines.clone());
+                    let held = !machines.is_empty() && !self.due.contains(request) && !entry.is_in_flight();
+                    entry.allowed = Some(machines.clone());
                     if held {
                         self.held.retain(|other| other != request);
                         self.due.push(*request);
@@ -126,24 +126,23 @@
             Event::Adopted { task, machine } => {
                 let attempt = AttemptId { request: task.request, number: 0 };
                 let (machine, service, load) = (*machine, task.service, Load::of(task));
-                self.stand(attempt, Standing { machine, service, load });
+                self.add_live(attempt, LiveAttempt { machine, service, load });
             }
             Event::Placed { attempt, machine, took_us } => {
                 self.answers.push_back(*took_us);
                 self.answers.drain(..self.answers.len().saturating_sub(ANSWERS));
                 let entry = self.entries.remove(&attempt.request);
-                if let Some(seat) = self.seats.get_mut(machine) {
-                    seat.answer(now, *attempt);
-                    let whose = entry.as_ref().map(Entry::whose);
-                    seat.shut.retain(|other, until| Some(*other) != whose || *until > now);
+                if let Some(state) = self.machines.get_mut(machine) {
+                    state.answer(now, *attempt);
+                    let owner = entry.as_ref().map(Entry::tenant_class);
+                    state.shut.retain(|other, until| Some(*other) != owner || *until > now);
                     if self.settings.yes_when_running {
-                        seat.starting.remove(attempt);
+                        state.starting.remove(attempt);
                     }
                 }
                 // Machines that erred on a task which another one takes turn its tenant or class away.
-                for (erred, whose) in entry.iter().flat_map(Entry::erred) {
-                    let seat = self.seats.get_mut(&erred);
-                    seat.map(|seat| seat.shut.insert(whose, now + SHUT_US));
+                for (erred, owner) in entry.iter().flat_map(Entry::erred) {
+                    self.machines.get_mut(&erred).map(|state| state.shut.insert(owner, now + SHUT_US));
                 }
             }
             Event::Noted { attempt, note, .. } => self.noted(now, *attempt, *note),
@@ -155,7 +154,7 @@
                 // What is still out would only take room from a task that is wanted.
                 let entry = self.entries.remove(request);
                 let attempts = entry.iter().flat_map(|entry| entry.attempts.iter().zip(0..));
-                let out = attempts.filter(|(attempt, _)| attempt.run == Run::Out);
+                let out = attempts.filter(|(attempt, _)| attempt.state == AttemptState::InFlight);
                 let stop = out.map(|(_, number)| Action::Stop(AttemptId { request: *request, number }));
                 actions.extend(stop.filter(|_| self.settings.rules.may_stop));
             }
@@ -166,7 +165,7 @@
             Event::Woken(TICK) => {
                 self.tick_due = None;
                 self.due.append(&mut self.held);
-                self.tend_silent(now, actions);
+                self.stop_silent(now, actions);
             }
             Event::Woken(WATCH) => match self.watch_due {
                 Some(due) if now < due => actions.push(Action::Timer { token: WATCH, after_us: due - now }),
@@ -176,13 +175,13 @@
             Event::Probed { machine, answered, took_us, report } => {
                 self.report(now, *machine, report);
                 self.due.append(&mut self.held);
-                if let Some(seat) = self.seats.get_mut(machine) {
-                    seat.asked_for = false;
+                if let Some(state) = self.machines.get_mut(machine) {
+                    state.asked_for = false;
                     if *answered {
-                        seat.heard_at = now;
-                        seat.looked_at = seat.looked_at.max(now.saturating_sub(*took_us));
+                        state.heard_at = now;
+                        state.looked_at = state.looked_at.max(now.saturating_sub(*took_us));
                     } else {
-                        seat.strike(now, &self.settings);
+                        state.strike(now, &self.settings);
                     }
                 }
             }
@@ -191,6 +190,6 @@
 
     /// How many machines, requests and attempts it keeps in mind.
     pub fn sizes(&self) -> [usize; 3] {
-        [self.seats.len(), self.entries.len(), self.standing.len()]
+        [self.machines.len(), self.entries.len(), self.live.len()]
     }
 }
--- a/src/logic/tide.rs
+++ b/src/logic/water_filling.rs
@@ -1,4 +1,4 @@
-//! The tide of the paper: from columns to probabilities. It knows of numbers only, not what they stand for.
+//! Water filling as in the paper: from columns to probabilities. It knows numbers only, not what they mean.
 
 /// The level to which `a` units of water rise over the columns (Algorithm 1 of the paper).
 pub fn water_level(columns: &[f64], a: f64) -> f64 {
@@ -17,12 +17,12 @@
 }
 
 /// The probability of each column (eq. 14), rescaled to sum to 1; up to an `a` of 1 the lowest share evenly.
-pub fn tidal_probabilities(columns: &[f64], a: f64) -> Vec<f64> {
+pub fn water_filling_probabilities(columns: &[f64], a: f64) -> Vec<f64> {
     let level = water_level(columns, a);
     let gaps: Vec<f64> = columns.iter().map(|q| level.max(*q) - q).collect();
     let k = gaps.iter().filter(|gap| **gap > 0.0).count() as f64;
-    let tide = |gap: &f64| ((gap - 1.0 / k) / (a - 1.0)).max(0.0);
-    let mut p: Vec<f64> = gaps.iter().map(tide).collect();
+    let probability = |gap: &f64| ((gap - 1.0 / k) / (a - 1.0)).max(0.0);
+    let mut p: Vec<f64> = gaps.iter().map(probability).collect();
     let mut total: f64 = p.iter().sum();
     if a.is_nan() || a <= 1.0 || !total.is_finite() || total <= 0.0 {
         let lowest = columns.iter().copied().fold(f64::INFINITY, f64::min);
