Platform: private names say submitted, arrived, sent and reserved in plain words

Request.told is submitted, last client_left, came arrived_at; Engine.ends and told_ends are unsent_ends and sent_ends; decide::Fate is Execution, Lost::word reason, Bounds.kept reserved; tell_module is submit, hand_over submit_next, last stop_attempts, discovery_told discovery_update, Spare::keep prepare. No behaviour changed.

--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -11,8 +11,8 @@
     pub clients: usize,
     /// Connections of clients beyond these, for as long as it takes to answer them.
     pub overflow: usize,
-    /// So many of clients' places are never taken for hosts.
-    pub kept: usize,
+    /// So many of clients' connections are never used for hosts.
+    pub reserved: usize,
     /// Connections to one host.
     pub links_each: usize,
     /// Bytes of set-ups that wait for their answer.
@@ -20,20 +20,20 @@
 }
 
 impl Bounds {
-    /// What the descriptors allow. A third is all that clients hold by the protocol, and is kept for them with some
+    /// What the descriptors allow. A third is all that clients hold by the protocol, and is reserved for them with some
     /// more for those that just come and go. Who does not keep to that gets what hosts leave, up to a half.
     pub fn of(limits: &Limits) -> Self {
         let sockets = limits.sockets;
-        let kept = sockets / 3 + sockets / 16;
+        let reserved = sockets / 3 + sockets / 16;
         let (all, clients, overflow) = (sockets - OWN_SOCKETS, sockets / 2, sockets / 16);
         // An eighth of the memory; outboxes may hold another.
         let waiting = (limits.memory_mb as usize * 1024 * 1024 / 8).max(64 * 1024);
-        Self { all, clients, overflow, kept, links_each: LINKS_EACH, waiting }
+        Self { all, clients, overflow, reserved, links_each: LINKS_EACH, waiting }
     }
 
     /// Connections to hosts, beside so many of clients.
     pub fn links(&self, conns: usize) -> usize {
-        self.all.saturating_sub(conns.max(self.kept))
+        self.all.saturating_sub(conns.max(self.reserved))
     }
 }
 
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -20,8 +20,8 @@
 const READ_US: Micros = 50_000;
 /// Messages that can't be used, one after the other, after which a connection is closed.
 const MOST_UNUSABLE: u32 = 16;
-/// Ends are told again if their connection ends this soon after.
-const TOLD_US: Micros = 1_000_000;
+/// Ends are sent again if their connection ends this soon after.
+const RESEND_END_US: Micros = 1_000_000;
 /// An end that no client came to hear of in this time concerns nobody.
 const OWED_US: Micros = 30_000_000;
 
@@ -88,10 +88,10 @@
         let parting = decide::parting(stage, leaving);
         match parting {
             Parting::Nothing | Parting::Moment => {}
-            Parting::Answer | Parting::LastAttempt => self.last(now, request),
+            Parting::Answer | Parting::LastAttempt => self.stop_attempts(now, request),
             Parting::Recall => {
                 self.recall(request);
-                self.last(now, request);
+                self.stop_attempts(now, request);
             }
             Parting::GiveUp => {
                 // What waits for a connection would begin when it stands, whether attempts may be stopped or not.
@@ -115,11 +115,11 @@
     }
 
     /// No attempt begins any more: the module gives the final answer as soon as none is out.
-    fn last(&mut self, now: Micros, request: RequestId) {
-        if self.requests.get(&request).is_some_and(|entry| !entry.told) {
-            self.tell_module(now, request, true);
-        } else if let Some(entry) = self.requests.get_mut(&request).filter(|entry| !entry.last) {
-            entry.last = true;
+    fn stop_attempts(&mut self, now: Micros, request: RequestId) {
+        if self.requests.get(&request).is_some_and(|entry| !entry.submitted) {
+            self.submit(now, request, true);
+        } else if let Some(entry) = self.requests.get_mut(&request).filter(|entry| !entry.client_left) {
+            entry.client_left = true;
             self.events.push(Event::Last(request));
         }
     }
@@ -127,15 +127,15 @@
     /// Whatever waits before it, a request whose time is over is answered: it never ran.
     pub(crate) fn overdue(&mut self, now: Micros, request: RequestId) {
         if self.requests.get(&request).is_some_and(Request::is_fresh) {
-            self.tell_module(now, request, true);
+            self.submit(now, request, true);
         }
     }
 
-    /// Tells the module of an arrival; of one whose client has gone so that it answers it at once.
-    fn tell_module(&mut self, now: Micros, request: RequestId, last: bool) {
+    /// Submits an arrival to the module; one whose client has gone so that it is answered at once.
+    fn submit(&mut self, now: Micros, request: RequestId, client_left: bool) {
         let Some(entry) = self.requests.get_mut(&request) else { return };
-        (entry.told, entry.last) = (true, last);
-        let grace_us = if last { 0 } else { entry.deadline.saturating_sub(now) };
+        (entry.submitted, entry.client_left) = (true, client_left);
+        let grace_us = if client_left { 0 } else { entry.deadline.saturating_sub(now) };
         if let Some(Ok(task)) = self.requests.get(&request).map(|entry| self.task(&entry.setup)) {
             self.events.push(Event::Arrived { task: Task { request, ..task }, grace_us });
         }
@@ -145,8 +145,11 @@
     /// could have been, as they may be taken back there.
     fn turn(&self, conn: ConnId) -> Option<Micros> {
         let entry = self.conns.get(&conn)?;
-        let came =
-            entry.fresh.front().and_then(|first| self.requests.get(first)).map_or(0, |first| first.came);
+        let came = entry
+            .fresh
+            .front()
+            .and_then(|first| self.requests.get(first))
+            .map_or(0, |first| first.arrived_at);
         Some(if entry.more { came + READ_US } else { 0 })
     }
 
@@ -155,10 +158,10 @@
         self.turns.iter().filter_map(|conn| self.turn(*conn)).min()
     }
 
-    /// Tells the module of the next `most` arrivals, each connection's in turn.
-    pub(crate) fn hand_over(&mut self, now: Micros, most: usize) {
-        let (mut told, mut passed) = (0, 0);
-        while told < most && passed < self.turns.len() {
+    /// Submits the next `most` arrivals to the module, each connection's in turn.
+    pub(crate) fn submit_next(&mut self, now: Micros, most: usize) {
+        let (mut submitted, mut passed) = (0, 0);
+        while submitted < most && passed < self.turns.len() {
             let Some(conn) = self.turns.pop_front() else { return };
             let Some(due) = self.turn(conn) else { continue };
             if due > now {
@@ -173,8 +176,8 @@
             }
             let fresh = |request: &RequestId| self.requests.get(request).is_some_and(Request::is_fresh);
             if let Some(request) = next.filter(fresh) {
-                (told, passed) = (told + 1, 0);
-                self.tell_module(now, request, false);
+                (submitted, passed) = (submitted + 1, 0);
+                self.submit(now, request, false);
             }
         }
     }
@@ -235,9 +238,9 @@
         }
         // An end that was just written may have crossed the close.
         let crossed: Vec<u64> =
-            self.told_ends.iter().filter(|(_, (to, _))| *to == conn).map(|(id, _)| *id).collect();
+            self.sent_ends.iter().filter(|(_, (to, _))| *to == conn).map(|(id, _)| *id).collect();
         for id in crossed {
-            if let Some((_, end)) = self.told_ends.remove(&id) {
+            if let Some((_, end)) = self.sent_ends.remove(&id) {
                 self.tell_end(now, end);
             }
         }
@@ -254,7 +257,7 @@
                 let passed = self.ending.is_none();
                 self.send_client(conn, ToOwner::Tested { id, passed });
             }
-            Ok(FromOwner::Released(id)) => drop(self.told_ends.remove(&id)),
+            Ok(FromOwner::Released(id)) => drop(self.sent_ends.remove(&id)),
             Ok(FromOwner::Free) => {}
             Err(Unusable { id, why }) => self.unusable(now, conn, id, &why),
         }
@@ -389,9 +392,9 @@
         match self.route(end.home) {
             Some(conn) => {
                 self.send_client(conn, ToOwner::failure(end.id, end.cause));
-                self.told_ends.insert(end.id, (conn, End { at: now, ..end }));
+                self.sent_ends.insert(end.id, (conn, End { at: now, ..end }));
             }
-            None => self.ends.push(end),
+            None => self.unsent_ends.push(end),
         }
     }
 
@@ -409,7 +412,7 @@
 
     /// Ends that found no connection go out on the first that will do.
     fn tell_owed(&mut self, now: Micros) {
-        for end in std::mem::take(&mut self.ends) {
+        for end in std::mem::take(&mut self.unsent_ends) {
             self.tell_end(now, end);
         }
     }
@@ -420,7 +423,7 @@
         };
         let idle: Vec<ConnId> = self.conns.iter().filter(over).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|conn| self.close_idle_client(conn));
-        self.ends.retain(|end| now < end.at + OWED_US);
-        self.told_ends.retain(|_, (_, end)| now < end.at + TOLD_US);
+        self.unsent_ends.retain(|end| now < end.at + OWED_US);
+        self.sent_ends.retain(|_, (_, end)| now < end.at + RESEND_END_US);
     }
 }
--- a/crates/platform/src/decide/attempts.rs
+++ b/crates/platform/src/decide/attempts.rs
@@ -17,7 +17,7 @@
 
 /// What is known of an attempt whose connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum Execution {
     /// Not a byte of it left: it may be sent on another connection as the same attempt.
     Unsent,
     /// It could not be sent, and the machine does not answer.
@@ -27,10 +27,10 @@
 }
 
 /// Did an attempt run? `begun` says whether a byte of its set-up left.
-pub fn did_it_run(down: Down, begun: bool) -> Fate {
+pub fn did_it_run(down: Down, begun: bool) -> Execution {
     match (down, begun) {
-        (Down::Refused | Down::Unmade, _) => Fate::NeverRan,
-        (Down::Closed | Down::Broke | Down::Spoilt, false) => Fate::Unsent,
-        (Down::Closed | Down::Broke | Down::Spoilt, true) => Fate::MayHaveRun,
+        (Down::Refused | Down::Unmade, _) => Execution::NeverRan,
+        (Down::Closed | Down::Broke | Down::Spoilt, false) => Execution::Unsent,
+        (Down::Closed | Down::Broke | Down::Spoilt, true) => Execution::MayHaveRun,
     }
 }
--- a/crates/platform/src/decide/hosts.rs
+++ b/crates/platform/src/decide/hosts.rs
@@ -39,8 +39,8 @@
 }
 
 impl Lost {
-    /// The reason in words.
-    pub fn word(self) -> &'static str {
+    /// The reason, for the log.
+    pub fn reason(self) -> &'static str {
         match self {
             Self::Left => "it left the list",
             Self::Refuses => "it refuses connections",
--- a/crates/platform/src/decide/mod.rs
+++ b/crates/platform/src/decide/mod.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use attempts::{Down, Fate, did_it_run};
+pub use attempts::{Down, Execution, did_it_run};
 pub use clients::{Leaving, Parting, Route, Stage, parting, which_route};
 pub use hosts::{Lost, Seen, lost_all};
 pub use links::{Candidate, Choice, Spent, may_add, wants_spare, which_link, which_makes_room};
--- a/crates/platform/src/decide/tests.rs
+++ b/crates/platform/src/decide/tests.rs
@@ -7,9 +7,9 @@
     for down in [Down::Refused, Down::Unmade, Down::Closed, Down::Broke, Down::Spoilt] {
         for begun in [false, true] {
             let stood = matches!(down, Down::Closed | Down::Broke | Down::Spoilt);
-            let fate = did_it_run(down, begun);
-            assert_eq!(fate == Fate::MayHaveRun, stood && begun, "{down:?} {begun}");
-            assert_eq!(fate == Fate::Unsent, stood && !begun, "{down:?} {begun}");
+            let execution = did_it_run(down, begun);
+            assert_eq!(execution == Execution::MayHaveRun, stood && begun, "{down:?} {begun}");
+            assert_eq!(execution == Execution::Unsent, stood && !begun, "{down:?} {begun}");
         }
     }
 }
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -33,13 +33,13 @@
 
 impl Spare {
     /// Makes one where there is none; without a descriptor left it is tried again later.
-    fn keep(&mut self, address: SocketAddr) {
+    fn prepare(&mut self, address: SocketAddr) {
         let new = || if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
         self.0 = self.0.take().or_else(|| new().ok());
     }
 
     async fn connect(&mut self, address: SocketAddr) -> Result<TcpStream, String> {
-        self.keep(address);
+        self.prepare(address);
         let socket = self.0.take().ok_or("no descriptor is left")?;
         socket.connect(address).await.map_err(|error| format!("{address}: {error}"))
     }
@@ -55,7 +55,7 @@
     let (mut waits, mut sender, mut lost, mut spare) = (WAITS, None, false, Spare::default());
     loop {
         let address = *addresses.borrow_and_update();
-        spare.keep(address);
+        spare.prepare(address);
         let asked = tokio::select! {
             asked = ask(address, &mut sender, &mut spare, rev, &names) => asked,
             changed = addresses.changed() => {
@@ -68,11 +68,11 @@
             }
         };
         let input = match asked {
-            Ok(told) => {
-                rev = rev.max(told.rev);
+            Ok(update) => {
+                rev = rev.max(update.rev);
                 waits.reset();
                 lost = false;
-                Some(Input::Discovery(told))
+                Some(Input::Discovery(update))
             }
             Err(why) => {
                 sender = None;
@@ -106,11 +106,11 @@
             Some(open) => open,
             None => connect(address, spare).await?,
         };
-        let (told, whole) = exchange(&mut open, address, rev, names).await?;
+        let (update, whole) = exchange(&mut open, address, rev, names).await?;
         if whole {
             *sender = Some(open);
         }
-        Ok(told)
+        Ok(update)
     });
     asked.await.unwrap_or_else(|_| Err(format!("no answer within {} ms", most.as_millis())))
 }
@@ -118,7 +118,7 @@
 async fn connect(address: SocketAddr, spare: &mut Spare) -> Result<Sender, String> {
     let stream = spare.connect(address).await?;
     // The next one, while this one still holds its own.
-    spare.keep(address);
+    spare.prepare(address);
     let _ = stream.set_nodelay(true);
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| format!("{address}: {error}"))?;
@@ -146,6 +146,6 @@
         return Err(format!("status {}", response.status()));
     }
     let body = Limited::new(response.into_body(), MOST).collect().await.map_err(|error| error.to_string())?;
-    let told = Told::read(&body.to_bytes(), names).map_err(|error| error.to_string())?;
-    Ok((told, !sender.is_closed()))
+    let update = Told::read(&body.to_bytes(), names).map_err(|error| error.to_string())?;
+    Ok((update, !sender.is_closed()))
 }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -23,7 +23,7 @@
 /// little: what stands goes on, and its ends are told until it goes.
 const STAY_US: Micros = 3_000_000;
 const STAY_MORE_US: Micros = 400_000;
-/// Arrivals that the module is told of at once, before others get their turn: what is cancelled or ends meanwhile
+/// Arrivals that are submitted to the module at once, before others get their turn: what is cancelled or ends meanwhile
 /// is known before the next.
 const TURN: usize = 32;
 
@@ -81,8 +81,8 @@
             turns: VecDeque::new(),
             waiting: 0,
             probes: BTreeMap::new(),
-            ends: Vec::new(),
-            told_ends: BTreeMap::new(),
+            unsent_ends: Vec::new(),
+            sent_ends: BTreeMap::new(),
             rev: 0,
             asked_list: false,
             timers: Timers::default(),
@@ -123,7 +123,7 @@
             conns: self.conns.len(),
             links: self.links.len(),
             hosts: self.hosts.len(),
-            ends: self.ends.len() + self.told_ends.len(),
+            ends: self.unsent_ends.len() + self.sent_ends.len(),
             probes: self.probes.len(),
             timers: self.timers.len(),
             module: self.placer.sizes(),
@@ -143,7 +143,7 @@
             Input::LinkUp(link) => self.link_up(now, link),
             Input::Host(link, message) => self.host_says(now, link, message),
             Input::LinkDown { link, down, begun } => self.link_down(now, link, down, begun),
-            Input::Discovery(told) => self.discovery_told(now, told),
+            Input::Discovery(update) => self.discovery_update(now, update),
             Input::DiscoveryLost(why) => self.discovery_lost(&why),
             Input::Terminate => self.terminate(now),
         }
@@ -166,7 +166,7 @@
                 }
             }
         }
-        self.hand_over(now, TURN);
+        self.submit_next(now, TURN);
         if !self.events.is_empty() {
             let (events, mut actions) = (std::mem::take(&mut self.events), Vec::new());
             self.placer.step(now, &events, &mut actions);
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -38,7 +38,9 @@
             }
             FromHost::Note { .. } | FromHost::Free => return None,
         },
-        Input::Discovery(told) => format!("discovery at {}: {} notices", told.rev, told.notices.len()),
+        Input::Discovery(update) => {
+            format!("discovery at {}: {} notices", update.rev, update.notices.len())
+        }
         Input::DiscoveryLost(why) => format!("discovery lost: {why}"),
         Input::Terminate => "asked to end".to_owned(),
     })
--- a/crates/platform/src/hosts/links.rs
+++ b/crates/platform/src/hosts/links.rs
@@ -160,7 +160,7 @@
             let out = entry.and_then(|(request, entry)| Some((request, entry, entry.out?)));
             let Some((request, entry, out)) = out.filter(|(_, _, out)| out.link == id) else { continue };
             let attempt = AttemptId { request, number: out.number };
-            let wanted = entry.phase == Phase::Open && !entry.last && now < out.until;
+            let wanted = entry.phase == Phase::Open && !entry.client_left && now < out.until;
             if !wanted || !self.placer.may_leave(now, attempt) {
                 self.take_back(request, Outcome::Unsent, None, Vec::new());
                 continue;
@@ -247,15 +247,16 @@
         let request = attempt.request;
         let Some(entry) = self.requests.get_mut(&request) else { return };
         // Sent once more it would begin after its client went.
-        let last = entry.last || entry.phase != Phase::Open;
+        let no_more = entry.client_left || entry.phase != Phase::Open;
         let Some(out) = entry.out.as_mut().filter(|out| out.number == attempt.number) else { return };
-        let fate = decide::did_it_run(down, out.position < begun);
+        let execution = decide::did_it_run(down, out.position < begun);
         let active = self.hosts.get(&out.machine).and_then(Host::health) == Some(State::Active);
-        if fate == Fate::Unsent && out.resent < MOST_RESENT && now < out.until && active && !last {
+        if execution == Execution::Unsent && out.resent < MOST_RESENT && now < out.until && active && !no_more
+        {
             out.resent += 1;
             return self.send_setup(now, request);
         }
-        let outcome = if fate == Fate::MayHaveRun { Outcome::Reset } else { Outcome::Unconnected };
+        let outcome = if execution == Execution::MayHaveRun { Outcome::Reset } else { Outcome::Unconnected };
         self.take_back(request, outcome, None, Vec::new());
     }
 }
--- a/crates/platform/src/hosts/list.rs
+++ b/crates/platform/src/hosts/list.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 impl Engine {
-    /// Takes in what was told before the start.
+    /// Takes in what the configuration said before the start.
     pub(crate) fn known(&mut self, now: Micros, known: Told) {
         let (rev, notices) = (known.rev, known.notices);
         for notice in notices {
@@ -14,12 +14,12 @@
         self.events.push(Event::Listed(Listing::Cached(self.lines())));
     }
 
-    pub(crate) fn discovery_told(&mut self, now: Micros, told: Told) {
+    pub(crate) fn discovery_update(&mut self, now: Micros, update: Told) {
         let before = self.events.len();
-        for notice in told.notices {
+        for notice in update.notices {
             self.notice(now, notice);
         }
-        self.rev = self.rev.max(told.rev);
+        self.rev = self.rev.max(update.rev);
         if std::mem::take(&mut self.asked_list) && self.events.len() == before {
             self.events.push(Event::Listed(Listing::Changes(Vec::new())));
         }
@@ -46,7 +46,7 @@
     }
 
     pub(crate) fn notice(&mut self, now: Micros, Notice { rev, pool }: Notice) {
-        // What was told once is not told again, whatever discovery that was moved repeats.
+        // An event is passed on once, whatever discovery repeats after it was moved.
         if rev <= self.rev {
             return;
         }
--- a/crates/platform/src/hosts/mod.rs
+++ b/crates/platform/src/hosts/mod.rs
@@ -13,7 +13,7 @@
 use reedring_platproto::owner::ToOwner;
 use reedring_platproto::{CANCELLED, CUT, ERROR, FULL, GIVEN_UP, MOOT};
 
-use crate::decide::{self, Candidate, Choice, Down, Fate, Seen, Spent};
+use crate::decide::{self, Candidate, Choice, Down, Execution, Seen, Spent};
 use crate::io::{LinkId, Output};
 use crate::state::{Engine, FIRST_WAIT, Host, Link, Phase, Request, Timer, connect_us};
 
@@ -53,7 +53,7 @@
         };
         if let Some(lost) = decide::lost_all(seen).filter(|_| !host.standing.is_empty()) {
             let standing = host.tasks();
-            let (name, why) = (self.name(machine), lost.word());
+            let (name, why) = (self.name(machine), lost.reason());
             self.log(format!("host {name}: {} tasks are lost with it: {why}", standing.len()));
             for request in standing {
                 self.over(now, request, Outcome::Reset, None, CUT, Vec::new());
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -117,7 +117,7 @@
     let mut engine = Engine::new(start);
     let (came, mut coming) = mpsc::channel(INPUTS);
     let (move_discovery, addresses) = watch::channel(config.board);
-    // What the list tells goes before all that waits: a drain counts from when it was told.
+    // Updates of the list go before all that waits: a drain counts from when discovery said it.
     let (list, mut listed) = mpsc::channel(LISTED);
     tokio::spawn(discovery::poll(addresses, names, rev, list));
     tokio::spawn(answer(asked, path.to_owned(), move_discovery, came.clone()));
@@ -150,9 +150,9 @@
         }
         shell.write();
         let wake = engine.next_wake().map(|at| Duration::from_micros(at.saturating_sub(now())));
-        let told = next(&mut listed, &mut coming, &mut batch, wake).await;
+        let updates = next(&mut listed, &mut coming, &mut batch, wake).await;
         let mut taken = 0;
-        for input in told {
+        for input in updates {
             taken += shell.take_in(&mut engine, now(), Incoming::Input(input));
         }
         // All that there is to read goes before the module's next draws: what ends or is taken back is among it.
@@ -171,19 +171,19 @@
     }
 }
 
-/// Waits for what comes or for the time to wake: all that the list told, which goes first, and a batch of the rest.
+/// Waits for what comes or for the time to wake: all updates of the list, which go first, and a batch of the rest.
 async fn next(
     listed: &mut mpsc::Receiver<Input>,
     coming: &mut mpsc::Receiver<Incoming>,
     batch: &mut Vec<Incoming>,
     wake: Option<Duration>,
 ) -> Vec<Input> {
-    let told = tokio::select! {
-        Some(told) = listed.recv() => Some(told),
+    let first = tokio::select! {
+        Some(update) = listed.recv() => Some(update),
         _ = coming.recv_many(batch, BATCH) => None,
         () = tokio::time::sleep(wake.unwrap_or(Duration::MAX)), if wake.is_some() => None,
     };
-    told.into_iter().chain(std::iter::from_fn(|| listed.try_recv().ok())).collect()
+    first.into_iter().chain(std::iter::from_fn(|| listed.try_recv().ok())).collect()
 }
 
 fn follow(line: impl FnOnce() -> Option<String>) {
--- a/crates/platform/src/state/client.rs
+++ b/crates/platform/src/state/client.rs
@@ -6,6 +6,7 @@
 
 use crate::io::ConnId;
 
+/// A client's connection.
 #[derive(Debug, Default)]
 pub(crate) struct Conn {
     /// Ids of open set-ups.
@@ -25,7 +26,7 @@
     pub leaving: bool,
     /// Some of what it said was not read yet.
     pub more: bool,
-    /// Arrivals of which the module was not told yet.
+    /// Arrivals that were not submitted to the module yet.
     pub fresh: VecDeque<RequestId>,
     /// It came when all places were taken by such as wait for answers: what it asks for fails at once.
     pub in_overflow: bool,
--- a/crates/platform/src/state/mod.rs
+++ b/crates/platform/src/state/mod.rs
@@ -16,7 +16,7 @@
 use crate::bounds::Bounds;
 use crate::io::{ConnId, LinkId, Output};
 
-/// How long a connection may take where no time-out is told.
+/// How long a connection may take where the settings have no time-out.
 const CONNECT_US: Micros = 250_000;
 
 /// How long a connection may take, and so a probe too; a visit to a host lasts no less.
@@ -64,15 +64,15 @@
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// Requests by the id on the wire.
     pub(crate) by_id: BTreeMap<u64, RequestId>,
-    /// Connections with arrivals of which the module was not told yet, in turn.
+    /// Connections with arrivals that were not submitted to the module yet, in turn.
     pub(crate) turns: VecDeque<ConnId>,
     /// Bytes of set-ups that wait for their answer.
     pub(crate) waiting: usize,
     pub(crate) probes: BTreeMap<u64, Probe>,
-    /// Ends of tasks that clients are to hear of.
-    pub(crate) ends: Vec<End>,
-    /// Ends that were told just now, by task, and on which connection.
-    pub(crate) told_ends: BTreeMap<u64, (ConnId, End)>,
+    /// Ends of tasks that no connection could be found for yet.
+    pub(crate) unsent_ends: Vec<End>,
+    /// Ends that were sent just now, by task, and on which connection.
+    pub(crate) sent_ends: BTreeMap<u64, (ConnId, End)>,
     pub(crate) rev: u64,
     /// The module waits for word of the list.
     pub(crate) asked_list: bool,
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -44,20 +44,19 @@
     pub attempts: u16,
     pub out: Option<Out>,
     pub phase: Phase,
-    /// When it came.
-    pub came: Micros,
-    /// The module was told of it.
-    pub told: bool,
+    pub arrived_at: Micros,
+    /// The decision module was asked to place it.
+    pub submitted: bool,
     /// No attempt begins any more: its client has gone.
-    pub last: bool,
+    pub client_left: bool,
     /// Bytes that it holds while it waits for its answer.
     pub weight: usize,
 }
 
 impl Request {
-    /// Its client waits, and the module was not told of it yet.
+    /// Its client waits, and the decision module was not asked to place it yet.
     pub fn is_fresh(&self) -> bool {
-        self.phase == Phase::Open && !self.told
+        self.phase == Phase::Open && !self.submitted
     }
 }
 
@@ -70,8 +69,19 @@
         let (attempts, weight) = (u16::from(!open), if open { weight } else { 0 });
         self.waiting += weight;
         self.by_id.insert(id, request);
-        let (out, told, last) = (None, !open, false);
-        let entry = Request { setup, conn, deadline, attempts, out, phase, came: now, told, last, weight };
+        let (out, submitted, client_left) = (None, !open, false);
+        let entry = Request {
+            setup,
+            conn,
+            deadline,
+            attempts,
+            out,
+            phase,
+            arrived_at: now,
+            submitted,
+            client_left,
+            weight,
+        };
         self.requests.insert(request, entry);
         request
     }
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -135,7 +135,8 @@
     pub fn with(seed: u64, hosts: &[String], change: impl FnOnce(&mut Deployment)) -> Self {
         let mut settings = reedring::settings::read(SETTINGS).expect("the settings are whole");
         change(&mut settings);
-        let bounds = Bounds { all: 40, clients: 16, overflow: 2, kept: 16, links_each: 4, waiting: 1 << 20 };
+        let bounds =
+            Bounds { all: 40, clients: 16, overflow: 2, reserved: 16, links_each: 4, waiting: 1 << 20 };
         let now = 1_700_000_000 * SECOND;
         let known = told(1, true, hosts);
         let engine = Engine::new(Start { now, seed, settings, known, bounds });
