--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -476,3 +476,13 @@
         self.turn();
     }
 }
+
+/// The classes of the settings.
+pub const CLASSES: [&str; 3] = ["play", "take", "print"];
+
+/// The lines of so many hosts, in two zones by turns.
+pub fn hosts(count: u16) -> Vec<String> {
+    (1..=count)
+        .map(|n| line(&format!("h-{n}"), n, if n % 2 == 0 { "east" } else { "west" }, "active", 0))
+        .collect()
+}
