--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -135,7 +135,8 @@
     pub fn with(seed: u64, hosts: &[String], change: impl FnOnce(&mut Deployment)) -> Self {
         let mut settings = reedring::settings::read(SETTINGS).expect("the settings are whole");
         change(&mut settings);
-        let bounds = Bounds { all: 40, clients: 16, overflow: 2, kept: 16, links_each: 4, waiting: 1 << 20 };
+        let bounds =
+            Bounds { all: 40, clients: 16, overflow: 2, reserved: 16, links_each: 4, waiting: 1 << 20 };
         let now = 1_700_000_000 * SECOND;
         let known = told(1, true, hosts);
         let engine = Engine::new(Start { now, seed, settings, known, bounds });
@@ -475,3 +476,13 @@
         self.turn();
     }
 }
+
+/// The classes of the settings.
+pub const CLASSES: [&str; 3] = ["play", "take", "print"];
+
+/// The lines of so many hosts, in two zones by turns.
+pub fn hosts(count: u16) -> Vec<String> {
+    (1..=count)
+        .map(|n| line(&format!("h-{n}"), n, if n % 2 == 0 { "east" } else { "west" }, "active", 0))
+        .collect()
+}
