Audit: an even spread no longer takes the order of writing on two links for that of deciding

Each link to a node is written by a task of its own, so a task without a spread that was decided after the judged offer, and written before it to another node, counted as a copy that stood before it. The placer kept the rule by the copies it had.

No change in the placer.

Change: a copy counts as standing before an offer if it was written earlier on the same link (links keep their order), or if it is under the same constraint (of such offers the last one decided had all others before it, so the one written last may be judged in its place), or if it was written SLACK_US before, as everywhere in the audit.

--- a/crates/audit/src/judge/spread.rs
+++ b/crates/audit/src/judge/spread.rs
@@ -4,7 +4,7 @@
 use reedring_nodeproto::AttemptId;
 
 use super::known::{Attempt, Even};
-use super::{EVEN_SLACK_US, Judge, Rule};
+use super::{EVEN_SLACK_US, Judge, Rule, SLACK_US};
 use crate::constraint::{Copy, Scene, place};
 use crate::trace::Frame;
 
@@ -92,6 +92,11 @@
     /// Rule 5 for one offer under an even spread. A copy that comes or goes elsewhere changes what is
     /// allowed, and frames are written a little after they are decided: so copies around that moment count for
     /// the emptiest place, and only those that stood for sure count for the offer's own.
+    ///
+    /// A copy stood for sure if its offer was decided before this one. Each link writes in the order of decisions,
+    /// but two links do not write in one order. Of offers under the same spread the order does not matter: the last
+    /// one decided had all others before it, so the one written last may be judged in its place. What is not under
+    /// this spread counts if it was written earlier on the same link, or [`SLACK_US`] before.
     pub(super) fn evenly(&mut self, even: &Even) {
         let new = &self.attempts[&even.attempt];
         let service = (new.placer.clone(), new.class.clone(), new.service.clone());
@@ -99,8 +104,14 @@
             self.of_service.get(&service).into_iter().flatten().map(|id| &self.attempts[id]).collect();
         let at = |node: &str| even.spots.get(node).and_then(|spot| place(spot, even.by));
         let Some(here) = at(&new.node) else { return };
+        let decided_before = |old: &Attempt| {
+            old.frame < even.frame
+                && (old.node == new.node
+                    || old.native.constraint == new.native.constraint
+                    || old.sent_us.saturating_add(SLACK_US) <= even.time_us)
+        };
         let sure = |old: &&&Attempt| {
-            old.frame < even.frame && old.closed_us > even.time_us && at(&old.node).as_ref() == Some(&here)
+            decided_before(old) && old.closed_us > even.time_us && at(&old.node).as_ref() == Some(&here)
         };
         let stood = all.iter().filter(sure).count() as u32;
         let around = |old: &&&Attempt| {
--- a/crates/audit/tests/rules.rs
+++ b/crates/audit/tests/rules.rs
@@ -84,14 +84,32 @@
         (request, number): (u64, u16),
         stamp: Option<Stamp>,
     ) -> AttemptId {
-        let attempt = AttemptId { life: 1, request, number };
         let task = Task { job: job.into(), class: class.into(), service: "v".into(), ..Task::default() };
+        self.offer_task(task, node, (request, number), stamp)
+    }
+
+    fn offer_task(
+        &self,
+        task: Task,
+        node: &str,
+        (request, number): (u64, u16),
+        stamp: Option<Stamp>,
+    ) -> AttemptId {
+        let attempt = AttemptId { life: 1, request, number };
         let offer = encode(&Message::Offer { attempt, task: Box::new(task), within_ms: 0, stamp });
         self.0.record(Event::ToNode, "p", node, 1, &offer);
         self.0.record(Event::NodeRead, node, "p", 1, &offer);
         attempt
     }
 
+    /// An offer under an even spread over the halls.
+    fn offer_evenly(&self, job: &str, node: &str, request: u64) -> AttemptId {
+        let payload = br#"{"native":"class=safe service=v constraint='require spread by hall within 1'"}"#;
+        let (class, service, payload) = ("safe".into(), "v".into(), payload.to_vec());
+        let task = Task { job: job.into(), class, service, payload, ..Task::default() };
+        self.offer_task(task, node, (request, 0), None)
+    }
+
     fn node(&self, node: &str, message: &Message) {
         self.0.record(Event::NodeWrote, node, "p", 1, &encode(message));
         self.0.record(Event::FromNode, "p", node, 1, &encode(message));
@@ -304,6 +322,43 @@
     assert_eq!(trace.breaks(), [Rule::Spread]);
 }
 
+/// Two links write in no common order, so what is under no spread and was written to another node just before may
+/// have been decided after. Whatever was decided before for sure counts.
+#[test]
+fn an_offer_under_an_even_spread_goes_by_the_copies_decided_before_it() {
+    struct Case {
+        first_is_even: bool,
+        first_node: &'static str,
+        apart_us: u64,
+        clean: bool,
+    }
+    let case =
+        |first_is_even, first_node, apart_us, clean| Case { first_is_even, first_node, apart_us, clean };
+    for Case { first_is_even, first_node, apart_us, clean } in [
+        case(false, "a1", 100_000, true),
+        case(false, "a1", 400_000, false),
+        case(false, "a2", 0, false),
+        case(true, "a1", 0, false),
+        case(true, "b1", 0, true),
+    ] {
+        let trace = Trace::new();
+        if first_is_even {
+            trace.offer_evenly("s.1.1", first_node, 1);
+        } else {
+            trace.offer("s.1.1", "safe", first_node, 1, 0);
+        }
+        trace.offer_evenly("s.1.2", "a2", 2);
+        let mut frames = read(&trace.0.finish().unwrap()).unwrap();
+        let offers: Vec<usize> =
+            frames.iter().filter(|frame| frame.event == Event::ToNode).map(|frame| frame.number).collect();
+        let [_, second] = offers[..] else { panic!("{offers:?}") };
+        frames[second..].iter_mut().for_each(|frame| frame.time_us += apart_us);
+        let breaches: Vec<Rule> = audit(&frames).breaches.iter().map(|breach| breach.rule).collect();
+        let expected: &[Rule] = if clean { &[] } else { &[Rule::Spread] };
+        assert_eq!(breaches, expected, "{first_is_even} {first_node} {apart_us}");
+    }
+}
+
 #[test]
 fn noise_is_counted_and_judged_as_nothing() {
     let trace = Trace::new();
