Links: offers that are never written are told to the core, which counted them as copies

The core took such an offer for one whose outcome is unknown (`unplaced`: `unknown`, then `copy_unknown`) and counted it in its hall until the node told, so with a hall dark an even spread let one more into the other hall for each.

Ruled out: the cold ramp, and offers decided on one view (each decision's copies hold those of the one before).

Change: the link's task tells of them (`Input::Unwritten`), while no link stands and when a new one does; the core closes such an attempt as never sent, or drops the copy that it counted. An unsafe task whose only offer was never written is refused and not failed as "it may have run". Not covered, and counted as unknown as before: what waits when a link is cut for a full queue or its node moves or leaves the list.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -172,6 +172,7 @@
             }
             Input::Message { node, message } => self.message(now, &node, message),
             Input::LinkDown { node, why } => self.link_down(now, &node, &why),
+            Input::Unwritten(attempts) => self.unwritten(now, &attempts),
             Input::Durable(seq) => self.durable(now, seq),
             Input::StateLost { why, marked } => self.state_lost(now, why, marked),
             Input::StateBack => self.state_back(),
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -86,6 +86,18 @@
         self.recover(now, attempt.job, false);
     }
 
+    /// Offers that their link never wrote: no copy of them stands, and each may be placed elsewhere.
+    pub(crate) fn unwritten(&mut self, now: Micros, attempts: &[wire::AttemptId]) {
+        for attempt in attempts {
+            if let Some(node) = self.constrain.ghost_gone(*attempt) {
+                self.tend_cold(now, node);
+            }
+            if let Some(id) = self.ledger.find(self.start.life, *attempt) {
+                self.unplaced(now, id, Fate::Unsent, None, Vec::new(), "never sent");
+            }
+        }
+    }
+
     /// An accepted copy ran to its end.
     pub(crate) fn finished(&mut self, now: Micros, id: AttemptId, ending: Ending, report: Vec<f64>) {
         let Some(attempt) = self.close(id, "ended", false) else { return };
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use reedring_drmaa::rpc::{Call, Response};
-use reedring_nodeproto::{Message, Record, Stamp};
+use reedring_nodeproto::{AttemptId, Message, Record, Stamp};
 use reedring_settings::{NodeList, Settings};
 use reedring_state::{Batch, Learned};
 
@@ -55,6 +55,8 @@
         /// Why, for the staff.
         why: String,
     },
+    /// These offers were meant for a link that ended before they were written: no node will ever read them.
+    Unwritten(Vec<AttemptId>),
     /// The ledger is durable up to this batch.
     Durable(u64),
     /// The ledger can't be written.
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -148,6 +148,8 @@
     lines: Vec<String>,
     /// Every offer: its job, and the node.
     sent: Vec<(String, usize)>,
+    /// Offers to nodes whose link had ended, of which the placer is not told.
+    pub unwritten: Vec<AttemptId>,
     /// Offers that did not keep their constraint, by an evaluation from scratch.
     pub astray: Vec<String>,
     kept: Option<Kept>,
@@ -209,6 +211,7 @@
             lines: Vec::new(),
             sent: Vec::new(),
             known: BTreeMap::new(),
+            unwritten: Vec::new(),
             astray: Vec::new(),
             kept: None,
             stalled: BTreeMap::new(),
@@ -641,8 +644,10 @@
                     self.judge_offer(*attempt, task, n);
                 }
                 let id = self.links.iter().find(|(_, link)| link.node == n && link.alive && link.known);
-                if let Some(id) = id.map(|(id, _)| *id) {
-                    self.over(id, 0, Due::AtNode(id, message));
+                match (id.map(|(id, _)| *id), message) {
+                    (Some(id), message) => self.over(id, 0, Due::AtNode(id, message)),
+                    (None, Message::Offer { attempt, .. }) => self.unwritten.push(attempt),
+                    _ => {}
                 }
             }
             Output::Reply { response, .. } => {
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -8,7 +8,7 @@
 use reedring_audit::Event;
 use reedring_core::Input;
 use reedring_net::Backoff;
-use reedring_nodeproto::{Message, Order, Reader, encode};
+use reedring_nodeproto::{AttemptId, Message, Order, Reader, encode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -163,6 +163,23 @@
                 return;
             }
             tokio::time::sleep(waits.wait()).await;
+            // No link stands: all that waits was meant for one that has ended.
+            let void: Vec<Message> =
+                std::iter::from_fn(|| messages.try_recv().ok()).map(|(_, message)| message).collect();
+            self.tell_unwritten(&void).await;
+        }
+    }
+
+    /// Tells the core which offers are never written.
+    async fn tell_unwritten(&self, void: &[Message]) {
+        let offered = |message: &Message| match message {
+            Message::Offer { attempt, .. } => Some(*attempt),
+            _ => None,
+        };
+        let attempts: Vec<AttemptId> = void.iter().filter_map(offered).collect();
+        if !attempts.is_empty() {
+            // Where nobody listens the placer ends, and the next send says so.
+            let _ = self.came.send(Came::Input(Input::Unwritten(attempts))).await;
         }
     }
 
@@ -286,14 +303,14 @@
         while messages.recv_many(&mut batch, 256).await > 0 {
             // What the core meant for an older link is void, also where it hears late that this one stands: an
             // offer among it would reach the node after it has told what it holds, and count as never sent.
-            let meant: Vec<Message> = batch
-                .drain(..)
-                .filter(|(number, _)| *number == self.number)
-                .map(|(_, message)| message)
-                .collect();
-            if let Err(error) = self.write(write, &meant).await {
+            let (meant, void): (Vec<Meant>, Vec<Meant>) =
+                batch.drain(..).partition(|(number, _)| *number == self.number);
+            let messages =
+                |of: Vec<Meant>| of.into_iter().map(|(_, message)| message).collect::<Vec<Message>>();
+            if let Err(error) = self.write(write, &messages(meant)).await {
                 return format!("the link broke: {error}");
             }
+            self.tell_unwritten(&messages(void)).await;
         }
         "the placer ends the link".to_owned()
     }
@@ -348,4 +365,51 @@
         assert!(matches!(read[..], [Message::Hello { .. }, Message::Probe { nonce: 3 }]), "{read:?}");
         keeping.abort();
     }
+
+    fn offer(request: u64) -> (AttemptId, Message) {
+        let attempt = AttemptId { life: 1, request, number: 0 };
+        (attempt, Message::Offer { attempt, task: Box::default(), within_ms: 0, stamp: None })
+    }
+
+    /// Such a copy does not stand, and the core must not count it for longer than it takes to hear so.
+    #[tokio::test]
+    async fn offers_that_are_never_written_are_told_to_the_core() {
+        for reachable in [true, false] {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (came, mut coming) = mpsc::channel(8);
+            let keeper = Keeper {
+                node: "n".into(),
+                address: listener.local_addr().unwrap(),
+                number: 4,
+                shared: Arc::new(Shared::for_tests()),
+                came,
+                old: None,
+            };
+            let (out, messages) = mpsc::channel(8);
+            let (attempt, offer) = offer(1);
+            out.send((4, offer)).await.unwrap();
+            out.send((4, Message::Probe { nonce: 1 })).await.unwrap();
+            // Either the next link stands and finds what was meant for the one before, or none can be made.
+            let listener = reachable.then_some(listener);
+            let keeping = tokio::spawn(keeper.keep(messages));
+            let mut node = None;
+            if let Some(listener) = &listener {
+                let (stream, _) = listener.accept().await.unwrap();
+                let welcome = Message::Welcome {
+                    node: "n".into(),
+                    life: 1,
+                    up_ms: 0,
+                    can_suspend: false,
+                    record: None,
+                };
+                node.insert(stream).write_all(&encode(&welcome)).await.unwrap();
+            }
+            let first = coming.recv().await;
+            assert_eq!(matches!(first, Some(Came::LinkUp(..))), reachable);
+            let told = tokio::time::timeout(Duration::from_secs(10), coming.recv()).await;
+            let Ok(Some(Came::Input(Input::Unwritten(attempts)))) = told else { panic!("not told") };
+            assert_eq!(attempts, [attempt]);
+            keeping.abort();
+        }
+    }
 }
