--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -53,6 +53,7 @@
         match NodeList::parse(&read(&nodes)?, &nodes.display().to_string(), &settings) {
             Ok(list) => {
                 println!("{}: {} nodes", nodes.display(), list.nodes.len());
+                tell_voters(&list);
                 Ok(ExitCode::SUCCESS)
             }
             Err(problems) => {
@@ -62,3 +63,20 @@
         }
     }
 }
+
+/// Which nodes vote on plans, and what is better than an even number of them.
+fn tell_voters(list: &NodeList) {
+    let names: Vec<&str> = list.control().map(|node| node.name.as_str()).collect();
+    if names.is_empty() {
+        return println!("voters: every node");
+    }
+    println!("voters: {}; no tasks are placed there", names.join(", "));
+    if names.len().is_multiple_of(2) {
+        let lost = (names.len() - 1) / 2;
+        println!(
+            "advice: {} voters bear the loss of {lost}, as {} do; mark an odd number",
+            names.len(),
+            names.len() - 1
+        );
+    }
+}
--- a/crates/cli/src/constraint.rs
+++ b/crates/cli/src/constraint.rs
@@ -74,7 +74,8 @@
         (line.ready, line.dark) = (node.health == Health::Ready, node.health == Health::Gone);
         line
     };
-    let fleet = Fleet::new(list.nodes.iter().map(line).collect());
+    // Control machines take no tasks, and no constraint counts them.
+    let fleet = Fleet::new(list.nodes.iter().filter(|node| !node.control).map(line).collect());
     Ok((settings, fleet))
 }
 
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -91,6 +91,22 @@
     assert!(text(&explain("require attr.gpus >= 2 and attr.kernel > v6").stdout).contains("open: node-2"));
     assert!(text(&explain("use apart-by-hall").stdout).contains("open: node-1, node-2"));
     assert!(text(&explain("require kind = node-65").stderr).contains("did you mean `node-64`?"));
+    assert!(text(&checked.stdout).contains("voters: every node\n"));
+    // Two control machines: said to vote, advised against, and open to no task.
+    let marked = dir.path().join("marked.toml");
+    std::fs::copy(&example, &marked).unwrap();
+    let nodes = std::fs::read_to_string(deploy("nodes.toml")).unwrap();
+    let control = |rack: &str| format!("control = true\n{rack}");
+    let nodes = nodes.replace("rack = \"a1\"", &control("rack = \"a1\""));
+    let nodes = nodes.replace("rack = \"c1\"", &control("rack = \"c1\""));
+    std::fs::write(dir.path().join("nodes.toml"), nodes).unwrap();
+    let marked = marked.to_str().unwrap();
+    let told = text(&reedring(&["check", marked]).stdout);
+    assert!(told.contains("voters: node-1, node-3; no tasks are placed there\n"), "{told}");
+    assert!(told.contains("advice: 2 voters bear the loss of 0, as 1 do; mark an odd number"), "{told}");
+    let explained = reedring(&["constraint", "explain", "require hall = hall-b", "--config", marked]);
+    assert!(text(&explained.stdout).contains("open: node-2"), "{}", text(&explained.stdout));
+    assert!(!text(&explained.stdout).contains("node-3"), "{}", text(&explained.stdout));
     let check = reedring(&["constraint", "check", "hall=a;prefer near copies by rack"]);
     assert_eq!(text(&check.stdout), "require hall = \"a\"\nprefer near copies by rack\n");
 }
--- a/crates/core/src/constrain.rs
+++ b/crates/core/src/constrain.rs
@@ -162,10 +162,11 @@
         let line = |node: &crate::links::Node| {
             let health = node.health();
             let mut line = Line::named(&node.name);
-            line.listed = node.listed;
-            line.ready = health == Health::Ready;
+            // Control machines are set aside: no constraint counts them.
+            line.listed = node.listed && !node.entry.control;
+            line.ready = health == Health::Ready && line.listed;
             line.dark = health == Health::Gone;
-            if node.listed {
+            if line.listed {
                 (line.rack, line.hall) = (node.entry.rack.clone(), node.entry.hall.clone());
                 (line.kind, line.attrs) = (nodes.kind(node.entry.kind).to_owned(), node.entry.attrs.clone());
             }
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -268,7 +268,7 @@
     }
 
     /// The lines that the module does not know yet. A node is told of once its link was made or has failed
-    /// once: before, the module could only spend attempts on it.
+    /// once: before, the module could only spend attempts on it. Of a control machine it is never told.
     pub fn news(&mut self, now: Micros, born: Born, site: &Site) -> Vec<module::Machine> {
         let mut news = Vec::new();
         let numbers: Vec<NodeNo> = self.all.keys().copied().collect();
@@ -283,7 +283,8 @@
     /// The line of one node, where the module does not know it yet.
     pub fn line(&mut self, now: Micros, born: Born, number: NodeNo, site: &Site) -> Option<module::Machine> {
         let node = self.all.get_mut(&number)?;
-        if matches!(node.link, Link::Fresh | Link::Greeted(_)) && node.line.is_none() {
+        let not_met = matches!(node.link, Link::Fresh | Link::Greeted(_));
+        if (not_met || node.entry.control) && node.line.is_none() {
             return None;
         }
         let cold_until = node.started.zip(site.warm_after_us).map(|(at, warm)| at.saturating_add(warm));
@@ -293,9 +294,11 @@
             return None;
         }
         let health = match node.health() {
+            Health::Gone => module::Health::Gone,
+            // Set aside while it had tasks: they run to their end, and nothing new comes.
+            _ if node.entry.control => module::Health::Draining,
             Health::Ready => module::Health::Ready,
             Health::Draining => module::Health::Draining,
-            Health::Gone => module::Health::Gone,
         };
         let line = module::Machine {
             id: node.machine,
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -6,7 +6,8 @@
 use reedring::{Event, Micros};
 use reedring_nodeproto::{Message, Order, Record, Stamp, Version};
 use reedring_plan::{
-    Acts, Fleet, Heard, Kept, Kin, Maker, Own, Pace, Standing, Step, Texts, Use, hold, joint, standing,
+    Acts, Fleet, Heard, Kept, Kin, Maker, Membership, Own, Pace, Standing, Step, Texts, Use, hold, joint,
+    must_raise, standing,
 };
 use reedring_settings::{Health, Settings};
 use reedring_state::{self as state, Change};
@@ -18,7 +19,7 @@
 
 /// Microseconds between two looks while a change is under way, or a node settles.
 const BUSY_US: Micros = 100_000;
-/// How often all nodes are asked within a lease.
+/// How often all voters are asked within a lease: the heartbeat.
 const ASKS: u64 = 3;
 
 /// What a placer knows of plans. There is none where its file has no `[plan]`.
@@ -35,7 +36,7 @@
     kin: BTreeMap<NodeNo, Kin>,
     /// When each node told last, on a link that may have ended since.
     heard: BTreeMap<NodeNo, Micros>,
-    /// A majority was heard before in this life.
+    /// A majority of the voters was heard before in this life.
     ever: bool,
     /// The newest plan in force that this life knows of, whatever nodes have forgotten.
     force: Version,
@@ -51,6 +52,15 @@
     asked: Micros,
 }
 
+/// What is held back by plans.
+#[derive(Debug, Default)]
+struct HeldByPlans {
+    /// Some node is: it may be open soon.
+    any: bool,
+    /// Cold learners that are to be told by what this placer acts.
+    to_raise: Vec<NodeNo>,
+}
+
 /// A plan of the file, where there is one.
 fn own_plan(settings: &Settings) -> Option<(Kept, bool, Micros)> {
     let plan = settings.plan.as_ref()?;
@@ -146,11 +156,17 @@
     }
 
     /// The own plan, where it may be brought in now; else why not, where that is for the staff.
-    fn proposes(&self, force: Version, linked: u32) -> Result<Option<&Kept>, String> {
-        let own = self.own.version();
+    fn proposes(&self, fleet: &Fleet, force: Version) -> Result<Option<&Kept>, String> {
+        let (own, linked, learned) = (self.own.version(), fleet.linked(), fleet.learned());
         if own.number <= force.number {
             return Ok(None);
         }
+        if force.number == 0 && own != learned && own.number <= learned.number {
+            return Err(format!(
+                "plan.number: learners know of plan {learned}, and no voter keeps it; plan {own} of the file is not \
+                 the first one"
+            ));
+        }
         if force.number > 0 && own.number != force.number + 1 {
             let next = force.number + 1;
             let wait = format!("it waits for plan {next}, or is to be numbered so");
@@ -227,9 +243,16 @@
 
     /// The fleet as the list and the nodes tell of it.
     fn fleet(&self, versions: &Versions) -> Fleet {
-        let listed = self.nodes.all.iter().filter(|(_, node)| node.listed && node.health() != Health::Gone);
+        let listed = || self.nodes.all.iter().filter(|(_, node)| node.listed);
+        let there = listed().filter(|(_, node)| node.health() != Health::Gone);
         let kin = |number: &NodeNo| versions.kin.get(number).copied().unwrap_or_default();
-        Fleet { list: self.list_revision, nodes: listed.map(|(number, _)| (*number, kin(number))).collect() }
+        // Control machines that are gone leave fewer voters, and never every node as one.
+        let control = listed().filter(|(_, node)| node.entry.control).map(|(number, _)| *number);
+        Fleet {
+            list: self.list_revision,
+            membership: Membership::of(control.collect()),
+            nodes: there.map(|(number, _)| (*number, kin(number))).collect(),
+        }
     }
 
     /// What plans are looked at by has changed.
@@ -249,10 +272,10 @@
         let Some(mut versions) = self.versions.take() else { return };
         versions.dirty = false;
         let fleet = self.fleet(&versions);
-        let lately = |number: &&NodeNo| {
-            versions.heard.get(*number).is_some_and(|at| now < at.saturating_add(versions.lease_us))
+        let lately = |number: NodeNo| {
+            versions.heard.get(&number).is_some_and(|at| now < at.saturating_add(versions.lease_us))
         };
-        let heard = match fleet.nodes.keys().filter(lately).count() >= fleet.majority() {
+        let heard = match fleet.quorum(lately) {
             true => Heard::Lately,
             false if versions.ever => Heard::LongAgo,
             false => Heard::Never,
@@ -271,7 +294,7 @@
             let settings = versions.settings(&acts, fleet.linked(), &self.settings);
             settings.into_iter().for_each(|settings| self.retell(settings));
         }
-        let proposes = versions.proposes(force, fleet.linked()).map(|own| own.cloned());
+        let proposes = versions.proposes(&fleet, force).map(|own| own.cloned());
         self.tell_standing(&mut versions, proposes.as_ref().err());
         let own = proposes.ok().flatten().filter(|_| heard == Heard::Lately);
         let may_outbid = versions.pace.may_outbid(now, self.start.life, &fleet);
@@ -281,12 +304,14 @@
             (Step::Quiet, Vec::new())
         };
         let stamp = versions.stamp(self.list_revision);
-        let every = versions.lease_us / ASKS;
+        // Control machines are few: without a majority of them they are asked until one is heard.
+        let few = fleet.membership != Membership::All;
+        let every = if heard != Heard::Lately && few { BUSY_US } else { versions.lease_us / ASKS };
         let changed = (stamp.version, stamp.joint) != (before.version, before.joint) || versions.asked == 0;
         if changed || now >= versions.asked + every {
-            // Nodes hear by what this placer acts now, and it hears that they are there.
+            // Voters hear by what this placer acts now, and it hears that they are there.
             versions.asked = now;
-            orders.extend(fleet.nodes.keys().map(|node| (*node, Order::Ask { stamp })));
+            orders.extend(fleet.voters().map(|(node, _)| (node, Order::Ask { stamp })));
             self.outputs.push_back(Output::Acts(stamp));
         }
         if changed {
@@ -298,10 +323,11 @@
                 list: stamp.list,
             }));
         }
+        let held = self.hold_by_plans(now, &versions);
+        orders.extend(held.to_raise.iter().map(|node| (*node, Order::Raise { stamp })));
         let mut orders = versions.pace.due(now, orders);
         orders.retain(|(node, _)| versions.kin.get(node).is_some_and(|kin| kin.record().is_some()));
-        let settles = self.hold_by_plans(now, &versions);
-        let busy = step != Step::Quiet || settles || matches!(versions.standing, Standing::Waits(_));
+        let busy = step != Step::Quiet || held.any || matches!(versions.standing, Standing::Waits(_));
         versions.due = now + if busy { BUSY_US } else { every };
         versions.texts.forget_before(force.number);
         versions
@@ -314,10 +340,10 @@
         }
     }
 
-    /// Holds back the nodes to which nothing may be sent by the plan acted by; whether some will be open soon.
-    fn hold_by_plans(&mut self, now: Micros, versions: &Versions) -> bool {
+    /// Holds back the nodes to which nothing may be sent by the plan acted by.
+    fn hold_by_plans(&mut self, now: Micros, versions: &Versions) -> HeldByPlans {
         let window = self.settings.site.cold_window_us.unwrap_or(0) + self.settings.jitter_us();
-        let mut settles = false;
+        let mut all = HeldByPlans::default();
         let numbers: Vec<NodeNo> = self.nodes.all.keys().copied().collect();
         for number in numbers {
             let mut kin = versions.kin.get(&number).copied().unwrap_or_default();
@@ -327,10 +353,13 @@
             }
             let cold = self.nodes.is_cold(number, now, &self.settings.site);
             let held = hold(&versions.standing, &kin, cold, window / 1_000);
-            settles |= held.is_some();
+            all.any |= held.is_some();
+            if must_raise(held, &kin) {
+                all.to_raise.push(number);
+            }
             self.hold_by_plan(number, held);
         }
-        settles
+        all
     }
 
     /// Takes other settings in while the placer runs.
@@ -390,7 +419,16 @@
             Kin::Old => return Some("keeps none".to_owned()),
             Kin::Told(record) => record,
         };
+        let votes = self.nodes.all.get(&number).is_some_and(|node| node.entry.control);
+        if record.learns {
+            let floor = record.next.map_or("no plan yet".to_owned(), |next| format!("plan {}", next.version));
+            let wrong = if votes { ", listed as control and votes for nothing" } else { "" };
+            return Some(format!("learner, from {floor} on{wrong}"));
+        }
         let mut line = record.force.to_string();
+        if votes {
+            line.push_str(", voter");
+        }
         if let Some(next) = &record.next {
             let word = if next.joint { "joint with" } else { "offered" };
             line = format!("{line}, {word} {}", next.version);
--- a/crates/nodeproto/src/codec.rs
+++ b/crates/nodeproto/src/codec.rs
@@ -162,6 +162,10 @@
             put_text(out, text, MAX_PLAN);
             out.extend_from_slice(&list.to_be_bytes());
         }
+        Order::Raise { stamp } => {
+            out.push(6);
+            put_stamp(out, stamp);
+        }
     }
 }
 
@@ -179,9 +183,27 @@
     }
 }
 
-/// Appends the body of a message; returns its kind and version.
-pub(crate) fn write(message: &Message, out: &mut Vec<u8>) -> (u8, u8) {
-    (write_body(message, out), needs(message))
+/// What a frame's header says of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Head {
+    pub version: u8,
+    pub kind: u8,
+    pub flags: u8,
+}
+
+/// The record of this message is a learner's.
+const LEARNS: u8 = 1;
+
+fn flags(message: &Message) -> u8 {
+    match message {
+        Message::Welcome { record: Some(record), .. } | Message::Record(record) if record.learns => LEARNS,
+        _ => 0,
+    }
+}
+
+/// Appends the body of a message; returns what its header says.
+pub(crate) fn write(message: &Message, out: &mut Vec<u8>) -> Head {
+    Head { version: needs(message), kind: write_body(message, out), flags: flags(message) }
 }
 
 fn write_body(message: &Message, out: &mut Vec<u8>) -> u8 {
@@ -435,7 +457,8 @@
     };
     let (promised, list, floor_ms, linked, behind, stuck) =
         (ballot, be_u64, be_u64, be_u16, be_u16, flag).context(label("the record")).parse_next(input)?;
-    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck })
+    // Whether it is a learner's the header says.
+    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck, learns: false })
 }
 
 fn plan_text(input: &mut Input<'_>) -> ModalResult<String> {
@@ -464,6 +487,7 @@
             let (version, text, list) = (plan_version, plan_text, be_u64).parse_next(input)?;
             Order::Force { version, text, list }
         }
+        6 => Order::Raise { stamp: stamp(input)? },
         _ => return Err(ErrMode::Backtrack(ContextError::new())),
     })
 }
@@ -540,12 +564,25 @@
     }))
 }
 
-/// Reads the body of a frame.
-pub(crate) fn read(version: u8, kind: u8, bytes: &[u8]) -> Result<Message, FrameError> {
+/// Marks the record of a message as a learner's.
+fn mark_learner(message: &mut Message) {
+    if let Message::Welcome { record: Some(record), .. } | Message::Record(record) = message {
+        record.learns = true;
+    }
+}
+
+/// Reads the body of a frame. Flags that are not known here are passed by.
+pub(crate) fn read(head: Head, bytes: &[u8]) -> Result<Message, FrameError> {
+    let Head { version, kind, flags } = head;
     let mut input = bytes;
     let fault = |field: String| FrameError::Field { kind, field };
     match body(version, kind, &mut input) {
-        Ok(Some(message)) if input.is_empty() => Ok(message),
+        Ok(Some(mut message)) if input.is_empty() => {
+            if flags & LEARNS != 0 {
+                mark_learner(&mut message);
+            }
+            Ok(message)
+        }
         Ok(Some(_)) => Err(fault(format!("{} bytes are left over", input.len()))),
         Ok(None) => Err(FrameError::Kind(kind)),
         Err(error) => {
--- a/crates/nodeproto/src/versions.rs
+++ b/crates/nodeproto/src/versions.rs
@@ -55,7 +55,7 @@
 
 /// Where between two plans something stands: twice the number, and one less where it is joint with the one before.
 pub fn level(version: Version, joint: bool) -> u64 {
-    (2 * version.number).saturating_sub(u64::from(joint))
+    version.number.saturating_mul(2).saturating_sub(u64::from(joint))
 }
 
 impl Stamp {
@@ -95,6 +95,9 @@
     pub behind: u16,
     /// It could not write what it should keep: it votes for nothing new.
     pub stuck: bool,
+    /// It is a learner: it keeps no plan and casts no vote, and tells as joint the plan by which its floor stands.
+    /// On the wire a flag of the frame's header, which ends of the former version pass by.
+    pub learns: bool,
 }
 
 impl Record {
@@ -142,7 +145,7 @@
         /// The list.
         list: u64,
     },
-    /// A majority of the listed nodes has kept this plan with one ballot: it is the next one.
+    /// A majority of the voters has kept this plan with one ballot: it is the next one.
     Joint {
         /// The plan that it follows.
         follows: Version,
@@ -153,7 +156,7 @@
         /// The list.
         list: u64,
     },
-    /// A majority of the listed nodes is joint, or further: this plan is in force.
+    /// A majority of the voters is joint, or further: this plan is in force.
     Force {
         /// The plan.
         version: Version,
@@ -162,4 +165,9 @@
         /// The list.
         list: u64,
     },
+    /// To a learner, from a placer that acts by this stamp: raise your floor to the joint form of its plan.
+    Raise {
+        /// By what the sender acts.
+        stamp: Stamp,
+    },
 }
--- a/crates/nodeproto/tests/frames.rs
+++ b/crates/nodeproto/tests/frames.rs
@@ -80,9 +80,9 @@
 fn record() -> impl Strategy<Value = Record> {
     let next = (ballot(), version(), any::<bool>());
     let next = next.prop_map(|(ballot, version, joint)| Introduced { ballot, version, joint });
-    let rest = (any::<u64>(), any::<u64>(), any::<u16>(), any::<u16>(), any::<bool>());
+    let rest = (any::<u64>(), any::<u64>(), any::<u16>(), any::<u16>(), any::<(bool, bool)>());
     (version(), prop::option::of(next), ballot(), rest).prop_map(
-        |(force, next, promised, (list, floor_ms, linked, behind, stuck))| Record {
+        |(force, next, promised, (list, floor_ms, linked, behind, (stuck, learns)))| Record {
             force,
             next,
             promised,
@@ -91,19 +91,21 @@
             linked,
             behind,
             stuck,
+            learns,
         },
     )
 }
 
 fn order() -> impl Strategy<Value = Order> {
-    let all = (0..6, stamp(), version(), ballot(), "[a-z\n =]{0,40}", any::<u64>());
+    let all = (0..7, stamp(), version(), ballot(), "[a-z\n =]{0,40}", any::<u64>());
     all.prop_map(|(kind, stamp, version, ballot, text, list)| match kind {
         0 => Order::Ask { stamp },
         1 => Order::Fetch { version },
         2 => Order::Prepare { follows: stamp.version, ballot, list },
         3 => Order::Accept { follows: stamp.version, ballot, version, text, list },
         4 => Order::Joint { follows: stamp.version, version, text, list },
-        _ => Order::Force { version, text, list },
+        5 => Order::Force { version, text, list },
+        _ => Order::Raise { stamp },
     })
 }
 
@@ -223,3 +225,79 @@
     assert_eq!(bytes[..26], want);
     assert_eq!(bytes[26..], crc32c::crc32c(&want).to_be_bytes());
 }
+
+/// A frame as the former version writes it: two zeros after the kind, and a record without a learner's flag.
+fn former_frame(kind: u8, body: &[u8]) -> Vec<u8> {
+    let mut frame = (body.len() as u32).to_be_bytes().to_vec();
+    frame.extend([2, kind, 0, 0]);
+    frame.extend(body);
+    let sum = crc32c::crc32c(&frame);
+    frame.extend(sum.to_be_bytes());
+    frame
+}
+
+/// The body of a record, field by field as documented.
+fn former_body(record: &Record) -> Vec<u8> {
+    let mut body = Vec::new();
+    body.extend(record.force.number.to_be_bytes());
+    body.extend(record.force.digest.0);
+    body.push(u8::from(record.next.is_some()));
+    if let Some(next) = &record.next {
+        body.extend(next.ballot.round.to_be_bytes());
+        body.extend(next.ballot.by.to_be_bytes());
+        body.extend(next.version.number.to_be_bytes());
+        body.extend(next.version.digest.0);
+        body.push(u8::from(next.joint));
+    }
+    body.extend(record.promised.round.to_be_bytes());
+    body.extend(record.promised.by.to_be_bytes());
+    body.extend(record.list.to_be_bytes());
+    body.extend(record.floor_ms.to_be_bytes());
+    body.extend(record.linked.to_be_bytes());
+    body.extend(record.behind.to_be_bytes());
+    body.push(u8::from(record.stuck));
+    body
+}
+
+fn learner_record() -> Record {
+    let version = Version { number: 7, digest: Digest([9; 16]) };
+    let next = Some(Introduced { ballot: Ballot::default(), version, joint: true });
+    Record { next, floor_ms: 5, linked: 3, behind: 1, stuck: true, learns: true, ..Record::default() }
+}
+
+#[test]
+fn a_record_of_the_former_version_is_read_as_a_voters() {
+    let record = Record { learns: false, ..learner_record() };
+    let bytes = former_frame(72, &former_body(&record));
+    assert_eq!(decode(&bytes), Ok(Message::Record(record)));
+    assert_eq!(encode(&Message::Record(record)), bytes, "what keeps plans writes what it always wrote");
+}
+
+/// An end of the former version passes bytes 6 and 7 of the header by, and reads the body that it always read.
+#[test]
+fn a_learners_record_is_the_former_bytes_but_for_one_flag_of_the_header() {
+    let record = learner_record();
+    let bytes = encode(&Message::Record(record));
+    let former = former_frame(72, &former_body(&record));
+    let (head, body) = (&bytes[..8], &bytes[8..bytes.len() - 4]);
+    assert_eq!((&head[..6], &head[6..]), (&former[..6], &[1, 0][..]));
+    assert_eq!(body, &former[8..former.len() - 4]);
+    assert_eq!(decode(&bytes), Ok(Message::Record(record)));
+}
+
+/// A later version may set flags that this one does not know.
+#[test]
+fn flags_that_are_not_known_are_passed_by() {
+    let mut bytes = encode(&Message::Probe { nonce: 4 });
+    (bytes[6], bytes[7]) = (0b1111_1110, 3);
+    let length = bytes.len() - 4;
+    let sum = crc32c::crc32c(&bytes[..length]);
+    bytes[length..].copy_from_slice(&sum.to_be_bytes());
+    assert_eq!(decode(&bytes), Ok(Message::Probe { nonce: 4 }));
+}
+
+#[test]
+fn the_level_of_any_number_that_a_frame_can_hold_is_a_level() {
+    let version = Version { number: u64::MAX, ..Version::default() };
+    assert_eq!((level(version, false), level(version, true)), (u64::MAX, u64::MAX - 1));
+}
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -4,6 +4,8 @@
 
 use reedring_nodeproto::{Record, Version};
 
+use crate::membership::{Member, Membership};
+
 /// What is known of one listed node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Kin {
@@ -31,65 +33,98 @@
 pub struct Fleet {
     /// Revision of the list.
     pub list: u64,
+    /// Which of the nodes vote.
+    pub membership: Membership,
     /// The nodes.
     pub nodes: BTreeMap<u32, Kin>,
 }
 
 impl Fleet {
-    /// How many nodes are a majority of the list.
+    /// What a node is to the agreement on plans.
+    pub fn member(&self, node: u32) -> Member {
+        self.membership.member(node)
+    }
+
+    /// The listed nodes that vote.
+    pub fn voters(&self) -> impl Iterator<Item = (u32, &Kin)> {
+        let voter = |(node, _): &(u32, &Kin)| self.member(*node) == Member::Voter;
+        self.nodes.iter().map(|(node, kin)| (*node, kin)).filter(voter)
+    }
+
+    /// How many nodes are a majority of the voters.
     pub fn majority(&self) -> usize {
-        self.nodes.len() / 2 + 1
+        self.voters().count() / 2 + 1
+    }
+
+    /// Whether the voters that are heard are a majority: so long the lease runs.
+    pub fn quorum(&self, heard: impl Fn(u32) -> bool) -> bool {
+        self.voters().filter(|(node, _)| heard(*node)).count() >= self.majority()
+    }
+
+    /// What nodes told that keep plans, whether they vote by this list or not.
+    pub fn keepers(&self) -> impl Iterator<Item = (u32, &Record)> {
+        let kept = self.nodes.iter().filter_map(|(node, kin)| Some((*node, kin.record()?)));
+        kept.filter(|(_, record)| !record.learns)
     }
 
-    fn records(&self) -> impl Iterator<Item = &Record> {
-        self.nodes.values().filter_map(Kin::record)
+    /// What voters told that keep plans.
+    pub fn votes(&self) -> impl Iterator<Item = (u32, &Record)> {
+        self.keepers().filter(|(node, _)| self.member(*node) == Member::Voter)
     }
 
-    /// Most of the list keeps nothing: plans can't be agreed on yet.
+    /// Most voters keep nothing: plans can't be agreed on yet.
     pub fn is_old(&self) -> bool {
-        self.nodes.values().filter(|kin| **kin == Kin::Old).count() >= self.majority()
+        self.voters().filter(|(_, kin)| **kin == Kin::Old).count() >= self.majority()
     }
 
     /// The newest plan in force that any node told of. One node's word is enough: it was told by somebody who had
     /// counted a majority.
     pub fn force(&self) -> Version {
-        self.records().map(|record| record.force).max().unwrap_or_default()
+        self.keepers().map(|(_, record)| record.force).max().unwrap_or_default()
+    }
+
+    /// The newest plan that learners know of: some placer acted by it, joint or alone, so it was decided.
+    pub fn learned(&self) -> Version {
+        let learners = self.nodes.values().filter_map(Kin::record).filter(|record| record.learns);
+        learners.filter_map(|record| record.next).map(|next| next.version).max().unwrap_or_default()
     }
 
     /// The plan that is to follow this one, once that can't change any more.
     ///
     /// | what nodes told | decided |
     /// | --- | --- |
-    /// | one has it as joint | yes: it was told by somebody who had counted |
-    /// | a majority of the list kept it with one and the same ballot | yes |
+    /// | one that keeps plans has it as joint | yes: it was told by somebody who had counted |
+    /// | a majority of the voters kept it with one and the same ballot | yes |
     /// | a majority kept it, with several ballots | no: an older one may have been outbid on the way |
     /// | fewer | no |
     pub fn decided(&self, follows: Version) -> Option<Version> {
         let mut votes = BTreeMap::new();
-        for record in self.records().filter(|record| record.force == follows) {
+        for (node, record) in self.keepers().filter(|(_, record)| record.force == follows) {
             let Some(next) = record.next else { continue };
             if next.joint {
                 return Some(next.version);
             }
             // What could not be written is no vote.
-            *votes.entry((next.ballot, next.version)).or_insert(0_usize) += usize::from(!record.stuck);
+            let votes_here = self.member(node) == Member::Voter && !record.stuck;
+            *votes.entry((next.ballot, next.version)).or_insert(0_usize) += usize::from(votes_here);
         }
         let most = votes.into_iter().find(|(_, count)| *count >= self.majority());
         most.map(|((_, version), _)| version)
     }
 
-    /// Nodes that have kept that placers act by the stricter of this plan and the one before, or by it alone, or by a later one.
+    /// Voters that have kept that placers act by the stricter of this plan and the one before, or by it alone, or by a
+    /// later one.
     pub fn joint_at(&self, version: Version) -> usize {
-        let joint = |record: &&Record| {
+        let joint = |record: &Record| {
             record.next.is_some_and(|next| next.joint && next.version == version)
                 || record.force.number >= version.number
         };
-        self.records().filter(|record| !record.stuck).filter(joint).count()
+        self.votes().filter(|(_, record)| !record.stuck && joint(record)).count()
     }
 
     /// Placers that have a link to some node, as far as any one node knows.
     pub fn linked(&self) -> u32 {
-        self.records().map(|record| u32::from(record.linked)).max().unwrap_or(0)
+        self.nodes.values().filter_map(Kin::record).map(|record| u32::from(record.linked)).max().unwrap_or(0)
     }
 }
 
@@ -113,7 +148,8 @@
             }
             Kin::Told(Record { stuck, ..record })
         };
-        Fleet { list: 0, nodes: told.iter().enumerate().map(|(n, told)| (n as u32, kin(told))).collect() }
+        let nodes = told.iter().enumerate().map(|(n, told)| (n as u32, kin(told))).collect();
+        Fleet { nodes, ..Fleet::default() }
     }
 
     #[test]
@@ -145,4 +181,73 @@
         assert_eq!(fleet.joint_at(version(2, 7)), 3);
         assert_eq!((fleet.majority(), fleet.force()), (3, version(3, 3)));
     }
+
+    /// Voters 0 to 2 of nodes 0 to 4.
+    fn control(mut fleet: Fleet) -> Fleet {
+        fleet.membership = Membership::of([0, 1, 2].into());
+        fleet
+    }
+
+    #[test]
+    fn a_majority_is_one_of_the_voters_alone() {
+        let (kept, joint) = (Some((7, 1, false, false)), Some((7, 1, true, false)));
+        for (told, decided) in [
+            ([kept, None, None, kept, kept], None),
+            ([None, None, None, kept, kept], None),
+            ([kept, kept, None, None, None], Some(7)),
+            // A node that does not vote, and was told by somebody who had counted.
+            ([None, None, None, joint, None], Some(7)),
+        ] {
+            let fleet = control(fleet(&told));
+            let want = decided.map(|name| version(2, name));
+            assert_eq!((fleet.majority(), fleet.decided(version(1, 1))), (2, want), "{told:?}");
+        }
+        let fleet = control(fleet(&[joint, None, None, joint, joint]));
+        assert_eq!(fleet.joint_at(version(2, 7)), 1);
+    }
+
+    #[test]
+    fn the_lease_is_renewed_by_a_majority_of_the_voters_and_by_nothing_else() {
+        let all = fleet(&[None; 5]);
+        for (heard, by_all, by_control) in [
+            (vec![0, 1], false, true),
+            (vec![0, 3, 4], true, false),
+            (vec![3, 4], false, false),
+            (vec![0, 1, 2], true, true),
+            (vec![0, 1, 2, 3, 4], true, true),
+        ] {
+            let hears = |node: u32| heard.contains(&node);
+            assert_eq!(all.quorum(hears), by_all, "{heard:?}");
+            assert_eq!(control(all.clone()).quorum(hears), by_control, "{heard:?}");
+        }
+        // Control machines that are all gone leave no majority, and not all other nodes as one.
+        let mut gone = control(all);
+        gone.nodes.retain(|node, _| *node > 2);
+        assert!(!gone.quorum(|_| true));
+    }
+
+    #[test]
+    fn what_learners_tell_is_no_vote_and_says_only_what_was_decided() {
+        let mut fleet = control(fleet(&[None; 5]));
+        let next = Introduced { ballot: Ballot::default(), version: version(9, 9), joint: true };
+        let learner = Record { next: Some(next), learns: true, ..Record::default() };
+        for node in 1..5 {
+            fleet.nodes.insert(node, Kin::Told(learner));
+        }
+        assert_eq!((fleet.force(), fleet.learned()), (version(1, 1), version(9, 9)));
+        assert_eq!((fleet.decided(Version::default()), fleet.joint_at(version(9, 9))), (None, 0));
+        // A control machine that learns by mistake is one voter less, and stays in the count.
+        assert_eq!((fleet.majority(), fleet.votes().count()), (2, 1));
+    }
+
+    #[test]
+    fn most_voters_of_version_1_agree_on_nothing_whatever_the_others_keep() {
+        let mut fleet = control(fleet(&[None; 5]));
+        fleet.nodes.insert(3, Kin::Old);
+        fleet.nodes.insert(4, Kin::Old);
+        fleet.nodes.insert(0, Kin::Old);
+        assert!(!fleet.is_old(), "one voter of three");
+        fleet.nodes.insert(1, Kin::Old);
+        assert!(fleet.is_old());
+    }
 }
--- a/crates/plan/src/hold.rs
+++ b/crates/plan/src/hold.rs
@@ -1,7 +1,9 @@
 //! Which nodes a placer may send to: a node refuses what is under its floor, and is not pushed over between two plans.
 
+use reedring_nodeproto::{Record, level};
+
 use crate::fleet::Kin;
-use crate::standing::{Standing, Why};
+use crate::standing::{Acts, Standing, Why};
 
 /// Why a node gets nothing from a placer for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -48,6 +50,18 @@
 /// | acts, ahead | told | yes | the own plan is not at least joint there | ahead |
 /// | acts | told | yes | rose less than a window ago | settling |
 /// | acts | told | no, or its floor stands | the same, or half a step under it | no |
+///
+/// A learner's floor rises by what it is sent, so a warm one takes any newer plan. Nobody may rely on that where it is
+/// cold: placers by the plan before may be sending there until its floor is told to have risen.
+///
+/// | standing | learner | cold | its floor, beside the plan acted by | held |
+/// | --- | --- | --- | --- | --- |
+/// | acts | told | any | over the level acted by | behind |
+/// | acts | told | no | else | no |
+/// | acts | told | yes | under the joint form of the plan | not there |
+/// | acts, ahead | told | yes | else | ahead |
+/// | acts | told | yes | rose less than a window ago | settling |
+/// | acts | told | yes | else | no |
 pub fn hold(standing: &Standing, kin: &Kin, cold: bool, window_ms: u64) -> Option<Hold> {
     let acts = match standing {
         Standing::Unkept => return None,
@@ -57,6 +71,7 @@
     let record = match kin {
         Kin::Unmet => return Some(Hold::Untold),
         Kin::Old => return None,
+        Kin::Told(record) if record.learns => return hold_learner(acts, record, cold, window_ms),
         Kin::Told(record) => record,
     };
     let (level, floor) = (acts.level(), record.floor());
@@ -76,11 +91,33 @@
     (cold && record.floor_ms < window_ms).then_some(Hold::Settling)
 }
 
+/// The learner's rows of [`hold`].
+fn hold_learner(acts: &Acts, record: &Record, cold: bool, window_ms: u64) -> Option<Hold> {
+    let floor = record.floor();
+    if floor > acts.level() {
+        return Some(Hold::Behind);
+    }
+    if !cold {
+        return None;
+    }
+    if floor < level(acts.stamp().0, true) {
+        return Some(Hold::NotThere);
+    }
+    if acts.ahead.is_some() {
+        return Some(Hold::Ahead);
+    }
+    (record.floor_ms < window_ms).then_some(Hold::Settling)
+}
+
+/// Whether a learner must be told by what this placer acts: it is held only because its floor has not risen to that.
+pub fn must_raise(held: Option<Hold>, kin: &Kin) -> bool {
+    held == Some(Hold::NotThere) && kin.record().is_some_and(|record| record.learns)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::standing::Acts;
-    use reedring_nodeproto::{Ballot, Digest, Introduced, Record, Version};
+    use reedring_nodeproto::{Ballot, Digest, Introduced, Version};
 
     fn version(number: u64) -> Version {
         Version { number, digest: Digest([number as u8; 16]) }
@@ -142,4 +179,52 @@
         assert_eq!(hold(&acts, &Kin::Old, true, 9), None);
         assert_eq!(hold(&acts, &Kin::Unmet, false, 9), Some(Hold::Untold));
     }
+
+    /// A learner whose floor is the joint form of this plan; 0 is none.
+    fn learner(number: u64, floor_ms: u64) -> Kin {
+        let introduced = Introduced { ballot: Ballot::default(), version: version(number), joint: true };
+        let next = (number > 0).then_some(introduced);
+        Kin::Told(Record { next, floor_ms, learns: true, stuck: true, ..Record::default() })
+    }
+
+    /// Every level acted by, beside every floor, warm and cold, settled and not, ahead and not.
+    #[test]
+    fn a_cold_learner_is_held_until_its_floor_is_the_plans_and_stood_for_a_window() {
+        let acts = [(1, None), (1, Some(2)), (2, None), (2, Some(3)), (3, None)];
+        for (force, next) in acts {
+            for ahead in [None, Some(version(9))] {
+                let acts = Acts { force: version(force), next: next.map(version), ahead };
+                let plan = next.unwrap_or(force);
+                for at in 0..5 {
+                    for (cold, floor_ms) in [(false, 0), (false, 9_999), (true, 1_999), (true, 2_000)] {
+                        let want = if at > plan {
+                            Some(Hold::Behind)
+                        } else if !cold {
+                            None
+                        } else if at < plan {
+                            Some(Hold::NotThere)
+                        } else if ahead.is_some() {
+                            Some(Hold::Ahead)
+                        } else {
+                            (floor_ms < 2_000).then_some(Hold::Settling)
+                        };
+                        let kin = learner(at, floor_ms);
+                        let got = hold(&Standing::Acts(acts), &kin, cold, 2_000);
+                        assert_eq!(got, want, "{acts:?}, floor of plan {at}, cold {cold}, {floor_ms} ms");
+                        assert_eq!(must_raise(got, &kin), cold && at < plan);
+                    }
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn only_learners_that_are_not_there_are_told_to_raise_their_floor() {
+        let kept = record(1, None, 9);
+        assert!(!must_raise(Some(Hold::NotThere), &kept) && !must_raise(Some(Hold::NotThere), &Kin::Unmet));
+        for held in [None, Some(Hold::Behind), Some(Hold::Settling), Some(Hold::Ahead), Some(Hold::Untold)] {
+            assert!(!must_raise(held, &learner(1, 9)), "{held:?}");
+        }
+        assert!(must_raise(Some(Hold::NotThere), &learner(0, 9)));
+    }
 }
--- a/crates/plan/src/maker.rs
+++ b/crates/plan/src/maker.rs
@@ -6,7 +6,8 @@
 
 use reedring_nodeproto::{Ballot, Order, Record, Version};
 
-use crate::fleet::{Fleet, Kin};
+use crate::fleet::Fleet;
+use crate::membership::Member;
 use crate::text::Kept;
 
 /// Texts of plans that a placer has.
@@ -69,14 +70,17 @@
     /// | what nodes told | order |
     /// | --- | --- |
     /// | a plan in force or decided, and its text is not here | fetch it from those that have it |
-    /// | a node is behind the plan in force | force |
-    /// | the next plan is decided, and a node is not joint | joint |
-    /// | a majority of the list is joint | force, to those that are joint |
+    /// | a node that keeps plans is behind the plan in force | force |
+    /// | the next plan is decided, and a node that keeps plans is not joint | joint |
+    /// | a majority of the voters is joint | force, to those that are joint |
     /// | not decided, and `proposes` is told or something was kept | see below |
     /// | else | nothing |
     ///
-    /// A ballot of this placer's own runs in two rounds: prepare to all; once a majority has answered it, accept to all,
-    /// with the plan that was kept with the greatest ballot among those that answered, and the own one only where
+    /// Learners are asked nothing. Nodes that keep plans and do not vote by this list are told what is decided, as they
+    /// check offers by that.
+    ///
+    /// A ballot of this placer's own runs in two rounds: prepare to all voters; once a majority of them has answered it,
+    /// accept to all, with the plan that was kept with the greatest ballot among those that answered, and the own one only where
     /// none was. A ballot of another placer is left alone until `may_outbid`.
     pub fn next(
         &mut self,
@@ -88,9 +92,7 @@
     ) -> (Step, Vec<(u32, Order)>) {
         let mut orders = Vec::new();
         let force = force.max(fleet.force());
-        let told = |kin: &Kin| kin.record().copied();
-        let records: Vec<(u32, Record)> =
-            fleet.nodes.iter().filter_map(|(node, kin)| Some((*node, told(kin)?))).collect();
+        let records: Vec<(u32, Record)> = fleet.keepers().map(|(node, record)| (node, *record)).collect();
         if force.number > 0 {
             for (node, record) in &records {
                 match texts.get(force) {
@@ -111,7 +113,7 @@
                 Step::Joint(next)
             }
             None => {
-                let offered = records.iter().any(|(_, record)| here(record) && record.next.is_some());
+                let offered = fleet.votes().any(|(_, record)| here(record) && record.next.is_some());
                 let proposes = proposes.filter(|kept| {
                     kept.version().number > force.number
                         && (force.number == 0 || kept.version().number == force.number + 1)
@@ -166,7 +168,8 @@
         texts: &Texts,
         orders: &mut Vec<(u32, Order)>,
     ) {
-        let here = || records.iter().filter(|(_, record)| record.force == force);
+        let votes = |node: u32| fleet.member(node) == Member::Voter;
+        let here = || records.iter().filter(|(node, record)| votes(*node) && record.force == force);
         let greatest = here().map(|(_, record)| record.promised).max().unwrap_or_default();
         let mine = self.running.filter(|running| running.follows == force && running.ballot >= greatest);
         let Some(mut running) = mine else {
@@ -191,7 +194,8 @@
             return orders.extend(open.map(|(node, _)| (*node, prepare.clone())));
         };
         let Some(text) = texts.get(version) else {
-            let has = here().filter(|(_, record)| record.next.is_some_and(|next| next.version == version));
+            let kept = records.iter().filter(|(_, record)| record.force == force);
+            let has = kept.filter(|(_, record)| record.next.is_some_and(|next| next.version == version));
             return orders.extend(has.map(|(node, _)| (*node, Order::Fetch { version })));
         };
         let open = here().filter(|(_, record)| record.next.is_none_or(|next| next.ballot != ballot));
@@ -204,6 +208,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::fleet::Kin;
+    use crate::membership::Membership;
     use reedring_nodeproto::Introduced;
 
     fn plan(number: u64, text: &str) -> Kept {
@@ -227,7 +233,7 @@
 
     fn fleet(records: &[Record]) -> Fleet {
         let nodes = records.iter().enumerate().map(|(n, record)| (n as u32, Kin::Told(*record))).collect();
-        Fleet { list: 0, nodes }
+        Fleet { nodes, ..Fleet::default() }
     }
 
     fn next(maker: &mut Maker, fleet: &Fleet, own: Option<&Kept>) -> (Step, Vec<(u32, Order)>) {
@@ -334,4 +340,79 @@
         let carries = |(_, order): &(u32, Order)| matches!(order, Order::Accept { version, .. } if *version == a.version());
         assert!(!orders.is_empty() && orders.iter().all(carries), "{orders:?}");
     }
+
+    /// Voters 0 to 2; what else there is keeps plans and does not vote, or learns.
+    fn control(records: &[Record]) -> Fleet {
+        Fleet { membership: Membership::of([0, 1, 2].into()), ..fleet(records) }
+    }
+
+    fn asked(orders: &[(u32, Order)], wanted: fn(&Order) -> bool) -> Vec<u32> {
+        orders.iter().filter(|(_, order)| wanted(order)).map(|(node, _)| *node).collect()
+    }
+
+    #[test]
+    fn ballots_are_asked_of_voters_and_what_is_decided_is_told_to_all_that_keep_plans() {
+        let a = plan(2, "a");
+        let quiet = record(Ballot::default(), None);
+        let learner = Record { learns: true, stuck: true, ..Record::default() };
+        let mut maker = Maker::new(9);
+        let (_, orders) = next(&mut maker, &control(&[quiet, quiet, quiet, quiet, learner]), Some(&a));
+        assert_eq!(asked(&orders, |order| matches!(order, Order::Prepare { .. })), [0, 1, 2]);
+        assert_eq!(orders.len(), 3, "{orders:?}");
+        // Two voters have answered; a node that does not vote changes neither the count nor what is proposed.
+        let answered = record(FIRST, None);
+        let b = plan(2, "b");
+        let other = record(FIRST, Some((1, &b, false)));
+        let (_, orders) = next(&mut maker, &control(&[answered, quiet, quiet, other, learner]), Some(&a));
+        assert_eq!(asked(&orders, |order| matches!(order, Order::Accept { .. })), Vec::<u32>::new());
+        let (_, orders) = next(&mut maker, &control(&[answered, answered, quiet, other, learner]), Some(&a));
+        let own = |order: &Order| matches!(order, Order::Accept { version, .. } if version.digest == plan(2, "a").version().digest);
+        assert_eq!((asked(&orders, own), orders.len()), (vec![0, 1, 2], 3));
+        let kept = record(FIRST, Some((1, &a, false)));
+        let (step, orders) = next(&mut maker, &control(&[kept, kept, quiet, quiet, learner]), Some(&a));
+        assert_eq!(step, Step::Joint(a.version()));
+        assert_eq!(asked(&orders, |order| matches!(order, Order::Joint { .. })), [0, 1, 2, 3]);
+        assert_eq!(orders.len(), 4, "{orders:?}");
+    }
+
+    #[test]
+    fn a_majority_of_the_voters_is_joint_before_anything_is_in_force() {
+        let a = plan(2, "a");
+        let (kept, joint) = (record(FIRST, Some((1, &a, false))), record(FIRST, Some((1, &a, true))));
+        let force = |order: &Order| matches!(order, Order::Force { .. });
+        let (_, orders) = next(&mut Maker::new(9), &control(&[joint, kept, kept, joint, joint]), None);
+        assert_eq!(asked(&orders, force), Vec::<u32>::new());
+        let (_, orders) = next(&mut Maker::new(9), &control(&[joint, joint, kept, joint, kept]), None);
+        assert_eq!(asked(&orders, force), [0, 1, 3]);
+    }
+
+    /// A list that marks control machines which never kept the plan in force: they are taught it, and nothing is brought
+    /// in before most of them have it.
+    #[test]
+    fn empty_voters_are_taught_the_plan_in_force_and_asked_to_vote_for_nothing_before() {
+        let (one, two) = (plan(1, "one"), plan(2, "a"));
+        let (empty, there) = (Record::default(), record(Ballot::default(), None));
+        let mut maker = Maker::new(9);
+        let (_, orders) = next(&mut maker, &control(&[empty, empty, empty, there, there]), Some(&two));
+        assert_eq!(orders.len(), 3, "{orders:?}");
+        for (_, order) in &orders {
+            assert!(matches!(order, Order::Force { version, .. } if *version == one.version()), "{order:?}");
+        }
+        // One of three: a ballot may be prepared there, and nothing can be accepted.
+        let mut told = [there, empty, empty, there, there];
+        let (_, orders) = next(&mut maker, &control(&told), Some(&two));
+        assert_eq!(asked(&orders, |order| matches!(order, Order::Force { .. })), [1, 2]);
+        told[0] = record(FIRST, None);
+        let (_, orders) = next(&mut maker, &control(&told), Some(&two));
+        assert_eq!(asked(&orders, |order| matches!(order, Order::Accept { .. })), Vec::<u32>::new());
+    }
+
+    /// Nodes that do not vote and learners tell nothing that would have the placer offer a plan.
+    #[test]
+    fn what_non_voters_keep_without_a_decision_starts_no_ballot() {
+        let quiet = record(Ballot::default(), None);
+        let kept = record(FIRST, Some((1, &plan(2, "b"), false)));
+        let (step, orders) = next(&mut Maker::new(9), &control(&[quiet, quiet, quiet, kept, kept]), None);
+        assert_eq!((step, orders), (Step::Quiet, Vec::new()));
+    }
 }
--- a/crates/plan/src/memory.rs
+++ b/crates/plan/src/memory.rs
@@ -172,7 +172,7 @@
     pub fn after(&self, order: &Order, settled: bool) -> Result<Self, Declined> {
         let (force, mut new) = (self.force(), self.clone());
         let told = match order {
-            Order::Ask { .. } | Order::Fetch { .. } => return Err(Declined::Same),
+            Order::Ask { .. } | Order::Fetch { .. } | Order::Raise { .. } => return Err(Declined::Same),
             Order::Prepare { list, .. }
             | Order::Accept { list, .. }
             | Order::Joint { list, .. }
@@ -193,7 +193,7 @@
         }
         let decided = self.joint().map(|next| next.kept.version());
         match order {
-            Order::Ask { .. } | Order::Fetch { .. } => {}
+            Order::Ask { .. } | Order::Fetch { .. } | Order::Raise { .. } => {}
             Order::Prepare { ballot, .. } => {
                 if let Some(decided) = decided {
                     return Err(Declined::Decided(decided));
@@ -345,6 +345,7 @@
         let none = Version::default();
         let (one, two, rival, four) = (kept(1, "one"), kept(2, "two"), kept(2, "rival"), kept(4, "four"));
         let mut all = vec![Order::Ask { stamp: Stamp::default() }, Order::Fetch { version: two.version() }];
+        all.push(Order::Raise { stamp: Stamp { version: four.version(), ..Stamp::default() } });
         for after in [none, one.version(), two.version()] {
             for round in [1, 3, 5] {
                 all.push(Order::Prepare { follows: after, ballot: ballot(round), list: 0 });
--- a/crates/plan/src/pace.rs
+++ b/crates/plan/src/pace.rs
@@ -6,7 +6,7 @@
 
 use reedring_nodeproto::{Ballot, Order, Version};
 
-use crate::fleet::{Fleet, Kin};
+use crate::fleet::Fleet;
 
 /// Microseconds after which an order that nothing came of is sent again.
 const AGAIN_US: u64 = 500_000;
@@ -32,6 +32,7 @@
         Order::Accept { ballot, .. } => 4 + (ballot.round << 3),
         Order::Joint { version, .. } => 5 + (version.number << 3),
         Order::Force { version, .. } => 6 + (version.number << 3),
+        Order::Raise { stamp } => 7 + (stamp.version.number << 3),
     }
 }
 
@@ -39,8 +40,8 @@
     /// Whether the greatest ballot has had its time. A first ballot may be made at once.
     pub fn may_outbid(&mut self, now: u64, life: u64, fleet: &Fleet) -> bool {
         let force = fleet.force();
-        let records = fleet.nodes.values().filter_map(Kin::record).filter(|record| record.force == force);
-        let greatest = records.map(|record| record.promised).max().unwrap_or_default();
+        let records = fleet.votes().filter(|(_, record)| record.force == force);
+        let greatest = records.map(|(_, record)| record.promised).max().unwrap_or_default();
         // Ballots begin anew after each plan: one that was greater then says nothing now.
         if (force, greatest) != (self.rival.0, self.rival.1) {
             self.rival = (force, greatest, now);
@@ -72,6 +73,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::fleet::Kin;
     use reedring_nodeproto::Record;
 
     #[test]
@@ -98,7 +100,7 @@
         let told = |number, round| {
             let force = Version { number, ..Version::default() };
             let record = Record { force, promised: Ballot { round, by: 9 }, ..Record::default() };
-            Fleet { list: 0, nodes: [(0, Kin::Told(record))].into() }
+            Fleet { nodes: [(0, Kin::Told(record))].into(), ..Fleet::default() }
         };
         let mut pace = Pace::default();
         pace.may_outbid(0, 1, &told(1, 7));
@@ -109,7 +111,7 @@
     fn a_ballot_is_left_alone_and_two_placers_do_not_wait_for_the_same_time() {
         let told = |round, by| {
             let record = Record { promised: Ballot { round, by }, ..Record::default() };
-            Fleet { list: 0, nodes: [(0, Kin::Told(record))].into() }
+            Fleet { nodes: [(0, Kin::Told(record))].into(), ..Fleet::default() }
         };
         let first = |life| {
             let mut pace = Pace::default();
--- a/crates/plan/src/standing.rs
+++ b/crates/plan/src/standing.rs
@@ -24,7 +24,7 @@
     pub pinned: bool,
 }
 
-/// When a majority of the list was heard.
+/// When a majority of the voters was heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
     /// Never in this life.
@@ -38,7 +38,7 @@
 /// Why nothing may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Why {
-    /// Too few nodes have told what they keep.
+    /// Too few voters have told what they keep.
     NoMajority,
     /// No plan is in force yet, and none is decided.
     NoPlan,
@@ -54,7 +54,7 @@
     /// In words, for the staff.
     pub const fn word(self) -> &'static str {
         match self {
-            Self::NoMajority => "no majority of the listed nodes was heard within the lease",
+            Self::NoMajority => "no majority of the voters was heard within the lease",
             Self::NoPlan => "no plan is in force yet",
             Self::Fetching => "the text of the plan in force is being fetched",
             Self::Pinned => "its file is pinned to another plan than the one in force",
@@ -105,7 +105,7 @@
 
 /// How a placer stands.
 ///
-/// | most nodes keep nothing | majority heard | in force | decided | own file | is |
+/// | most voters keep nothing | majority heard | in force | decided | own file | is |
 /// | --- | --- | --- | --- | --- | --- |
 /// | yes | any | any | any | any | unkept: by its own file |
 /// | no | never, or long ago | any | any | any | waits: no majority |
@@ -174,7 +174,7 @@
         let ballot = Ballot { round: 1, by: 1 };
         let next = next.map(|version| Introduced { ballot, version, joint });
         let record = Record { force, next, ..Record::default() };
-        Fleet { list: 0, nodes: (0..3).map(|n| (n, Kin::Told(record))).collect() }
+        Fleet { nodes: (0..3).map(|n| (n, Kin::Told(record))).collect(), ..Fleet::default() }
     }
 
     /// Every case of the table, against what must hold whatever it says.
--- a/crates/plan/tests/model.rs
+++ b/crates/plan/tests/model.rs
@@ -100,7 +100,7 @@
             if !self.heard[which][n] { Kin::Unmet } else { Kin::Told(world.nodes[n].record()) }
         };
         let nodes = (0..NODES).map(|n| (n as u32, known(n))).collect();
-        let mut fleet = Fleet { list: 0, nodes };
+        let mut fleet = Fleet { nodes, ..Fleet::default() };
         if !self.of_the_list {
             fleet.nodes.retain(|_, kin| *kin != Kin::Unmet);
         }
--- a/crates/settings/src/nodes.rs
+++ b/crates/settings/src/nodes.rs
@@ -51,6 +51,8 @@
     pub attrs: BTreeMap<String, Attr>,
     /// Whether it takes tasks.
     pub health: Health,
+    /// It is set aside for control: it votes on plans, and takes no tasks.
+    pub control: bool,
     /// Cores that no accepted task asked for, where told.
     pub free_cores: Option<f64>,
     /// Memory that no accepted task asked for, where told.
@@ -68,6 +70,7 @@
             hall: String::new(),
             attrs: BTreeMap::new(),
             health: Health::Ready,
+            control: false,
             free_cores: None,
             free_memory: None,
         }
@@ -106,6 +109,7 @@
     attrs: BTreeMap<String, Spanned<toml::Value>>,
     #[serde(default)]
     health: Health,
+    control: Option<Spanned<bool>>,
     free_cores: Option<f64>,
     free_memory: Option<f64>,
 }
@@ -124,7 +128,27 @@
     })
 }
 
+/// Where there are control machines, one at least is there to vote.
+fn check_control(check: &mut Checker, nodes: &[NodeTable]) {
+    let marked = nodes.iter().enumerate().filter_map(|(n, node)| {
+        let control = node.control.as_ref().filter(|control| *control.get_ref())?;
+        Some((n, node, control.span()))
+    });
+    let marked: Vec<_> = marked.collect();
+    if let Some((n, _, span)) = marked.first()
+        && marked.iter().all(|(_, node, _)| node.health == Health::Gone)
+    {
+        let message = "every control machine is gone, and no plan could be voted on; mark one that is up";
+        check.wrong(span.clone(), format!("node[{n}].control"), message.to_owned());
+    }
+}
+
 impl NodeList {
+    /// The control machines: the nodes that vote on plans. Where there is none, every node votes.
+    pub fn control(&self) -> impl Iterator<Item = &NodeEntry> {
+        self.nodes.iter().filter(|node| node.control)
+    }
+
     /// Reads and checks a text against the kinds of the settings.
     ///
     /// # Errors
@@ -174,10 +198,12 @@
                 hall: node.hall.clone(),
                 attrs,
                 health: node.health,
+                control: node.control.as_ref().is_some_and(|control| *control.get_ref()),
                 free_cores: node.free_cores,
                 free_memory: node.free_memory,
             });
         }
+        check_control(&mut check, &read.node);
         check.finish(Self { revision: read.revision, nodes })
     }
 }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -76,5 +76,28 @@
     assert!(told(&NODES.replace("127.0.0.1:7001", "here")).contains("no address"));
     assert!(told(&NODES.replace("kind = \"node-32\"\n", "")).contains("several kinds"));
     assert!(told("[[nodes]]\n").contains("unknown field"));
+    let marked = |word: &str| NODES.replace("rack = \"a1\"", &format!("rack = \"a1\"\ncontrol = {word}"));
+    let line = NODES.lines().position(|line| line == "rack = \"a1\"").unwrap() + 2;
+    let wrong = told(&marked("\"yes\""));
+    assert!(wrong.starts_with(&format!("n.toml:{line}:")) && wrong.contains("expected a boolean"), "{wrong}");
+    let gone = told(&marked("true\nhealth = \"gone\""));
+    assert!(gone.starts_with(&format!("n.toml:{line}:")) && gone.contains("node[0].control"), "{gone}");
+    assert_eq!(gone.lines().count(), 1, "{gone}");
     assert!(NodeList::parse("", "n.toml", &settings).unwrap().nodes.is_empty());
 }
+
+#[test]
+fn control_machines_are_those_that_the_list_marks() {
+    let settings = Settings::parse(EXAMPLE, "reedring.toml").unwrap();
+    let control = |text: &str| {
+        let list = NodeList::parse(text, "n.toml", &settings).unwrap();
+        list.control().map(|node| node.name.clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(control(NODES), Vec::<String>::new());
+    let two = NODES.replace("rack = \"a1\"", "control = true").replace("rack = \"c1\"", "control = true");
+    assert_eq!(control(&two), ["node-1", "node-3"]);
+    assert_eq!(control(&NODES.replace("rack = \"a1\"", "control = false")), Vec::<String>::new());
+    // One that is gone, beside one that is up.
+    let one = two.replacen("control = true", "control = true\nhealth = \"gone\"", 1);
+    assert_eq!(control(&one).len(), 2);
+}
--- a/crates/standin/src/config.rs
+++ b/crates/standin/src/config.rs
@@ -86,6 +86,9 @@
     /// It keeps plans, and speaks version 2 of the protocol; else version 1 alone.
     #[serde(default = "yes")]
     pub plans: bool,
+    /// It votes on plans and keeps them; else it is a learner, which keeps none and goes by what it is sent.
+    #[serde(default = "yes")]
+    pub votes: bool,
     /// Where it keeps plans over restarts; without a folder a restart loses them.
     pub plan_dir: Option<PathBuf>,
     /// Milliseconds after its start for which a node that came without memory votes for no plan.
@@ -205,6 +208,12 @@
             if !(node.cold_pace > 0.0 && node.cold_pace <= 1.0) {
                 return wrong("cold_pace must be over 0 and at most 1");
             }
+            if !node.votes && !node.plans {
+                return wrong("votes = false makes it a learner of plans; drop plans = false");
+            }
+            if !node.votes && node.plan_dir.is_some() {
+                return wrong("votes = false keeps no plan; drop plan_dir");
+            }
             if !(low >= 0.0 && high >= low) {
                 return wrong("uses must be two numbers, the lower first");
             }
--- a/crates/standin/src/model/offers.rs
+++ b/crates/standin/src/model/offers.rs
@@ -28,6 +28,7 @@
         if let Some(reason) = self.superseded(now_us, &placer, stamp.as_ref()) {
             return self.refuse(&placer, attempt, reason);
         }
+        stamp.iter().for_each(|stamp| self.learn(now_us, stamp));
         if self.is_cold(now_us) {
             self.offers.push_back(now_us);
             let window = self.config.cold_window_ms * 1_000;
--- a/crates/standin/src/model/plans.rs
+++ b/crates/standin/src/model/plans.rs
@@ -1,10 +1,11 @@
-//! Plans: what the node keeps of them, whom it tells, and which offers it admits by them.
+//! Plans: what the node keeps of them, whom it tells, and which offers it admits by them. A learner keeps none and goes
+//! by the floor that it has learned.
 
 use std::io;
 
 use reedring::names::machine_id;
 use reedring_nodeproto::{Message, Order, Reason, Record, Stamp};
-use reedring_plan::{Declined, Memory, Seen};
+use reedring_plan::{Declined, LearnedFloor, Memory, Refusal, Seen};
 
 use super::Node;
 use super::types::{Effect, LinkId};
@@ -27,6 +28,8 @@
     /// What is acted by: further than what is durable where that could not be written.
     acts: Memory,
     keep: Option<Box<dyn Keep>>,
+    /// What a learner goes by, in place of all the rest.
+    learned: LearnedFloor,
     /// What should be kept can't be written.
     stuck: bool,
     /// Since when the floor is what it is.
@@ -66,7 +69,8 @@
 
     /// What it keeps of plans, as placers are told.
     pub fn record(&self, now_us: u64) -> Record {
-        let floor = self.plans.acts.floor();
+        let kept = if self.config.votes { self.plans.acts.record() } else { self.plans.learned.record() };
+        let floor = kept.floor();
         let linked = self.placers.values().filter(|placer| placer.link.is_some());
         let stamps = linked.filter_map(|placer| placer.stamp);
         let (mut linked, mut behind) = (0, 0);
@@ -75,8 +79,8 @@
             behind += u16::from(stamp.level() < floor);
         }
         let floor_ms = now_us.saturating_sub(self.plans.floor_us) / 1_000;
-        let stuck = self.plans.stuck || self.plans.acts.taught && !self.has_settled(now_us);
-        Record { floor_ms, linked, behind, stuck, ..self.plans.acts.record() }
+        let stuck = kept.stuck || self.plans.stuck || self.plans.acts.taught && !self.has_settled(now_us);
+        Record { floor_ms, linked, behind, stuck, ..kept }
     }
 
     /// Writes of its memory of plans, and their bytes.
@@ -91,6 +95,9 @@
 
     /// Remembers by what a placer acts; a row that can't be written is no reason to turn it away.
     pub(super) fn sees(&mut self, now_us: u64, placer: &str, stamp: Option<Stamp>) {
+        if !self.config.votes {
+            return;
+        }
         let (level, build) = stamp.map_or((0, 0), |stamp| (stamp.level(), stamp.build));
         let at_s = self.plans.epoch_s + now_us / 1_000_000;
         if self.plans.acts.sees(machine_id(placer).0, Seen { level, at_s, build }) {
@@ -126,6 +133,9 @@
             self.sees(now_us, &name, Some(*stamp));
             self.placers.entry(name).or_default().stamp = Some(*stamp);
         }
+        if !self.config.votes {
+            return self.ordered_learner(now_us, link, order);
+        }
         let floor = self.plans.acts.floor();
         match self.plans.acts.after(order, self.has_settled(now_us)) {
             Ok(new) => {
@@ -152,9 +162,35 @@
         }
     }
 
+    /// A placer acts by this stamp: a learner's floor rises to the joint form of its plan. Nobody is told: whoever is
+    /// behind hears of it where it sends something, so that a change costs no message a learner.
+    pub(super) fn learn(&mut self, now_us: u64, stamp: &Stamp) {
+        if !self.config.votes && self.plans.learned.raise(stamp) {
+            self.plans.floor_us = now_us;
+        }
+    }
+
+    /// An order to a learner: it casts no vote, and takes what its sender acts by or says is decided for its floor.
+    fn ordered_learner(&mut self, now_us: u64, link: LinkId, order: &Order) {
+        match order {
+            Order::Raise { stamp } => self.learn(now_us, stamp),
+            Order::Joint { version, list, .. } | Order::Force { version, list, .. } => {
+                let stamp = Stamp { version: *version, joint: true, list: *list, build: 0 };
+                self.learn(now_us, &stamp);
+            }
+            Order::Ask { .. } | Order::Fetch { .. } | Order::Prepare { .. } | Order::Accept { .. } => {}
+        }
+        let record = self.record(now_us);
+        self.effects.push(Effect::Send(link, Message::Record(record)));
+    }
+
+    fn admits(&self, stamp: Option<&Stamp>) -> Result<(), Refusal> {
+        if self.config.votes { self.plans.acts.admits(stamp) } else { self.plans.learned.admits(stamp) }
+    }
+
     /// Why an offer is not admitted, if it is not. Its placer is told what is kept here, so that it can catch up.
     pub(super) fn superseded(&mut self, now_us: u64, placer: &str, stamp: Option<&Stamp>) -> Option<Reason> {
-        if !self.config.plans || self.plans.acts.admits(stamp).is_ok() {
+        if !self.config.plans || self.admits(stamp).is_ok() {
             return None;
         }
         if stamp.is_none() {
