Audit: the check of plans knows learners and voters

A learner's floor follows from what it told and from the stamps of the offers that it read; a plan in force needs a majority of the nodes that the list marks to vote.

--- a/crates/audit/src/judge/clients.rs
+++ b/crates/audit/src/judge/clients.rs
@@ -31,6 +31,8 @@
         let placer = self.placers.entry(frame.place.clone()).or_default();
         let mut open = BTreeSet::new();
         placer.spots = list.node.iter().map(|line| (line.name.clone(), line.spot())).collect();
+        let control = list.node.iter().filter(|line| line.control);
+        placer.control = control.map(|line| line.name.clone()).collect();
         for line in list.node {
             placer.known.insert(line.name.clone());
             placer.places.insert(line.name.clone(), (line.rack, line.hall));
--- a/crates/audit/src/judge/known.rs
+++ b/crates/audit/src/judge/known.rs
@@ -79,6 +79,8 @@
     pub(super) places: BTreeMap<String, (String, String)>,
     /// All that the list says of each.
     pub(super) spots: BTreeMap<String, Spot>,
+    /// Nodes that the list marks as voters on plans; with none of them all are.
+    pub(super) control: BTreeSet<String>,
     /// Since when each node takes nothing new: by the list, and by an operator.
     pub(super) closed_by_list: BTreeMap<String, u64>,
     pub(super) closed_by_hand: BTreeMap<String, u64>,
--- a/crates/audit/src/judge/told.rs
+++ b/crates/audit/src/judge/told.rs
@@ -106,6 +106,8 @@
     pub(super) kind: String,
     #[serde(default)]
     pub(super) attrs: BTreeMap<String, toml::Value>,
+    #[serde(default)]
+    pub(super) control: bool,
 }
 
 impl NodeLine {
--- a/crates/audit/tests/rules.rs
+++ b/crates/audit/tests/rules.rs
@@ -381,3 +381,77 @@
     assert_eq!(sent(true, 1), []);
     assert_eq!(sent(true, 2), [Rule::Versions]);
 }
+
+/// A learner's record, by the plan whose joint form is its floor; 0 is none yet.
+fn learner(number: u64) -> Record {
+    let introduced = Introduced { ballot: Ballot::default(), version: version(number), joint: true };
+    let next = (number > 0).then_some(introduced);
+    Record { next, learns: true, stuck: true, ..Record::default() }
+}
+
+#[test]
+fn a_learner_that_accepts_what_is_under_what_it_has_read_breaks_the_check_of_plans() {
+    // By which plan the second offer comes, after one by plan 2.
+    for (second, clean) in [
+        (stamp(1, false), false),
+        (None, false),
+        (stamp(2, true), true),
+        (stamp(2, false), true),
+        (stamp(3, true), true),
+    ] {
+        let trace = Trace::new();
+        trace.node("a1", &Message::Record(learner(0)));
+        for (n, by) in [(1, stamp(2, false)), (2, second)] {
+            trace.taken(&format!("s.1.{n}"), "safe");
+            let attempt = trace.offer_by(&format!("s.1.{n}"), "safe", "a1", (n, 0), by);
+            trace.accepted("a1", attempt);
+        }
+        let want = if clean { Vec::new() } else { vec![Rule::Versions] };
+        assert_eq!(trace.breaks(), want, "{second:?}");
+    }
+}
+
+/// A new life begins without a floor, and says so in its greeting.
+#[test]
+fn a_learner_that_starts_again_may_accept_what_its_former_life_would_not() {
+    let trace = Trace::new();
+    trace.node("a1", &Message::Record(learner(2)));
+    let (node, life, up_ms, can_suspend) = ("a1".to_owned(), 9, 0, true);
+    trace.node("a1", &Message::Welcome { node, life, up_ms, can_suspend, record: Some(learner(0)) });
+    trace.taken("s.1.1", "safe");
+    let attempt = trace.offer_by("s.1.1", "safe", "a1", (1, 0), stamp(1, false));
+    trace.accepted("a1", attempt);
+    assert_eq!(trace.breaks(), []);
+}
+
+/// Of five listed nodes three vote: two of them are a majority, and what others keep counts for nothing.
+#[test]
+fn a_plan_in_force_without_a_majority_of_the_voters_breaks_the_check_of_plans() {
+    let list = r#"
+        node = [{ name = "a1", control = true }, { name = "a2", control = true }, { name = "b1", control = true },
+                { name = "b2" }, { name = "b3" }]
+    "#;
+    for (joint, clean) in [(["a1"].as_slice(), false), (&["a1", "b2", "b3"], false), (&["a1", "b1"], true)] {
+        let trace = Trace::new();
+        trace.0.record(Event::Listed, "p", "", 0, list.as_bytes());
+        ["a1", "a2", "b1", "b2", "b3"].iter().for_each(|node| trace.node(node, &record(1, None)));
+        joint.iter().for_each(|node| trace.node(node, &record(1, Some((2, true)))));
+        trace.node("a1", &record(2, None));
+        let want = if clean { Vec::new() } else { vec![Rule::Versions] };
+        assert_eq!(trace.breaks(), want, "{joint:?}");
+    }
+}
+
+/// What a learner turns away at the door costs it nothing while it is cold.
+#[test]
+fn offers_under_a_learners_floor_are_no_part_of_a_cold_budget() {
+    for (fourth, want) in [(1, vec![]), (2, vec![Rule::ColdNodes])] {
+        let trace = Trace::new();
+        trace.0.record(Event::NodeStarted, "a1", "", 1, b"");
+        trace.node("a1", &Message::Record(learner(0)));
+        for (n, plan) in [(1, 2), (2, 2), (3, 2), (4, fourth)] {
+            trace.offer_by(&format!("s.1.{n}"), "safe", "a1", (n, 0), stamp(plan, false));
+        }
+        assert_eq!(trace.breaks(), want, "the fourth by plan {fourth}");
+    }
+}
