--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Placers and nodes as processes, the relays between them, their files, and the audit of their traces.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
@@ -88,6 +88,8 @@
     nodes: BTreeMap<String, Node>,
     placers: BTreeMap<String, Placer>,
     listed: Vec<String>,
+    /// Nodes that the list marks as control machines.
+    control: BTreeSet<String>,
     revision: u64,
     /// The relays between placers and nodes.
     pub relays: Relays,
@@ -115,6 +117,7 @@
             nodes: BTreeMap::new(),
             placers: BTreeMap::new(),
             listed: Vec::new(),
+            control: BTreeSet::new(),
             revision: 1,
             traces: vec![faults.clone()],
             faults: Recorder::create(&faults)?,
@@ -226,6 +229,11 @@
         }
     }
 
+    /// Marks a node as a control machine in the lists that are told from now on.
+    pub fn mark_control(&mut self, name: &str) {
+        self.control.insert(name.to_owned());
+    }
+
     /// Writes one placer's list as if it were of this revision.
     ///
     /// # Errors
@@ -254,6 +262,9 @@
             let address = self.relays.link(placer, name, node.address)?;
             let _ =
                 writeln!(text, "[[node]]\nname = {name:?}\naddress = \"{address}\"\nhall = {:?}", node.hall);
+            if self.control.contains(name) {
+                text.push_str("control = true\n");
+            }
         }
         Ok(renamed(&self.dir.path().join(format!("{placer}.nodes.toml")), &text)?)
     }
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -6,6 +6,7 @@
 //! close half of it. [`Fleet`] puts both together, and its traces through the audit.
 #![forbid(unsafe_code)]
 
+pub mod control;
 mod fleet;
 mod load;
 mod relay;
