--- a/crates/standin/tests/learners.rs
+++ b/crates/standin/tests/learners.rs
@@ -28,7 +28,9 @@
         let mut site =
             Self { node: Node::new(config, 1, 1, 0), groups: Groups::default(), now_us: 1_000, offers: 0 };
         // Both files have plan 9, which nobody has agreed on.
-        (1..=2).for_each(|link| drop(site.greet(link, Some(stamp(9, false)))));
+        for link in 1..=2 {
+            site.greet(link, Some(stamp(9, false)));
+        }
         site
     }
 
@@ -163,7 +165,9 @@
     let mut site = Site::new();
     let config = Config { votes: false, look_ms: 10.0, ..Config::named("n") };
     site.node = Node::new(config, 1, 1, 0);
-    (1..=2).for_each(|link| drop(site.greet(link, Some(stamp(1, false)))));
+    for link in 1..=2 {
+        site.greet(link, Some(stamp(1, false)));
+    }
     let offer = |request, stamp| {
         let attempt = AttemptId { life: 1, request, number: 0 };
         let task = Task {
