Placer: silent nodes are tried again at a rate of their zone and of the placer

Cause: each link had a task of its own that tried every 2 s for ever, so the nodes of a region that is cut off cost half as many connections a second as there are nodes, and as much work in the core behind them.

Change: `reedring_core::reconnect` decides when each node is tried, without I/O or time. A node backs off by itself from 50 ms to 2 s as before; beyond that silent nodes take tokens of their zone (the `hall` of the list) and of the placer, and one that answers has all silent nodes of its zone tried within a second. `crates/placer/src/pacing.rs` is the shell around it. The staff are told once that a zone is tried slowly, and once that it answers again.

--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -95,6 +95,15 @@
         node: String,
         /// Where it listens.
         address: SocketAddr,
+        /// Its zone: the `hall` of the list. Nodes of a zone that are silent are tried at a common rate.
+        zone: String,
+    },
+    /// The list names another zone for a node; its link stays as it is.
+    MoveZone {
+        /// The node.
+        node: String,
+        /// Its zone from now on.
+        zone: String,
     },
     /// Keep no link to this node any more.
     Disconnect {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 mod jobs;
 mod keep;
 mod links;
+pub mod reconnect;
 mod recover;
 mod sessions;
 mod timers;
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -172,6 +172,8 @@
     Connect(NodeNo),
     /// It moved to another address.
     Move(NodeNo),
+    /// It is in another zone, at the same address.
+    MoveZone(NodeNo),
     /// It left the list.
     Left(NodeNo),
 }
@@ -252,13 +254,15 @@
                     if let Some(node) = self.all.get_mut(&number) {
                         let first = std::mem::take(&mut node.remembered);
                         let (back, moved) = (!node.listed, node.address != entry.address);
+                        let another_zone = node.entry.hall != entry.hall;
                         (node.listed, node.address, node.entry) = (true, entry.address, entry);
                         if first {
                             relinks.push(Relink::Connect(number));
                         } else if moved {
                             relinks.push(Relink::Move(number));
-                        } else if back {
-                            relinks.push(Relink::Connect(number));
+                        } else {
+                            relinks.extend(another_zone.then_some(Relink::MoveZone(number)));
+                            relinks.extend(back.then_some(Relink::Connect(number)));
                         }
                     }
                 }
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -44,6 +44,7 @@
                     self.link_down(now, &name, "it moved to another address");
                     self.connect(number);
                 }
+                Relink::MoveZone(number) => self.move_zone(number),
                 Relink::Left(number) => self.left(now, number),
             }
         }
@@ -79,8 +80,16 @@
         // A node that left the list with tasks kept its link; another would void what is sent on it now.
         let down = |node: &&crate::links::Node| matches!(node.link, Link::Fresh | Link::Down);
         if let Some(node) = self.nodes.all.get(&number).filter(down) {
-            let (node, address) = (node.name.clone(), node.address);
-            self.outputs.push_back(Output::Connect { node, address });
+            let (zone, address) = (node.entry.hall.clone(), node.address);
+            self.outputs.push_back(Output::Connect { node: node.name.clone(), address, zone });
+        }
+    }
+
+    /// The list names another zone for a node.
+    fn move_zone(&mut self, number: NodeNo) {
+        if let Some(node) = self.nodes.all.get(&number) {
+            let (node, zone) = (node.name.clone(), node.entry.hall.clone());
+            self.outputs.push_back(Output::MoveZone { node, zone });
         }
     }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -661,7 +661,7 @@
             Output::Learn(learned) => {
                 let _ = self.kept.as_ref().and_then(|kept| kept.keeper.as_ref()?.learn(&learned).ok());
             }
-            Output::Acts(_) | Output::Settings(_) | Output::ShutOut(_) => {}
+            Output::MoveZone { .. } | Output::Acts(_) | Output::Settings(_) | Output::ShutOut(_) => {}
             Output::Log { line, .. } => self.lines.push(line),
         }
     }
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod clients;
 mod links;
+mod pacing;
 mod run;
 mod source;
 mod state;
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
-use std::time::Duration;
 
 use reedring_audit::Event;
 use reedring_core::Input;
-use reedring_net::Backoff;
+use reedring_core::reconnect::{Failure, LinkId};
 use reedring_nodeproto::{Message, Order, Reader, encode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -16,12 +15,11 @@
 use tokio::task::JoinHandle;
 
 use crate::clients::Came;
+use crate::pacing::{Pacer, Turns};
 use crate::run::Shared;
 
 /// Messages that wait for a node which does not read; one more, and the link is cut.
 const QUEUE: usize = 65_536;
-/// Between two tries to connect.
-const WAITS: Backoff = Backoff::new(Duration::from_millis(50), Duration::from_secs(2));
 
 /// Greetings that a node closes on before it is greeted in version 1: one may be a node that ends.
 const CLOSED_ON: u32 = 2;
@@ -45,7 +43,9 @@
 type Meant = (u64, Message);
 
 struct Link {
+    id: LinkId,
     address: SocketAddr,
+    zone: String,
     /// The last link that the core was told of; 0 before the first.
     up: u64,
     out: mpsc::Sender<Meant>,
@@ -53,29 +53,44 @@
 }
 
 /// The links that the core wants kept.
-#[derive(Default)]
 pub(crate) struct Links {
     all: BTreeMap<String, Link>,
     /// Links made to each node, over all its tasks.
     made: BTreeMap<String, u64>,
+    pacer: Arc<Pacer>,
 }
 
 impl Links {
+    /// Of a placer that has none yet. It is called within the placer's runtime.
+    pub fn new(shared: &Shared) -> Self {
+        let pacer = Pacer::new(&shared.name, shared.life);
+        tokio::spawn(Arc::clone(&pacer).run());
+        Self { all: BTreeMap::new(), made: BTreeMap::new(), pacer }
+    }
+
     pub fn connect(
         &mut self,
         node: String,
-        address: SocketAddr,
+        place: (SocketAddr, String),
         shared: &Arc<Shared>,
         came: &mpsc::Sender<Came>,
     ) {
-        self.keep(node, address, shared, came, None);
+        self.keep(node, place, shared, came, None);
+    }
+
+    /// A node is in another zone; its link stays.
+    pub fn move_zone(&mut self, node: &str, zone: String) {
+        if let Some(link) = self.all.get_mut(node) {
+            self.pacer.moved_zone(link.id, &zone);
+            link.zone = zone;
+        }
     }
 
     /// Keeps a link from now on, in place of the one before; the core hears `first` before all of it.
     fn keep(
         &mut self,
         node: String,
-        address: SocketAddr,
+        (address, zone): (SocketAddr, String),
         shared: &Arc<Shared>,
         came: &mpsc::Sender<Came>,
         first: Option<Came>,
@@ -86,19 +101,22 @@
         let number = self.made.entry(node.clone()).or_default();
         *number += 1 << 32;
         let (shared, came) = (Arc::clone(shared), came.clone());
-        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came, old: None };
+        let turns = self.pacer.wanted(&zone);
+        let id = turns.id();
+        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came, turns, old: None };
         let task = tokio::spawn(async move {
             if let Some(first) = first {
                 let _ = keeper.came.send(first).await;
             }
             keeper.keep(messages).await;
         });
-        self.all.insert(node, Link { address, up: 0, out, task });
+        self.all.insert(node, Link { id, address, zone, up: 0, out, task });
     }
 
     pub fn disconnect(&mut self, node: &str) {
         if let Some(link) = self.all.remove(node) {
             link.task.abort();
+            self.pacer.left(link.id);
         }
     }
 
@@ -114,10 +132,10 @@
         if link.out.try_send((link.up, message)).is_ok() {
             return;
         }
-        let (node, address) = (node.to_owned(), link.address);
+        let (node, place) = (node.to_owned(), (link.address, link.zone.clone()));
         let why = format!("it reads nothing, {QUEUE} messages wait; the link is cut");
         let down = Came::Input(Input::LinkDown { node: node.clone(), why });
-        self.keep(node, address, shared, came, Some(down));
+        self.keep(node, place, shared, came, Some(down));
     }
 }
 
@@ -127,42 +145,45 @@
     number: u64,
     shared: Arc<Shared>,
     came: mpsc::Sender<Came>,
+    /// When it may try.
+    turns: Turns,
     /// The life of the node in which it was shown that it speaks version 1 alone.
     old: Option<u64>,
 }
 
 impl Keeper {
     async fn keep(mut self, mut messages: mpsc::Receiver<Meant>) {
-        let mut waits = WAITS;
         // Greetings in version 2 that were closed on without a word: a node that speaks version 1 alone does so.
         let mut closed_on = 0;
         loop {
             self.number += 1;
             let plain = closed_on >= CLOSED_ON;
-            let why = match self.link(&mut messages, plain).await {
+            let (why, failure) = match self.link(&mut messages, plain).await {
                 Ok(why) => {
-                    waits.reset();
                     // The node may be another program by the next time.
                     closed_on = 0;
-                    why
+                    (why, None)
                 }
                 Err(End { why, closed_on: true }) if !plain => {
                     closed_on += 1;
-                    why
+                    (why, Some(Failure::Closed))
                 }
                 Err(End { why, closed_on: true }) => {
                     // It closed on what only version 2 has, or it knows plans: the next greeting finds out.
                     closed_on = if self.old.is_some() { CLOSED_ON } else { 0 };
-                    why
+                    (why, Some(Failure::Closed))
                 }
-                Err(End { why, .. }) => why,
+                Err(End { why, .. }) => (why, Some(Failure::Silent)),
             };
             self.shared.record_link(Event::LinkDown, &self.node, self.number, why.as_bytes());
             let down = Input::LinkDown { node: self.node.clone(), why };
             if self.came.send(Came::Input(down)).await.is_err() {
                 return;
             }
-            tokio::time::sleep(waits.wait()).await;
+            match failure {
+                None => self.turns.after_end().await,
+                Some(failure) => self.turns.after_failure(failure).await,
+            }
         }
     }
 
@@ -198,6 +219,7 @@
             let why = if knows { "it knows plans" } else { "it speaks version 1 alone" };
             return Err(End { why: why.to_owned(), closed_on: true });
         }
+        self.turns.stood();
         let up = Came::LinkUp(self.number, up);
         self.came.send(up).await.map_err(|_| "the placer ends".to_owned())?;
         let why = tokio::select! {
@@ -324,6 +346,7 @@
             number: 4,
             shared: Arc::new(Shared::for_tests()),
             came,
+            turns: Pacer::new("p", 1).wanted(""),
             old: None,
         };
         let (out, messages) = mpsc::channel(8);
@@ -348,4 +371,57 @@
         assert!(matches!(read[..], [Message::Hello { .. }, Message::Probe { nonce: 3 }]), "{read:?}");
         keeping.abort();
     }
+
+    /// Answers every greeting, for as long as it is kept.
+    async fn greet_all(listener: tokio::net::TcpListener) {
+        let mut kept = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let welcome =
+                Message::Welcome { node: "n".into(), life: 1, up_ms: 0, can_suspend: false, record: None };
+            stream.write_all(&encode(&welcome)).await.unwrap();
+            kept.push(stream);
+        }
+    }
+
+    /// What came until a moment: links that stand, and failures.
+    async fn until(coming: &mut mpsc::Receiver<Came>, at: tokio::time::Instant) -> (usize, usize) {
+        let (mut up, mut down) = (0, 0);
+        while let Ok(Some(came)) = tokio::time::timeout_at(at, coming.recv()).await {
+            match came {
+                Came::LinkUp(..) => up += 1,
+                Came::Input(Input::LinkDown { .. }) => down += 1,
+                _ => {}
+            }
+        }
+        (up, down)
+    }
+
+    /// A hundred nodes of a zone behind one address, which refuses connections and then no longer does.
+    #[tokio::test]
+    async fn a_zone_that_is_cut_off_is_tried_at_its_own_rate_and_heard_as_soon_as_it_returns() {
+        use reedring_core::reconnect::{ZONE_BURST, ZONE_RATE};
+        const NODES: usize = 100;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let (came, mut coming) = mpsc::channel(1_024);
+        let shared = Arc::new(Shared::for_tests());
+        let mut links = Links::new(&shared);
+        let began = tokio::time::Instant::now();
+        for n in 0..NODES {
+            links.connect(format!("node-{n}"), (address, "hall".to_owned()), &shared, &came);
+        }
+        let (up, down) = until(&mut coming, began + std::time::Duration::from_secs(3)).await;
+        assert_eq!(up, 0);
+        let most = NODES + (ZONE_BURST + 3 * ZONE_RATE) as usize + 1;
+        assert!((NODES + 30..=most).contains(&down), "{down} tries, {most} at most");
+        // One that is wanted by nobody any more is not tried.
+        links.disconnect("node-0");
+        let listener = tokio::net::TcpListener::bind(address).await.unwrap();
+        let greeting = tokio::spawn(greet_all(listener));
+        let (up, _) =
+            until(&mut coming, tokio::time::Instant::now() + std::time::Duration::from_secs(2)).await;
+        assert_eq!(up, NODES - 1, "all others are heard within 2 s");
+        greeting.abort();
+    }
 }
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -313,7 +313,7 @@
     tokio::spawn(clients::accept(listener, limit, Arc::clone(&shared), came.clone()));
     let known = options.source.settings();
     tokio::spawn(options.source.run(listed));
-    let (clients, links) = (Clients::default(), Links::default());
+    let (clients, links) = (Clients::default(), Links::new(&shared));
     let mut shell = Shell { clients, links, shared, came, writer, known, shut_out };
     let mut batch = Vec::with_capacity(BATCH);
     loop {
@@ -399,7 +399,10 @@
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Reply { conn, response } => self.clients.reply(conn, response),
-            Output::Connect { node, address } => self.links.connect(node, address, &self.shared, &self.came),
+            Output::Connect { node, address, zone } => {
+                self.links.connect(node, (address, zone), &self.shared, &self.came);
+            }
+            Output::MoveZone { node, zone } => self.links.move_zone(&node, zone),
             Output::Disconnect { node } => self.links.disconnect(&node),
             Output::Send { node, message } => {
                 self.links.send(&node, message, &self.shared, &self.came);
