Core: looks at plans wait for something to look at, and a lease ends on time

Cause: with no majority heard, or one listed node that was never met, a placer looked at plans ten times a second, and each look goes over all nodes: by the profile most of what a placer of 5,200 silent nodes spent. The next look after the lease was over came up to a third of a lease late. Lines: `busy` and `versions.due` in crates/core/src/versions.rs.

Change: a hold that ends only once a node is heard brings no look (Hold::ends_by_time, a table); a record heard while waiting brings one within 100 ms; control machines without a majority are asked each 500 ms; the next look is no later than the end of the lease.

--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -6,8 +6,8 @@
 use reedring::{Event, Micros};
 use reedring_nodeproto::{Message, Order, Record, Stamp, Version};
 use reedring_plan::{
-    Acts, Fleet, Heard, Kept, Kin, Maker, Membership, Own, Pace, Standing, Step, Texts, Use, hold, joint,
-    must_raise, standing,
+    Acts, Fleet, Heard, Hold, Kept, Kin, Maker, Membership, Own, Pace, Standing, Step, Texts, Use, hold,
+    joint, must_raise, standing,
 };
 use reedring_settings::{Health, Settings};
 use reedring_state::{self as state, Change};
@@ -19,6 +19,8 @@
 
 /// Microseconds between two looks while a change is under way, or a node settles.
 const BUSY_US: Micros = 100_000;
+/// Microseconds between two questions to control machines while no majority of them is heard.
+const QUORUM_RETRY_US: Micros = 500_000;
 /// How often all voters are asked within a lease: the heartbeat.
 const ASKS: u64 = 3;
 
@@ -55,8 +57,8 @@
 /// What is held back by plans.
 #[derive(Debug, Default)]
 struct HeldByPlans {
-    /// Some node is: it may be open soon.
-    any: bool,
+    /// Some node is, for a reason that may end without a word of anybody.
+    ends_by_time: bool,
     /// Cold learners that are to be told by what this placer acts.
     to_raise: Vec<NodeNo>,
 }
@@ -113,6 +115,15 @@
         Stamp { version, joint, list, build: self.build }
     }
 
+    /// When the lease is over unless more voters are heard: a majority of them was heard until then.
+    fn lease_lapses(&self, fleet: &Fleet) -> Option<Micros> {
+        let mut heard: Vec<Micros> =
+            fleet.voters().filter_map(|(number, _)| self.heard.get(&number).copied()).collect();
+        let last_of_majority = fleet.majority().checked_sub(1).filter(|last| *last < heard.len())?;
+        let (_, since, _) = heard.select_nth_unstable_by(last_of_majority, |one, other| other.cmp(one));
+        Some(since.saturating_add(self.lease_us))
+    }
+
     /// Reads a plan's text as settings, once.
     fn read(&mut self, version: Version) {
         if let Some(text) = self.texts.get(version).filter(|_| !self.plans.contains_key(&version)) {
@@ -214,6 +225,12 @@
         // What only says that the node is there need not be thought over at once.
         let same = |old: &Record| Record { floor_ms: record.floor_ms, ..*old } == record;
         versions.dirty |= !before.as_ref().and_then(Kin::record).is_some_and(same);
+        // It may make up a majority again, which is looked at soon, and once for all that are heard until then.
+        let soon = now + BUSY_US;
+        if matches!(versions.standing, Standing::Waits(_)) && versions.due > soon {
+            versions.due = soon;
+            self.timers.set(soon, Timer::Plans);
+        }
     }
 
     /// A node tells the text of a plan.
@@ -306,7 +323,7 @@
         let stamp = versions.stamp(self.list_revision);
         // Control machines are few: without a majority of them they are asked until one is heard.
         let few = fleet.membership != Membership::All;
-        let every = if heard != Heard::Lately && few { BUSY_US } else { versions.lease_us / ASKS };
+        let every = if heard != Heard::Lately && few { QUORUM_RETRY_US } else { versions.lease_us / ASKS };
         let changed = (stamp.version, stamp.joint) != (before.version, before.joint) || versions.asked == 0;
         if changed || now >= versions.asked + every {
             // Voters hear by what this placer acts now, and it hears that they are there.
@@ -327,8 +344,13 @@
         orders.extend(held.to_raise.iter().map(|node| (*node, Order::Raise { stamp })));
         let mut orders = versions.pace.due(now, orders);
         orders.retain(|(node, _)| versions.kin.get(node).is_some_and(|kin| kin.record().is_some()));
-        let busy = step != Step::Quiet || held.any || matches!(versions.standing, Standing::Waits(_));
+        // Without a majority nothing changes before some node is heard.
+        let waits = matches!(versions.standing, Standing::Waits(_)) && heard == Heard::Lately;
+        let busy = step != Step::Quiet || held.ends_by_time || waits;
         versions.due = now + if busy { BUSY_US } else { every };
+        // The lease is over on time, whenever the next look would have been.
+        let lapse = versions.lease_lapses(&fleet).filter(|at| *at > now);
+        versions.due = lapse.map_or(versions.due, |at| versions.due.min(at));
         versions.texts.forget_before(force.number);
         versions
             .plans
@@ -353,7 +375,7 @@
             }
             let cold = self.nodes.is_cold(number, now, &self.settings.site);
             let held = hold(&versions.standing, &kin, cold, window / 1_000);
-            all.any |= held.is_some();
+            all.ends_by_time |= held.is_some_and(Hold::ends_by_time);
             if must_raise(held, &kin) {
                 all.to_raise.push(number);
             }
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -368,6 +368,8 @@
 
 #[cfg(test)]
 mod tests {
+    use std::time::Duration;
+
     use super::*;
 
     /// A core behind a backlog sends on for an older link after the newer one has told what its node holds.
@@ -502,8 +504,7 @@
         links.disconnect("node-0");
         let listener = tokio::net::TcpListener::bind(address).await.unwrap();
         let greeting = tokio::spawn(greet_all(listener));
-        let (up, _) =
-            until(&mut coming, tokio::time::Instant::now() + Duration::from_secs(2)).await;
+        let (up, _) = until(&mut coming, tokio::time::Instant::now() + Duration::from_secs(2)).await;
         assert_eq!(up, NODES - 1, "all others are heard within 2 s");
         greeting.abort();
     }
--- a/crates/plan/src/hold.rs
+++ b/crates/plan/src/hold.rs
@@ -34,6 +34,20 @@
             Self::Ahead => "cold, and the plan of the own file is not there yet",
         }
     }
+
+    /// Whether it may end without a word of anybody, so that it has to be looked at again and again.
+    ///
+    /// | hold | ends |
+    /// | --- | --- |
+    /// | waits, untold | once a node is heard |
+    /// | settling | after a window |
+    /// | behind, not there, ahead | by an order that is sent again where it was lost, or once the node is warm |
+    pub const fn ends_by_time(self) -> bool {
+        match self {
+            Self::Waits(_) | Self::Untold => false,
+            Self::Behind | Self::NotThere | Self::Settling | Self::Ahead => true,
+        }
+    }
 }
 
 /// Whether a node is held back from a placer.
@@ -156,6 +170,14 @@
         }
     }
 
+    #[test]
+    fn a_hold_that_ends_once_a_node_is_heard_is_not_looked_at_over_and_over() {
+        let by_word = [Hold::Waits(Why::NoMajority), Hold::Untold];
+        let by_time = [Hold::Behind, Hold::NotThere, Hold::Settling, Hold::Ahead];
+        assert_eq!(by_word.map(Hold::ends_by_time), [false; 2]);
+        assert_eq!(by_time.map(Hold::ends_by_time), [true; 4]);
+    }
+
     #[test]
     fn a_cold_node_settles_for_a_window_after_its_floor_rose_and_gets_nothing_from_who_is_ahead() {
         let acts = Acts { force: version(1), next: None, ahead: None };
