Node protocol: messages and bytes are counted by kind at either end

Change: MessageKind, Traffic (a fixed array of counters) and PeerTraffic; placers and stand-ins count where frames are encoded and read, only where they were given counters. A process of a trial may have a standard input.

--- a/crates/cli/src/programs.rs
+++ b/crates/cli/src/programs.rs
@@ -102,6 +102,7 @@
         let options = Options {
             source: Box::new(source),
             recorder: recorder.clone(),
+            traffic: None,
             settings_text: text,
             threads: self.threads,
         };
--- a/crates/nodeproto/src/lib.rs
+++ b/crates/nodeproto/src/lib.rs
@@ -11,11 +11,13 @@
 mod codec;
 mod frame;
 mod message;
+mod traffic;
 mod versions;
 
 pub use codec::decode;
 pub use frame::{FrameError, Reader, encode};
 pub use message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
+pub use traffic::{Count, Counts, MessageKind, PeerTraffic, Traffic};
 pub use versions::{Ballot, Digest, Introduced, Order, Record, Stamp, Version, level};
 
 /// The newest version of the protocol that this crate speaks. A frame has version 1 unless it says what only
--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -8,7 +8,7 @@
 use reedring_audit::Event;
 use reedring_core::Input;
 use reedring_net::Backoff;
-use reedring_nodeproto::{Message, Order, Reader, encode};
+use reedring_nodeproto::{Message, Order, Reader, Traffic, encode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -86,7 +86,8 @@
         let number = self.made.entry(node.clone()).or_default();
         *number += 1 << 32;
         let (shared, came) = (Arc::clone(shared), came.clone());
-        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came, old: None };
+        let traffic = shared.traffic.as_ref().map(|peers| peers.of(&node));
+        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came, old: None, traffic };
         let task = tokio::spawn(async move {
             if let Some(first) = first {
                 let _ = keeper.came.send(first).await;
@@ -129,6 +130,8 @@
     came: mpsc::Sender<Came>,
     /// The life of the node in which it was shown that it speaks version 1 alone.
     old: Option<u64>,
+    /// Counters of this node's messages.
+    traffic: Option<Arc<Traffic>>,
 }
 
 impl Keeper {
@@ -221,8 +224,13 @@
         let mut buffer = vec![0; 64 * 1024];
         loop {
             match reader.next_message() {
-                Ok(Some((Message::Record(_), _))) => return true,
-                Ok(Some(_)) => continue,
+                Ok(Some((message, bytes))) => {
+                    self.count_read(&message, bytes.len());
+                    if matches!(message, Message::Record(_)) {
+                        return true;
+                    }
+                    continue;
+                }
                 Ok(None) => {}
                 Err(_) => return false,
             }
@@ -239,6 +247,7 @@
             match reader.next_message() {
                 Ok(Some((message, bytes))) => {
                     self.shared.record_link(Event::FromNode, &self.node, self.number, bytes);
+                    self.count_read(&message, bytes.len());
                     let Message::Welcome { node: called, life, up_ms, can_suspend, record } = message else {
                         return Err("it did not greet".to_owned());
                     };
@@ -264,6 +273,7 @@
                 match reader.next_message() {
                     Ok(Some((message, bytes))) => {
                         self.shared.record_link(Event::FromNode, &self.node, self.number, bytes);
+                        self.count_read(&message, bytes.len());
                         let input = Input::Message { node: self.node.clone(), message };
                         if self.came.send(Came::Input(input)).await.is_err() {
                             return "the placer ends".to_owned();
@@ -281,6 +291,12 @@
         }
     }
 
+    fn count_read(&self, message: &Message, bytes: usize) {
+        if let Some(traffic) = &self.traffic {
+            traffic.read(message, bytes);
+        }
+    }
+
     async fn writes(&self, write: &mut OwnedWriteHalf, messages: &mut mpsc::Receiver<Meant>) -> String {
         let mut batch = Vec::new();
         while messages.recv_many(&mut batch, 256).await > 0 {
@@ -303,6 +319,9 @@
         for message in batch {
             let frame = encode(message);
             self.shared.record_link(Event::ToNode, &self.node, self.number, &frame);
+            if let Some(traffic) = &self.traffic {
+                traffic.wrote(message, frame.len());
+            }
             bytes.extend_from_slice(&frame);
         }
         write.write_all(&bytes).await
@@ -325,6 +344,7 @@
             shared: Arc::new(Shared::for_tests()),
             came,
             old: None,
+            traffic: None,
         };
         let (out, messages) = mpsc::channel(8);
         out.send((4, Message::Probe { nonce: 1 })).await.unwrap();
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -11,7 +11,7 @@
 
 use reedring_audit::{Event, Recorder};
 use reedring_core::{Core, Input, Level, Output, Start};
-use reedring_nodeproto::Stamp;
+use reedring_nodeproto::{PeerTraffic, Stamp};
 use reedring_settings::{Address, Settings};
 use tokio::net::{TcpListener, UnixListener};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -32,6 +32,8 @@
     pub source: Box<dyn NodeSource>,
     /// Records what crosses its sockets.
     pub recorder: Option<Arc<Recorder>>,
+    /// Counts the messages of its links by node.
+    pub traffic: Option<Arc<PeerTraffic>>,
     /// The settings' text, for the trace.
     pub settings_text: String,
     /// Threads of its runtime; 1 runs the sockets on the core's thread.
@@ -77,6 +79,8 @@
     /// By what it acts, where it tells nodes: each greeting says so.
     pub acts: Mutex<Option<Stamp>>,
     recorder: Option<Arc<Recorder>>,
+    /// Counters of the links' messages, by node.
+    pub traffic: Option<Arc<PeerTraffic>>,
 }
 
 impl Shared {
@@ -88,6 +92,7 @@
             connect_timeout: Duration::from_secs(10),
             acts: Mutex::default(),
             recorder: None,
+            traffic: None,
         }
     }
 
@@ -292,6 +297,7 @@
         connect_timeout: Duration::from_micros(settings.links.connect_us),
         acts: Mutex::new(reedring_core::first_stamp(&settings)),
         recorder: options.recorder,
+        traffic: options.traffic,
     });
     shared.record(Event::PlacerStarted, "", life, options.settings_text.as_bytes());
     let seed = settings.seed.unwrap_or(life);
--- a/crates/processes/src/program.rs
+++ b/crates/processes/src/program.rs
@@ -1,8 +1,8 @@
 //! A process of the program, its lines, and the signals that it is sent.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::path::Path;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdin, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -37,6 +37,8 @@
 pub struct Program {
     name: String,
     child: Child,
+    /// Its standard input, where it was started with one.
+    input: Option<ChildStdin>,
     lines: Shared,
 }
 
@@ -112,12 +114,39 @@
                 command
             }
         };
-        command.args(arguments);
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
+        command.args(arguments).stdin(Stdio::null());
+        Self::spawn(name, command)
+    }
+
+    /// Starts the program with these arguments and a standard input, which [`Program::tell`] writes to and which closes
+    /// when this is dropped or this process ends.
+    ///
+    /// # Errors
+    /// Where the process can't be made.
+    pub fn start_with_input(program: &Path, name: &str, arguments: &[&str]) -> Result<Self, ProcessError> {
+        let mut command = Command::new(program);
+        command.args(arguments).stdin(Stdio::piped());
+        Self::spawn(name, command)
+    }
+
+    fn spawn(name: &str, mut command: Command) -> Result<Self, ProcessError> {
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
         let lines = Shared::default();
         child.stdout.take().into_iter().for_each(|out| gather(&lines, out));
         child.stderr.take().into_iter().for_each(|err| gather(&lines, err));
-        Ok(Self { name: name.to_owned(), child, lines })
+        let input = child.stdin.take();
+        Ok(Self { name: name.to_owned(), child, input, lines })
+    }
+
+    /// Writes a line to its standard input.
+    ///
+    /// # Errors
+    /// Where it was started without one, or has ended.
+    pub fn tell(&mut self, line: &str) -> Result<(), ProcessError> {
+        let input = self.input.as_mut().ok_or(std::io::ErrorKind::NotConnected);
+        let input = input.map_err(|kind| ProcessError::Io(kind.into()))?;
+        writeln!(input, "{line}")?;
+        Ok(input.flush()?)
     }
 
     /// Its name in this trial.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,5 +14,5 @@
 pub use config::{Config, ConfigError, DrainStyle, Fleet, Reports};
 pub use groups::Groups;
 pub use model::{Effect, Fault, Keep, LinkId, Node};
-pub use serve::{Handle, ServeError, serve};
+pub use serve::{Handle, ServeError, serve, serve_counted};
 pub use slots::{Opened, Slots};
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use reedring_audit::{Event, Recorder};
-use reedring_nodeproto::{Message, Reader, encode};
+use reedring_nodeproto::{Message, PeerTraffic, Reader, Traffic, encode};
 use reedring_plan::Memory;
 use reedring_state::Disk;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -124,6 +124,7 @@
     links: BTreeMap<LinkId, Link>,
     last_link: LinkId,
     came: mpsc::Sender<Came>,
+    traffic: Option<Arc<PeerTraffic>>,
 }
 
 /// Gives a node what its folder kept of plans.
@@ -161,6 +162,22 @@
     groups: Arc<Mutex<Groups>>,
     recorder: Option<Arc<Recorder>>,
     clock: Instant,
+) -> Result<Handle, ServeError> {
+    serve_counted(config, life, seed, groups, recorder, clock, None).await
+}
+
+/// Starts a stand-in as [`serve`] does, and counts the messages of its links by placer where `traffic` is told.
+///
+/// # Errors
+/// Where its address can't be bound.
+pub async fn serve_counted(
+    config: Config,
+    life: u64,
+    seed: u64,
+    groups: Arc<Mutex<Groups>>,
+    recorder: Option<Arc<Recorder>>,
+    clock: Instant,
+    traffic: Option<Arc<PeerTraffic>>,
 ) -> Result<Handle, ServeError> {
     let (name, address) = (config.name.clone(), config.listen);
     let fault = |error| ServeError { name: name.clone(), address, error };
@@ -174,7 +191,7 @@
     if let Some(recorder) = &recorder {
         recorder.record(Event::NodeStarted, &name, "", life, b"");
     }
-    let server = Server { node, groups, recorder, clock, links: BTreeMap::new(), last_link: 0, came };
+    let server = Server { node, groups, recorder, clock, links: BTreeMap::new(), last_link: 0, came, traffic };
     let task = tokio::spawn(server.run(listener, orders, coming));
     Ok(Handle { name, address, commands, task })
 }
@@ -281,7 +298,8 @@
         let (read, write) = stream.into_split();
         let (out, messages) = mpsc::unbounded_channel();
         let placer = Arc::new(Mutex::new(String::new()));
-        let side = Side { id, name, placer: Arc::clone(&placer), recorder: self.recorder.clone() };
+        let (recorder, peers) = (self.recorder.clone(), self.traffic.clone());
+        let side = Side { id, name, placer: Arc::clone(&placer), recorder, peers, traffic: Arc::default() };
         let tasks = [
             tokio::spawn(reads(side.clone(), read, self.came.clone())),
             tokio::spawn(writes(side, write, messages)),
@@ -297,9 +315,28 @@
     name: String,
     placer: Arc<Mutex<String>>,
     recorder: Option<Arc<Recorder>>,
+    peers: Option<Arc<PeerTraffic>>,
+    /// The counters of the placer, from its greeting on.
+    traffic: Arc<OnceLock<Arc<Traffic>>>,
 }
 
 impl Side {
+    fn count_read(&self, message: &Message, bytes: usize) {
+        let Some(peers) = &self.peers else { return };
+        if let Message::Hello { placer, .. } = message {
+            self.traffic.get_or_init(|| peers.of(placer));
+        }
+        if let Some(traffic) = self.traffic.get() {
+            traffic.read(message, bytes);
+        }
+    }
+
+    fn count_written(&self, message: &Message, bytes: usize) {
+        if let Some(traffic) = self.traffic.get() {
+            traffic.wrote(message, bytes);
+        }
+    }
+
     fn record(&self, event: Event, bytes: &[u8]) {
         if let Some(recorder) = &self.recorder {
             let placer = self.placer.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -319,6 +356,7 @@
             match reader.next_message() {
                 Ok(Some((message, bytes))) => {
                     side.record(Event::NodeRead, bytes);
+                    side.count_read(&message, bytes.len());
                     if came.send(Came::Message(side.id, message)).await.is_err() {
                         break 'link;
                     }
@@ -341,6 +379,7 @@
         for message in batch.drain(..) {
             let frame = encode(&message);
             side.record(Event::NodeWrote, &frame);
+            side.count_written(&message, frame.len());
             bytes.extend_from_slice(&frame);
         }
         if write.write_all(&bytes).await.is_err() {
