--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -87,7 +87,8 @@
         *number += 1 << 32;
         let (shared, came) = (Arc::clone(shared), came.clone());
         let traffic = shared.traffic.as_ref().map(|peers| peers.of(&node));
-        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came, old: None, traffic };
+        let keeper =
+            Keeper { node: node.clone(), address, number: *number, shared, came, old: None, traffic };
         let task = tokio::spawn(async move {
             if let Some(first) = first {
                 let _ = keeper.came.send(first).await;
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -191,7 +191,8 @@
     if let Some(recorder) = &recorder {
         recorder.record(Event::NodeStarted, &name, "", life, b"");
     }
-    let server = Server { node, groups, recorder, clock, links: BTreeMap::new(), last_link: 0, came, traffic };
+    let server =
+        Server { node, groups, recorder, clock, links: BTreeMap::new(), last_link: 0, came, traffic };
     let task = tokio::spawn(server.run(listener, orders, coming));
     Ok(Handle { name, address, commands, task })
 }
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod load;
 mod relay;
+pub mod scale;
 pub mod versions;
 
 pub use fleet::{Fleet, NodeFile, Site, TrialError};
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -1,9 +1,12 @@
 //! Plays trials. The processes of a trial are this program too: `program` runs `reedring` with what follows.
 #![forbid(unsafe_code)]
 
+use std::ffi::OsString;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use reedring_trials::scale::{self, ScaleOptions};
 
 /// Trials of whole programs over loopback sockets.
 #[derive(Parser)]
@@ -17,6 +20,22 @@
 enum Trial {
     /// Changes of the plan under faults.
     Versions(Rounds),
+    /// A cluster of many nodes and several placers on this machine: what it costs, counted.
+    Scale(ScaleOptions),
+    /// Nodes of a scale run, many in this process.
+    #[command(hide = true)]
+    HollowNodes {
+        /// The nodes.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Placers of a scale run, many in this process.
+    #[command(hide = true)]
+    HollowPlacers {
+        /// Settings of each placer.
+        #[arg(long)]
+        config: Vec<PathBuf>,
+    },
 }
 
 #[derive(Args)]
@@ -29,19 +48,60 @@
     rounds: u64,
 }
 
+/// Exit code of a trial that could not be played.
+const CANNOT_PLAY: u8 = 2;
+
+fn failed(error: impl std::fmt::Display) -> ExitCode {
+    eprintln!("reedring-trials: {error}");
+    ExitCode::from(CANNOT_PLAY)
+}
+
+/// Runs `reedring` in this process, where the first argument asks for that.
+fn program(arguments: &[OsString]) -> Option<ExitCode> {
+    let word = arguments.get(1)?;
+    if word == "child-program" {
+        if let Err(error) = scale::lifeline::die_with_parent() {
+            return Some(failed(error));
+        }
+    } else if word != "program" {
+        return None;
+    }
+    let name = arguments.iter().take(1);
+    Some(reedring_cli::main_with(name.chain(arguments.iter().skip(2)).cloned()))
+}
+
 fn main() -> ExitCode {
-    let mut arguments = std::env::args_os();
-    let name = arguments.next();
-    if std::env::args_os().nth(1).is_some_and(|word| word == "program") {
-        return reedring_cli::main_with(name.into_iter().chain(arguments.skip(1)));
+    let arguments: Vec<OsString> = std::env::args_os().collect();
+    if let Some(code) = program(&arguments) {
+        return code;
+    }
+    match Cli::parse().trial {
+        Trial::Versions(rounds) => versions(&rounds),
+        Trial::Scale(options) => scale_run(&options),
+        Trial::HollowNodes { config } => ended(scale::hollow::nodes(&config)),
+        Trial::HollowPlacers { config } => ended(scale::hollow::placers(&config)),
     }
-    let Trial::Versions(Rounds { seed, rounds }) = Cli::parse().trial;
+}
+
+fn ended(result: Result<(), scale::hollow::Failure>) -> ExitCode {
+    result.map_or_else(failed, |()| ExitCode::SUCCESS)
+}
+
+fn scale_run(options: &ScaleOptions) -> ExitCode {
+    let played = || -> Result<(), scale::ScaleError> {
+        let program = std::env::current_exe()?;
+        let report = scale::play(&program, options, &mut std::io::stdout())?;
+        print!("{}", report.table());
+        options.json.as_deref().map_or(Ok(()), |path| report.add_to(path))
+    };
+    played().map_or_else(failed, |()| ExitCode::SUCCESS)
+}
+
+fn versions(Rounds { seed, rounds }: &Rounds) -> ExitCode {
+    let (seed, rounds) = (*seed, *rounds);
     let program = match std::env::current_exe() {
         Ok(program) => program,
-        Err(error) => {
-            eprintln!("reedring-trials: {error}");
-            return ExitCode::from(2);
-        }
+        Err(error) => return failed(error),
     };
     let (mut clean, mut jobs, mut settled) = (0, 0, Vec::new());
     for seed in seed..seed + rounds {
--- /dev/null
+++ b/crates/trials/src/scale/measure.rs
@@ -0,0 +1,84 @@
+//! What processes used between two looks.
+
+use std::time::Instant;
+
+use super::ScaleError;
+use super::cluster::Cluster;
+use super::counts::{LinkCounts, PlacerCounts, Share};
+use super::phase::Usage;
+use super::process_stat::ProcessSample;
+
+/// One look at the measured processes.
+pub struct Snapshot {
+    /// When.
+    pub at: Instant,
+    /// What hollow nodes counted by placer.
+    pub counts: PlacerCounts,
+    placers: Vec<ProcessSample>,
+    nodes: Vec<ProcessSample>,
+}
+
+impl Snapshot {
+    /// Looks at these real placers and all real nodes.
+    ///
+    /// # Errors
+    /// Where a process has ended.
+    pub fn take(cluster: &mut Cluster, followers: &[usize]) -> Result<Self, ScaleError> {
+        let counts = cluster.counts()?;
+        let mut placers = Vec::new();
+        for process in followers.iter().filter_map(|n| cluster.placer_process(*n)) {
+            placers.push(ProcessSample::of(process.id())?);
+        }
+        let mut nodes = Vec::new();
+        for process in &cluster.real_nodes {
+            nodes.push(ProcessSample::of(process.id())?);
+        }
+        Ok(Self { at: Instant::now(), counts, placers, nodes })
+    }
+
+    /// Resident bytes of a measured placer, on average.
+    pub fn placer_resident(&self) -> f64 {
+        mean(self.placers.iter().map(|sample| sample.resident as f64))
+    }
+
+    /// Resident bytes of a measured node, on average.
+    pub fn node_resident(&self) -> f64 {
+        mean(self.nodes.iter().map(|sample| sample.resident as f64))
+    }
+}
+
+/// The mean; 0 of nothing.
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (count, sum) = values.fold((0_u32, 0.0), |(count, sum), value| (count + 1, sum + value));
+    if count == 0 { 0.0 } else { sum / f64::from(count) }
+}
+
+/// What one process of a role used, given the samples of all measured ones and the messages of one.
+fn usage(before: &[ProcessSample], after: &[ProcessSample], counts: &LinkCounts, share_of: f64) -> Usage {
+    let spent =
+        || before.iter().zip(after).map(|(before, after)| (after.processor - before.processor).as_secs_f64());
+    let (control, work) = (counts.total(Share::Control), counts.total(Share::Work));
+    Usage {
+        processor: mean(spent()),
+        processor_most: spent().fold(0.0, f64::max),
+        resident: mean(after.iter().map(|sample| sample.resident as f64)),
+        descriptors: mean(after.iter().map(|sample| sample.descriptors as f64)),
+        control_messages: control.messages as f64 / share_of,
+        control_bytes: control.bytes as f64 / share_of,
+        work_messages: work.messages as f64 / share_of,
+        work_bytes: work.bytes as f64 / share_of,
+    }
+}
+
+/// What a measured placer and a node used between two looks. Messages are those that hollow nodes counted: of the
+/// measured placers, and of a hollow node.
+pub fn used(cluster: &Cluster, followers: &[usize], before: &Snapshot, after: &Snapshot) -> [Usage; 2] {
+    let counts = after.counts.since(&before.counts);
+    let own = followers.iter().map(|n| counts.of(&cluster.placers[*n].spec.name));
+    let own = own.fold(LinkCounts::default(), |sum, counts| sum.plus(&counts));
+    let (followers, nodes) = (followers.len().max(1) as f64, cluster.hollow_nodes().max(1) as f64);
+    [
+        usage(&before.placers, &after.placers, &own, followers),
+        usage(&before.nodes, &after.nodes, &counts.sum(), nodes),
+    ]
+}
--- /dev/null
+++ b/crates/trials/src/scale/player.rs
@@ -0,0 +1,174 @@
+//! Plays the phases of a run one after another.
+
+use std::time::{Duration, Instant};
+
+use reedring_client::Session;
+
+use super::ScaleError;
+use super::cluster::Cluster;
+use super::counts::{PlacerCounts, Share};
+use super::measure::{Snapshot, used};
+use super::options::ScaleOptions;
+use super::phase::{PhaseName, PhaseResult};
+
+/// The placer that brings changes; it is restarted for that, and not measured.
+pub const MAKER: usize = 0;
+/// Between two looks that find nothing new, for the cluster to count as quiet.
+const QUIET: Duration = Duration::from_millis(150);
+/// A cluster that is not quiet for so long never will be.
+const NEVER_QUIET: Duration = Duration::from_secs(10);
+
+/// What a phase came to beside what was used in it.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// Events that it had.
+    pub events: u64,
+    /// Seconds until changes were in force.
+    pub in_force: Vec<f64>,
+    /// In words.
+    pub notes: Vec<String>,
+}
+
+/// A cluster that plays phases.
+pub struct Player<'a> {
+    /// The cluster.
+    pub cluster: &'a mut Cluster,
+    /// What was asked for.
+    pub options: &'a ScaleOptions,
+    /// The measured placers.
+    pub followers: Vec<usize>,
+    /// A placer that is asked how it sees the nodes, so that the measured ones need not answer.
+    pub observer: usize,
+    /// Sessions whose tasks stand.
+    pub sessions: Vec<Session>,
+}
+
+impl<'a> Player<'a> {
+    /// Plays on a cluster whose placers run.
+    pub fn new(cluster: &'a mut Cluster, options: &'a ScaleOptions) -> Self {
+        let followers: Vec<usize> = cluster.real_placers().into_iter().filter(|n| *n != MAKER).collect();
+        // The last one is hollow wherever there are hollow ones.
+        let observer = cluster.placers.len() - 1;
+        Self { cluster, options, followers, observer, sessions: Vec::new() }
+    }
+
+    /// Plays one phase, and measures what was used in it until the cluster is quiet again.
+    ///
+    /// # Errors
+    /// Where it can't be played.
+    pub fn play(&mut self, phase: PhaseName) -> Result<PhaseResult, ScaleError> {
+        self.wait_quiet()?;
+        let before = Snapshot::take(self.cluster, &self.followers)?;
+        let mut found = match phase {
+            PhaseName::Idle => self.idle()?,
+            PhaseName::Standing => self.standing()?,
+            PhaseName::PlacerRestarted => self.placer_restarted()?,
+            PhaseName::PlanChange => self.plan_change()?,
+            PhaseName::ListChange => self.list_change()?,
+            PhaseName::Starts => self.starts()?,
+            PhaseName::Churn => self.churn()?,
+            PhaseName::ZoneLost => self.zone_lost()?,
+            PhaseName::RegionStill => self.region_still()?,
+            PhaseName::RegionRefused => self.region_refused()?,
+            PhaseName::PlacerKilled => self.placer_killed()?,
+            PhaseName::FastChanges => self.fast_changes()?,
+        };
+        if phase != PhaseName::Idle {
+            self.wait_quiet()?;
+        }
+        let after = Snapshot::take(self.cluster, &self.followers)?;
+        if phase == PhaseName::Standing {
+            found.notes.push(self.bytes_per_task(&before, &after, found.events));
+        }
+        let [placer, node] = used(self.cluster, &self.followers, &before, &after);
+        let (elapsed, Found { events, in_force, notes }) = (after.at - before.at, found);
+        Ok(PhaseResult { phase, elapsed, events, placer, node, in_force, notes })
+    }
+
+    fn bytes_per_task(&self, before: &Snapshot, after: &Snapshot, tasks: u64) -> String {
+        let placers = self.cluster.placers.len() as f64;
+        let (at_placer, at_node) = (tasks as f64 / placers, tasks as f64 / self.cluster.nodes.len() as f64);
+        let placer = (after.placer_resident() - before.placer_resident()) / at_placer.max(1.0);
+        let node = (after.node_resident() - before.node_resident()) / at_node.max(1.0);
+        format!("resident bytes for each own task: {placer:.0} at a placer, {node:.0} at a node")
+    }
+
+    /// Waits until no messages come; a cluster on which work goes on never is that quiet, and is not waited for long.
+    ///
+    /// # Errors
+    /// Where a process does not tell its counts.
+    pub fn wait_quiet(&mut self) -> Result<(), ScaleError> {
+        let until = Instant::now() + NEVER_QUIET;
+        let mut known = self.cluster.counts()?;
+        while Instant::now() < until {
+            std::thread::sleep(QUIET);
+            let counts = self.cluster.counts()?;
+            if counts == known {
+                return Ok(());
+            }
+            known = counts;
+        }
+        Ok(())
+    }
+
+    /// Compares what hollow placers and hollow nodes counted on their links, once nothing is under way; the messages
+    /// that both agree on.
+    ///
+    /// # Errors
+    /// Where they do not agree in time.
+    pub fn counts_agree(&mut self) -> Result<u64, ScaleError> {
+        let until = Instant::now() + NEVER_QUIET;
+        loop {
+            self.wait_quiet()?;
+            let (placers, nodes) = (self.cluster.placer_counts()?, self.cluster.counts()?);
+            match agreed(&placers, &nodes) {
+                Ok(messages) => return Ok(messages),
+                Err(wrong) if Instant::now() > until => return Err(ScaleError::CountsDiffer(wrong)),
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Brings the next plan by a restart of the maker; seconds until it is in force at every placer that runs.
+    ///
+    /// # Errors
+    /// Where it does not come in force.
+    pub fn change(&mut self) -> Result<f64, ScaleError> {
+        let asked = Instant::now();
+        self.cluster.plan += 1;
+        self.cluster.kill_placer(MAKER);
+        self.cluster.start_placer(MAKER)?;
+        self.cluster.wait_in_force()?;
+        Ok(asked.elapsed().as_secs_f64())
+    }
+}
+
+/// What placers wrote was read by nodes, kind by kind, and the other way round; the messages of it.
+fn agreed(placers: &PlacerCounts, nodes: &PlacerCounts) -> Result<u64, String> {
+    let mut messages = 0;
+    for (name, own) in &placers.0 {
+        let theirs = nodes.of(name);
+        if own.written != theirs.read || own.read != theirs.written {
+            return Err(format!("{name}: it counted {own:?}, nodes {theirs:?}"));
+        }
+        messages += own.total(Share::Whole).messages;
+    }
+    Ok(messages)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn counts_agree_only_where_each_kind_and_direction_does() {
+        let parse = |line| PlacerCounts::parse(line).unwrap();
+        let placers = parse("counts p:probe:2:40:0:0 p:report:0:0:2:60");
+        let nodes = |line| agreed(&placers, &parse(line));
+        assert_eq!(nodes("counts p:probe:0:0:2:40 p:report:2:60:0:0 q:probe:0:0:9:9"), Ok(4));
+        assert!(nodes("counts p:probe:0:0:1:40 p:report:2:60:0:0").is_err(), "a message fewer");
+        assert!(nodes("counts p:probe:0:0:2:41 p:report:2:60:0:0").is_err(), "a byte more");
+        assert!(nodes("counts p:probe:2:40:0:0 p:report:0:0:2:60").is_err(), "the other direction");
+        assert!(nodes("counts").is_err());
+    }
+}
--- /dev/null
+++ b/crates/trials/src/scale/report.rs
@@ -0,0 +1,174 @@
+//! What a run found, as a table and as a run of a run file.
+
+use std::fmt::Write as _;
+use std::path::Path;
+
+use reedring_capacity::measurement::{Measurement, Quantity, Role, Run, RunFile, Size};
+
+use super::ScaleError;
+use super::options::ScaleOptions;
+use super::phase::{PhaseName, PhaseResult, Usage};
+
+/// How the cluster agrees on a change.
+const MECHANISM: &str = "every node votes";
+/// Seconds of an hour.
+const HOUR: f64 = 3_600.0;
+/// Bytes of a MiB.
+const MIB: f64 = 1_048_576.0;
+
+/// What a run found.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// What was asked for.
+    pub size: Size,
+    /// The command that repeats it.
+    pub command: String,
+    /// Its seed.
+    pub seed: u64,
+    /// What was measured, phase by phase.
+    pub phases: Vec<PhaseResult>,
+    /// What else was found, in words.
+    pub notes: Vec<String>,
+    /// Messages on which both ends of all links between hollow processes agreed.
+    pub agreed_messages: u64,
+}
+
+impl Report {
+    /// A report without phases yet.
+    pub fn new(options: &ScaleOptions) -> Self {
+        Self {
+            size: Size {
+                nodes: options.nodes as u32,
+                placers: options.placers as u32,
+                changes_per_hour: 0.0,
+                running_tasks: options.running_tasks() as u32,
+                teams: options.teams as u32,
+                control_machines: 0,
+            },
+            command: options.command(),
+            seed: options.seed,
+            phases: Vec::new(),
+            notes: Vec::new(),
+            agreed_messages: 0,
+        }
+    }
+
+    /// The table, one line a phase.
+    pub fn table(&self) -> String {
+        let Size { nodes, placers, running_tasks, teams, .. } = self.size;
+        let mut text =
+            format!("{nodes} nodes, {placers} placers, {running_tasks} tasks, {teams} teams\n{}\n", HEAD);
+        self.phases.iter().for_each(|phase| text.push_str(&line(phase)));
+        text.push_str("one real placer that only follows, and one real node; control: links and plans\n");
+        for phase in &self.phases {
+            for note in &phase.notes {
+                let _ = writeln!(text, "  {}: {note}", phase.phase.name());
+            }
+        }
+        self.notes.iter().for_each(|note| text.push_str(&format!("  {note}\n")));
+        text
+    }
+
+    /// The run as run files have it.
+    pub fn run(&self) -> Run {
+        let mut measurements: Vec<Measurement> = Vec::new();
+        for measured in self.phases.iter().flat_map(|phase| self.measurements(phase)) {
+            let same = |other: &Measurement| {
+                (other.role, other.phase, other.quantity)
+                    == (measured.role, measured.phase, measured.quantity)
+                    && other.size == measured.size
+            };
+            if !measurements.iter().any(same) {
+                measurements.push(measured);
+            }
+        }
+        Run {
+            command: self.command.clone(),
+            seed: self.seed,
+            mechanism: MECHANISM.to_owned(),
+            revision: revision(),
+            measurements,
+        }
+    }
+
+    fn measurements(&self, result: &PhaseResult) -> Vec<Measurement> {
+        let Some(phase) = result.phase.in_run_files() else { return Vec::new() };
+        let (seconds, events) = (result.elapsed.as_secs_f64(), result.events as f64);
+        let changes_per_hour =
+            if result.phase == PhaseName::FastChanges { events / seconds * HOUR } else { 0.0 };
+        let size = Size { changes_per_hour, ..self.size };
+        let mut all = Vec::new();
+        for (role, usage) in [(Role::Placer, &result.placer), (Role::Node, &result.node)] {
+            let bytes = usage.control_bytes + usage.work_bytes;
+            let messages = usage.control_messages + usage.work_messages;
+            let mut values = vec![
+                (Quantity::ProcessorShare, usage.processor / seconds),
+                (Quantity::ResidentBytes, usage.resident),
+                (Quantity::BytesPerSecond, bytes / seconds),
+                (Quantity::MessagesPerSecond, messages / seconds),
+                (Quantity::Descriptors, usage.descriptors),
+            ];
+            if result.events > 0 {
+                values.push((Quantity::ProcessorSecondsPerEvent, usage.processor / events));
+                values.push((Quantity::BytesPerEvent, bytes / events));
+                values.push((Quantity::MessagesPerEvent, messages / events));
+            }
+            let in_force = result.in_force.iter().copied().reduce(f64::max);
+            values.extend(in_force.filter(|_| role == Role::Placer).map(|s| (Quantity::SecondsToForce, s)));
+            all.extend(values.into_iter().map(|(quantity, value)| Measurement {
+                size,
+                role,
+                phase,
+                quantity,
+                value,
+            }));
+        }
+        all
+    }
+
+    /// Adds the run to a run file, which is made where there is none.
+    ///
+    /// # Errors
+    /// Where the file can't be read or written.
+    pub fn add_to(&self, path: &Path) -> Result<(), ScaleError> {
+        let mut file = match std::fs::read_to_string(path) {
+            Ok(text) => RunFile::from_json(&text)?,
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => RunFile::default(),
+            Err(error) => return Err(error.into()),
+        };
+        file.0.push(self.run());
+        Ok(std::fs::write(path, file.to_json()?)?)
+    }
+}
+
+const HEAD: &str = "phase              seconds events  placer:  cpu s  share%   MiB    fds  \
+                    control msg      bytes  work msg     bytes   node: cpu s   MiB  control B   in force s";
+
+fn line(result: &PhaseResult) -> String {
+    let PhaseResult { phase, elapsed, events, placer, node, in_force, .. } = result;
+    let seconds = elapsed.as_secs_f64();
+    let Usage { processor, resident, descriptors, control_messages, control_bytes, .. } = placer;
+    let mut text = format!("{:<18} {seconds:>7.2} {events:>6}", phase.name());
+    let _ = write!(text, " {processor:>15.3} {:>7.2}", processor / seconds * 100.0);
+    let _ = write!(text, " {:>5.1} {descriptors:>6.0}", resident / MIB);
+    let _ = write!(text, " {control_messages:>12.0} {control_bytes:>10.0}");
+    let _ = write!(text, " {:>9.0} {:>9.0}", placer.work_messages, placer.work_bytes);
+    let _ =
+        write!(text, " {:>13.3} {:>5.1} {:>10.0}", node.processor, node.resident / MIB, node.control_bytes);
+    if !in_force.is_empty() {
+        let most = in_force.iter().copied().fold(0.0, f64::max);
+        let mut sorted = in_force.clone();
+        sorted.sort_by(f64::total_cmp);
+        let _ = write!(text, "   {:.3}, most {most:.3}", sorted[sorted.len() / 2]);
+    }
+    text.push('\n');
+    text
+}
+
+/// The revision of the source, where it can be told; else the version of the package.
+fn revision() -> String {
+    let asked = std::process::Command::new("git").args(["rev-parse", "--short", "HEAD"]).output();
+    let told = asked.ok().filter(|output| output.status.success());
+    let told = told.and_then(|output| String::from_utf8(output.stdout).ok());
+    told.map_or_else(|| env!("CARGO_PKG_VERSION").to_owned(), |text| text.trim().to_owned())
+}
--- /dev/null
+++ b/crates/trials/src/scale/topology.rs
@@ -0,0 +1,83 @@
+//! Where the nodes of a run stand: regions, zones, racks, and the loopback address of each node.
+
+use std::net::SocketAddr;
+
+/// Regions of the cluster.
+pub const REGIONS: usize = 8;
+/// Zones of the cluster, spread over the regions in turn. A zone is a `hall` of the node list.
+pub const ZONES: usize = 31;
+/// Nodes in one rack.
+const NODES_PER_RACK: usize = 20;
+/// How the names of hollow nodes begin.
+pub const HOLLOW_PREFIX: &str = "hollow-";
+/// Hosts that one loopback network of 256 is used for.
+const HOSTS: usize = 250;
+/// The first number after `127.` of node addresses; lower ones are left to the other trials.
+const FIRST_NETWORK: u8 = 200;
+/// The loopback network of the placers.
+const PLACER_NETWORK: u8 = 254;
+
+/// A node of the run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSpec {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: usize,
+    /// Its zone.
+    pub zone: usize,
+    /// Its rack, within the zone.
+    pub rack: usize,
+    /// It has a process of its own, and is measured.
+    pub real: bool,
+}
+
+/// The address of the n-th node. `port` is the run's own, so that runs at the same time do not meet.
+pub fn node_address(n: usize, port: u16) -> SocketAddr {
+    let network = FIRST_NETWORK + (n / (HOSTS * HOSTS)) as u8;
+    SocketAddr::from(([127, network, (n / HOSTS % HOSTS) as u8, 1 + (n % HOSTS) as u8], port))
+}
+
+/// The address at which the n-th placer takes calls.
+pub fn placer_address(n: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, PLACER_NETWORK, (n / HOSTS) as u8, 1 + (n % HOSTS) as u8], port))
+}
+
+/// All nodes of a run, the real ones first, spread evenly over the zones.
+pub fn nodes(count: usize, real: usize, port: u16) -> Vec<NodeSpec> {
+    let node = |n: usize| {
+        let (zone, real) = (n % ZONES, n < real);
+        let prefix = if real { "real-" } else { HOLLOW_PREFIX };
+        NodeSpec {
+            name: format!("{prefix}node-{n:05}"),
+            address: node_address(n, port),
+            region: zone % REGIONS,
+            zone,
+            rack: n / ZONES / NODES_PER_RACK,
+            real,
+        }
+    };
+    (0..count).map(node).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn nodes_have_names_and_addresses_of_their_own_and_fill_every_zone_evenly() {
+        let nodes = nodes(5_200, 3, 9_000);
+        let names: BTreeSet<_> = nodes.iter().map(|node| &node.name).collect();
+        let addresses: BTreeSet<_> = nodes.iter().map(|node| node.address).collect();
+        assert_eq!((names.len(), addresses.len()), (5_200, 5_200));
+        assert!(nodes.iter().all(|node| node.address.ip().is_loopback()));
+        let in_zone = |zone| nodes.iter().filter(|node| node.zone == zone).count();
+        assert!((0..ZONES).all(|zone| (167..=168).contains(&in_zone(zone))));
+        let regions: BTreeSet<_> = nodes.iter().map(|node| (node.zone, node.region)).collect();
+        assert_eq!(regions.len(), ZONES, "a zone lies in one region");
+        assert_eq!(nodes.iter().filter(|node| node.real).count(), 3);
+    }
+}
