--- a/crates/trials/src/scale/cluster/nodes.rs
+++ b/crates/trials/src/scale/cluster/nodes.rs
@@ -10,7 +10,7 @@
 use crate::scale::topology::{NodeSpec, REGIONS};
 
 impl Cluster {
-    fn start_hollow_nodes(&mut self, per_region: usize) -> Result<(), ScaleError> {
+    pub(super) fn start_hollow_nodes(&mut self, per_region: usize) -> Result<(), ScaleError> {
         for region in 0..REGIONS {
             let here = self.nodes.iter().filter(|node| !node.real && node.region == region);
             let here: Vec<NodeSpec> = here.cloned().collect();
@@ -63,7 +63,7 @@
         if answer.starts_with("failed") { Err(ScaleError::Refused(answer)) } else { Ok(()) }
     }
 
-    fn start_real_nodes(&mut self) -> Result<(), ScaleError> {
+    pub(super) fn start_real_nodes(&mut self) -> Result<(), ScaleError> {
         let real: Vec<NodeSpec> = self.nodes.iter().filter(|node| node.real).cloned().collect();
         for node in real {
             let config =
--- a/crates/trials/src/scale/mod.rs
+++ b/crates/trials/src/scale/mod.rs
@@ -29,6 +29,7 @@
 mod player;
 mod process_stat;
 mod report;
+pub mod slopes;
 mod topology;
 mod work;
 
