Trials: a scale run claims its port, and an idle cluster is measured over whole rounds of asking

Cause: two runs of one process took the same addresses; an idle window of one round's length held none or two of them.

--- a/crates/trials/src/scale/cluster.rs
+++ b/crates/trials/src/scale/cluster.rs
@@ -22,6 +22,8 @@
 pub const PATIENCE: Duration = Duration::from_secs(120);
 /// Ports of runs, below those that the system gives to connections.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// Between the first ports that two processes with successive ids try.
+const PORTS_APART: u32 = 7;
 
 /// Hollow nodes of one region in one process.
 pub struct NodeGroup {
@@ -63,15 +65,20 @@
     program: PathBuf,
     dir: TempDir,
     seed: u64,
+    /// Keeps the run's port from other runs.
+    _claim: TcpListener,
 }
 
-/// A port at which no other run listens now.
-fn free_port() -> Result<u16, ScaleError> {
+/// A port that no other run uses now, and the listener that keeps it for this one.
+fn claim_port() -> Result<(u16, TcpListener), ScaleError> {
     let count = u32::from(PORTS.end - PORTS.start);
     for n in 0..count {
-        let port = PORTS.start + ((std::process::id() * 7 + n) % count) as u16;
-        if TcpListener::bind(topology::node_address(0, port)).is_ok() {
-            return Ok(port);
+        let port = PORTS.start + ((std::process::id() * PORTS_APART + n) % count) as u16;
+        let claim = TcpListener::bind(topology::claim_address(port));
+        if let Ok(claim) = claim
+            && TcpListener::bind(topology::node_address(0, port)).is_ok()
+        {
+            return Ok((port, claim));
         }
     }
     Err(ScaleError::Io(std::io::ErrorKind::AddrNotAvailable.into()))
@@ -92,7 +99,7 @@
     /// # Errors
     /// Where a process does not start.
     pub fn start(program: &Path, options: &ScaleOptions, layout: &Layout) -> Result<Self, ScaleError> {
-        let port = free_port()?;
+        let (port, claim) = claim_port()?;
         let dir = tempfile::Builder::new().prefix("reedring-scale-").tempdir()?;
         super::interrupt::remove_on_signal(dir.path());
         let spec = |spec| PlacerProcess { spec, process: None, hollow: 0 };
@@ -109,6 +116,7 @@
             program: program.to_owned(),
             dir,
             seed: options.seed,
+            _claim: claim,
         };
         cluster.start_hollow_nodes(layout.processes_per_region)?;
         cluster.start_real_nodes()?;
--- a/crates/trials/src/scale/mod.rs
+++ b/crates/trials/src/scale/mod.rs
@@ -45,7 +45,7 @@
 use needs::DoesNotFit;
 pub use options::ScaleOptions;
 use phase::PhaseName;
-use player::{MAKER, Player};
+use player::Player;
 pub use report::Report;
 
 /// Placers at least: one that brings changes and one that is measured.
@@ -157,10 +157,9 @@
 fn bytes_per_link(player: &mut Player<'_>, empty: &Snapshot) -> Result<String, ScaleError> {
     let linked = Snapshot::take(player.cluster, &player.followers.clone())?;
     let at_node = (linked.node_resident() - empty.node_resident()) / player.cluster.placers.len() as f64;
-    let placers = player.cluster.placers.len() - 1;
     let at_placer = linked.placer_resident() / player.cluster.nodes.len() as f64;
     Ok(format!(
-        "resident bytes: {at_node:.0} at a node for each placer, {at_placer:.0} at a placer for each node (all of \
-         it divided); placer {MAKER} of {placers} others brings changes"
+        "resident bytes once linked: {at_node:.0} more at a node for each placer; all of a placer divided by its nodes \
+         is {at_placer:.0}"
     ))
 }
--- a/crates/trials/src/scale/options.rs
+++ b/crates/trials/src/scale/options.rs
@@ -32,7 +32,7 @@
     /// Seconds that a placer goes on without a word of a majority; it asks every node three times in this time.
     #[arg(long, default_value_t = 30.0)]
     pub lease: f64,
-    /// Seconds for which the idle cluster, starts and cuts are measured.
+    /// Seconds for which the idle cluster, starts and cuts are measured; the idle one to the end of a round of asking.
     #[arg(long, default_value_t = 10.0)]
     pub window: f64,
     /// Changes of configuration, one after another, in their phase.
--- a/crates/trials/src/scale/player.rs
+++ b/crates/trials/src/scale/player.rs
@@ -3,9 +3,11 @@
 use std::time::{Duration, Instant};
 
 use reedring_client::Session;
+use reedring_nodeproto::MessageKind;
+use reedring_processes::ProcessError;
 
 use super::ScaleError;
-use super::cluster::Cluster;
+use super::cluster::{Cluster, PATIENCE};
 use super::counts::{PlacerCounts, Share};
 use super::measure::{Snapshot, used};
 use super::options::ScaleOptions;
@@ -57,6 +59,9 @@
     /// # Errors
     /// Where it can't be played.
     pub fn play(&mut self, phase: PhaseName) -> Result<PhaseResult, ScaleError> {
+        if phase == PhaseName::Idle {
+            self.wait_asked()?;
+        }
         self.wait_quiet()?;
         let before = Snapshot::take(self.cluster, &self.followers)?;
         let mut found = match phase {
@@ -73,9 +78,7 @@
             PhaseName::PlacerKilled => self.placer_killed()?,
             PhaseName::FastChanges => self.fast_changes()?,
         };
-        if phase != PhaseName::Idle {
-            self.wait_quiet()?;
-        }
+        self.wait_quiet()?;
         let after = Snapshot::take(self.cluster, &self.followers)?;
         if phase == PhaseName::Standing {
             found.notes.push(self.bytes_per_task(&before, &after, found.events));
@@ -111,6 +114,29 @@
         Ok(())
     }
 
+    /// Waits until the first measured placer has asked every hollow node once more what it keeps. Nothing else comes of
+    /// an idle cluster, so a measurement from one such moment to another holds a whole number of these rounds.
+    ///
+    /// # Errors
+    /// Where it does not ask in time.
+    pub fn wait_asked(&mut self) -> Result<(), ScaleError> {
+        let name = self.cluster.placers[self.followers[0]].spec.name.clone();
+        let asked = |cluster: &mut Cluster| -> Result<u64, ScaleError> {
+            Ok(cluster.counts()?.of(&name).read[MessageKind::PlanAsk as usize].messages)
+        };
+        let (nodes, until) = (self.cluster.hollow_nodes() as u64, Instant::now() + PATIENCE);
+        let known = asked(self.cluster)?;
+        while asked(self.cluster)? < known + nodes {
+            if Instant::now() > until {
+                return Err(
+                    ProcessError::Silent(name, "every node was asked".to_owned(), String::new()).into()
+                );
+            }
+            std::thread::sleep(QUIET);
+        }
+        Ok(())
+    }
+
     /// Compares what hollow placers and hollow nodes counted on their links, once nothing is under way; the messages
     /// that both agree on.
     ///
--- a/crates/trials/src/scale/topology.rs
+++ b/crates/trials/src/scale/topology.rs
@@ -16,6 +16,8 @@
 const FIRST_NETWORK: u8 = 200;
 /// The loopback network of the placers.
 const PLACER_NETWORK: u8 = 254;
+/// The loopback network of claims on ports.
+const CLAIM_NETWORK: u8 = 253;
 
 /// A node of the run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +47,11 @@
     SocketAddr::from(([127, PLACER_NETWORK, (n / HOSTS) as u8, 1 + (n % HOSTS) as u8], port))
 }
 
+/// The address that is listened at by the run that uses a port.
+pub fn claim_address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, CLAIM_NETWORK, 0, 1], port))
+}
+
 /// All nodes of a run, the real ones first, spread evenly over the zones.
 pub fn nodes(count: usize, real: usize, port: u16) -> Vec<NodeSpec> {
     let node = |n: usize| {
--- a/crates/trials/src/scale/work.rs
+++ b/crates/trials/src/scale/work.rs
@@ -22,9 +22,15 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 impl Player<'_> {
+    /// Rounds of asking, for as long as the window at least.
     pub(super) fn idle(&mut self) -> Result<Found, ScaleError> {
-        std::thread::sleep(self.options.window());
-        Ok(Found::default())
+        let (began, mut rounds) = (Instant::now(), 0);
+        while began.elapsed() < self.options.window() {
+            self.wait_asked()?;
+            rounds += 1;
+        }
+        let notes = vec![format!("{rounds} rounds in which each node is asked what it keeps")];
+        Ok(Found { notes, ..Found::default() })
     }
 
     /// Contacts of all placers that take tasks: the maker comes and goes.
