Trials: scale runs tell messages by kind, and how far both ends of links agree

Cause: at 2,600 nodes ten greetings were not read in time and their links cut, so that both ends can't count alike there; a burst's bytes a second depend on how long it was waited for. Change: messages written and never read are told as lost, and what was read and never written is an error; run files have figures by the second only for phases with a rate.

--- a/crates/trials/src/scale/mod.rs
+++ b/crates/trials/src/scale/mod.rs
@@ -3,7 +3,7 @@
 //! Three placers and three nodes are the real programs, each a process of its own, which is measured from `/proc`.
 //! All others are *hollow*: the real protocol over loopback sockets with the real cores behind it, many to a process.
 //! Nothing is estimated: hollow nodes count each message and its bytes by kind and placer, and hollow placers count the
-//! same, so that both ends of a link can be compared.
+//! same, so that both ends of a link can be compared: they differ by what was on links that were cut.
 //!
 //! One real placer brings changes - today that takes a file with the next plan and a restart - and is not measured;
 //! the other real ones only follow, as nearly all placers do in each change. Phases ([`phase::PhaseName`]) are played
@@ -45,6 +45,7 @@
 use needs::DoesNotFit;
 pub use options::ScaleOptions;
 use phase::PhaseName;
+pub use player::Agreement;
 use player::Player;
 pub use report::Report;
 
@@ -84,8 +85,8 @@
     /// A hollow process answered something else.
     #[error("scale: a hollow process answered: {0}")]
     Refused(String),
-    /// Both ends of links counted other messages.
-    #[error("scale: the ends of a link counted other messages: {0}")]
+    /// An end of a link counted messages that the other did not.
+    #[error("scale: one end of a link has read what the other never wrote: {0}")]
     CountsDiffer(String),
     /// The run file can't be read.
     #[error("scale: run file: {0}")]
@@ -144,13 +145,20 @@
     }
     writeln!(out, "all placers have a link to every node")?;
     let mut player = Player::new(&mut cluster, options);
-    report.agreed_messages = player.counts_agree()?;
     report.notes.push(bytes_per_link(&mut player, &empty)?);
+    let mut cut = false;
     for phase in PhaseName::ALL.into_iter().filter(|phase| options.plays(*phase)) {
+        if phase.cuts_links() && !cut {
+            report.agreement = player.compare_counts()?;
+            cut = true;
+        }
         let result = player.play(phase)?;
         writeln!(out, "{} took {:.2} s", phase.name(), result.elapsed.as_secs_f64())?;
         report.phases.push(result);
     }
+    if !cut {
+        report.agreement = player.compare_counts()?;
+    }
     Ok(report)
 }
 
--- a/crates/trials/src/scale/phase.rs
+++ b/crates/trials/src/scale/phase.rs
@@ -4,6 +4,7 @@
 
 use clap::ValueEnum;
 use reedring_capacity::measurement::Phase;
+use reedring_nodeproto::MessageKind;
 
 /// The phases, in the order in which they are played.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, ValueEnum)]
@@ -69,6 +70,27 @@
         }
     }
 
+    /// Whether nodes end or stand still in it, so that messages may be on the way when a process ends.
+    pub const fn cuts_links(self) -> bool {
+        match self {
+            Self::Idle
+            | Self::Standing
+            | Self::PlacerRestarted
+            | Self::PlanChange
+            | Self::ListChange
+            | Self::Starts
+            | Self::PlacerKilled
+            | Self::FastChanges => false,
+            Self::Churn | Self::ZoneLost | Self::RegionStill | Self::RegionRefused => true,
+        }
+    }
+
+    /// Whether it lasts as long as it was told to, at a rate that was asked for: what it used by the second means
+    /// something. All others last until their events are over, and are measured by the event.
+    pub const fn has_rate(self) -> bool {
+        matches!(self, Self::Idle | Self::Starts | Self::FastChanges)
+    }
+
     /// The phase of run files under which it is kept; fast changes are changes at another rate. None for variants of
     /// a phase that run files have once.
     pub const fn in_run_files(self) -> Option<Phase> {
@@ -107,6 +129,17 @@
     pub work_bytes: f64,
 }
 
+/// What one end of a link counted of a kind of message.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KindUsage {
+    /// Which.
+    pub kind: MessageKind,
+    /// Messages, of a measured placer on average. Each kind goes one way only.
+    pub messages: f64,
+    /// Their bytes.
+    pub bytes: f64,
+}
+
 /// What was measured in a phase.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PhaseResult {
@@ -120,6 +153,8 @@
     pub placer: Usage,
     /// A real node; its messages are those of a hollow node.
     pub node: Usage,
+    /// Messages of a measured placer, by kind; those alone that it had.
+    pub kinds: Vec<KindUsage>,
     /// Seconds from asking for a change until it was in force at every placer, each change by itself.
     pub in_force: Vec<f64>,
     /// What else was found, in words.
--- a/crates/trials/src/scale/report.rs
+++ b/crates/trials/src/scale/report.rs
@@ -7,7 +7,8 @@
 
 use super::ScaleError;
 use super::options::ScaleOptions;
-use super::phase::{PhaseName, PhaseResult, Usage};
+use super::phase::{KindUsage, PhaseName, PhaseResult, Usage};
+use super::player::Agreement;
 
 /// How the cluster agrees on a change.
 const MECHANISM: &str = "every node votes";
@@ -29,8 +30,8 @@
     pub phases: Vec<PhaseResult>,
     /// What else was found, in words.
     pub notes: Vec<String>,
-    /// Messages on which both ends of all links between hollow processes agreed.
-    pub agreed_messages: u64,
+    /// How far both ends of all links between hollow processes agreed.
+    pub agreement: Agreement,
 }
 
 impl Report {
@@ -49,7 +50,7 @@
             seed: options.seed,
             phases: Vec::new(),
             notes: Vec::new(),
-            agreed_messages: 0,
+            agreement: Agreement::default(),
         }
     }
 
@@ -60,11 +61,18 @@
             format!("{nodes} nodes, {placers} placers, {running_tasks} tasks, {teams} teams\n{}\n", HEAD);
         self.phases.iter().for_each(|phase| text.push_str(&line(phase)));
         text.push_str("one real placer that only follows, and one real node; control: links and plans\n");
+        text.push_str("messages and bytes of that placer by kind, each phase by itself\n");
+        self.phases.iter().for_each(|phase| text.push_str(&kinds(phase)));
         for phase in &self.phases {
             for note in &phase.notes {
                 let _ = writeln!(text, "  {}: {note}", phase.phase.name());
             }
         }
+        let Agreement { agreed, lost } = self.agreement;
+        let _ = writeln!(
+            text,
+            "  both ends of hollow links counted {agreed} messages alike, {lost} were lost on cut links"
+        );
         self.notes.iter().for_each(|note| text.push_str(&format!("  {note}\n")));
         text
     }
@@ -101,13 +109,13 @@
         for (role, usage) in [(Role::Placer, &result.placer), (Role::Node, &result.node)] {
             let bytes = usage.control_bytes + usage.work_bytes;
             let messages = usage.control_messages + usage.work_messages;
-            let mut values = vec![
-                (Quantity::ProcessorShare, usage.processor / seconds),
-                (Quantity::ResidentBytes, usage.resident),
-                (Quantity::BytesPerSecond, bytes / seconds),
-                (Quantity::MessagesPerSecond, messages / seconds),
-                (Quantity::Descriptors, usage.descriptors),
-            ];
+            let mut values =
+                vec![(Quantity::ResidentBytes, usage.resident), (Quantity::Descriptors, usage.descriptors)];
+            if result.phase.has_rate() {
+                values.push((Quantity::ProcessorShare, usage.processor / seconds));
+                values.push((Quantity::BytesPerSecond, bytes / seconds));
+                values.push((Quantity::MessagesPerSecond, messages / seconds));
+            }
             if result.events > 0 {
                 values.push((Quantity::ProcessorSecondsPerEvent, usage.processor / events));
                 values.push((Quantity::BytesPerEvent, bytes / events));
@@ -165,6 +173,16 @@
     text
 }
 
+/// One line with the messages of each kind.
+fn kinds(result: &PhaseResult) -> String {
+    let mut text = format!("  {:<16}", result.phase.name());
+    for KindUsage { kind, messages, bytes } in &result.kinds {
+        let _ = write!(text, " {} {messages:.0}/{bytes:.0}", kind.name());
+    }
+    text.push('\n');
+    text
+}
+
 /// The revision of the source, where it can be told; else the version of the package.
 fn revision() -> String {
     let asked = std::process::Command::new("git").args(["rev-parse", "--short", "HEAD"]).output();
