--- a/crates/nodeproto/src/traffic.rs
+++ b/crates/nodeproto/src/traffic.rs
@@ -36,6 +36,8 @@
     PlanJoint,
     /// [`Order::Force`].
     PlanForce,
+    /// [`Order::Raise`].
+    PlanRaise,
     /// [`Message::Welcome`].
     Welcome,
     /// [`Message::Record`].
@@ -58,7 +60,7 @@
 
 impl MessageKind {
     /// Every kind, in the order of the counters.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Hello,
         Self::Offer,
         Self::Stop,
@@ -72,6 +74,7 @@
         Self::PlanAccept,
         Self::PlanJoint,
         Self::PlanForce,
+        Self::PlanRaise,
         Self::Welcome,
         Self::Record,
         Self::PlanText,
@@ -99,6 +102,7 @@
             Message::Plan(Order::Accept { .. }) => Self::PlanAccept,
             Message::Plan(Order::Joint { .. }) => Self::PlanJoint,
             Message::Plan(Order::Force { .. }) => Self::PlanForce,
+            Message::Plan(Order::Raise { .. }) => Self::PlanRaise,
             Message::Welcome { .. } => Self::Welcome,
             Message::Record(_) => Self::Record,
             Message::PlanText { .. } => Self::PlanText,
@@ -127,6 +131,7 @@
             Self::PlanAccept => "plan-accept",
             Self::PlanJoint => "plan-joint",
             Self::PlanForce => "plan-force",
+            Self::PlanRaise => "plan-raise",
             Self::Welcome => "welcome",
             Self::Record => "record",
             Self::PlanText => "plan-text",
@@ -154,6 +159,7 @@
                 | Self::PlanAccept
                 | Self::PlanJoint
                 | Self::PlanForce
+                | Self::PlanRaise
         )
     }
 }
--- a/crates/trials/src/scale/changes.rs
+++ b/crates/trials/src/scale/changes.rs
@@ -44,7 +44,7 @@
     /// One node is in another rack.
     pub(super) fn list_change(&mut self) -> Result<Found, ScaleError> {
         let asked = Instant::now();
-        let changed = self.cluster.nodes.len() - 1;
+        let changed = self.options.nodes - 1;
         self.cluster.nodes[changed].rack += 1;
         let (name, rack) = {
             let node = &self.cluster.nodes[changed];
--- a/crates/trials/src/scale/cluster.rs
+++ b/crates/trials/src/scale/cluster.rs
@@ -54,6 +54,8 @@
     pub groups: Vec<NodeGroup>,
     /// Nodes with a process of their own.
     pub real_nodes: Vec<Program>,
+    /// Machines set aside for control, each with a process of its own.
+    pub control: Vec<Program>,
     /// The placers, the real ones first.
     pub placers: Vec<PlacerProcess>,
     /// The plan that was brought last.
@@ -104,9 +106,10 @@
         super::interrupt::remove_on_signal(dir.path());
         let spec = |spec| PlacerProcess { spec, process: None, hollow: 0 };
         let mut cluster = Self {
-            nodes: topology::nodes(layout.nodes, layout.real_nodes, port),
+            nodes: topology::nodes(layout.nodes, layout.real_nodes, layout.control, port),
             groups: Vec::new(),
             real_nodes: Vec::new(),
+            control: Vec::new(),
             placers: placer_specs(layout, port).into_iter().map(spec).collect(),
             plan: 1,
             hollow_placers: Vec::new(),
@@ -120,6 +123,7 @@
         };
         cluster.start_hollow_nodes(layout.processes_per_region)?;
         cluster.start_real_nodes()?;
+        cluster.start_control()?;
         cluster.write_list()?;
         Ok(cluster)
     }
@@ -149,7 +153,8 @@
     pub fn process_ids(&self) -> BTreeMap<String, u32> {
         let groups = self.groups.iter().filter_map(|group| group.process.as_ref());
         let placers = self.placers.iter().filter_map(|placer| placer.process.as_ref());
-        let all = groups.chain(&self.real_nodes).chain(placers).chain(&self.hollow_placers);
+        let all =
+            groups.chain(&self.real_nodes).chain(&self.control).chain(placers).chain(&self.hollow_placers);
         all.map(|process| (process.name().to_owned(), process.id())).collect()
     }
 
--- a/crates/trials/src/scale/cluster/nodes.rs
+++ b/crates/trials/src/scale/cluster/nodes.rs
@@ -12,7 +12,7 @@
 impl Cluster {
     pub(super) fn start_hollow_nodes(&mut self, per_region: usize) -> Result<(), ScaleError> {
         for region in 0..REGIONS {
-            let here = self.nodes.iter().filter(|node| !node.real && node.region == region);
+            let here = self.nodes.iter().filter(|node| !node.real && !node.control && node.region == region);
             let here: Vec<NodeSpec> = here.cloned().collect();
             for (part, nodes) in here.chunks(here.len().div_ceil(per_region).max(1)).enumerate() {
                 let name = format!("hollow-nodes-{region}-{part}");
@@ -63,6 +63,31 @@
         if answer.starts_with("failed") { Err(ScaleError::Refused(answer)) } else { Ok(()) }
     }
 
+    pub(super) fn start_control(&mut self) -> Result<(), ScaleError> {
+        let control: Vec<NodeSpec> = self.nodes.iter().filter(|node| node.control).cloned().collect();
+        for node in control {
+            let config =
+                self.write(&format!("{}.toml", node.name), &node_configs(&[node.clone()], self.seed))?;
+            let arguments = ["hollow-nodes", "--config", &config.display().to_string()];
+            let process = Program::start_with_input(&self.program, &node.name, &arguments)?;
+            process.wait_line(0, "ready", PATIENCE, |line| line == "ready")?;
+            self.control.push(process);
+        }
+        Ok(())
+    }
+
+    /// What control machines counted by placer.
+    ///
+    /// # Errors
+    /// Where a process does not tell.
+    pub fn control_counts(&mut self) -> Result<PlacerCounts, ScaleError> {
+        let mut all = PlacerCounts::default();
+        for process in &mut self.control {
+            all.add(&ask_counts(process)?);
+        }
+        Ok(all)
+    }
+
     pub(super) fn start_real_nodes(&mut self) -> Result<(), ScaleError> {
         let real: Vec<NodeSpec> = self.nodes.iter().filter(|node| node.real).cloned().collect();
         for node in real {
--- a/crates/trials/src/scale/hollow.rs
+++ b/crates/trials/src/scale/hollow.rs
@@ -91,7 +91,11 @@
 pub fn nodes(config: &Path) -> Result<(), Failure> {
     die_with_parent()?;
     log();
-    let fleet = Fleet::parse(&std::fs::read_to_string(config)?, &config.display().to_string())?;
+    let mut fleet = Fleet::parse(&std::fs::read_to_string(config)?, &config.display().to_string())?;
+    let folder = config.parent().unwrap_or(Path::new(""));
+    for node in &mut fleet.node {
+        node.plan_dir = node.plan_dir.take().map(|dir| folder.join(dir));
+    }
     let names: Vec<String> = fleet.node.iter().map(|node| node.name.clone()).collect();
     let mut nodes = Nodes {
         runtime: tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?,
--- a/crates/trials/src/scale/mod.rs
+++ b/crates/trials/src/scale/mod.rs
@@ -140,7 +140,7 @@
     cluster.wait_in_force()?;
     for placer in 0..cluster.placers.len() {
         cluster.wait_nodes(placer, "a link to every node", |lines| {
-            lines.len() == options.nodes && lines.iter().all(|line| line.linked)
+            lines.len() == options.nodes + options.control && lines.iter().all(|line| line.linked)
         })?;
     }
     writeln!(out, "all placers have a link to every node")?;
--- a/crates/trials/src/scale/phase.rs
+++ b/crates/trials/src/scale/phase.rs
@@ -134,7 +134,7 @@
 pub struct KindUsage {
     /// Which.
     pub kind: MessageKind,
-    /// Messages, of a measured placer on average. Each kind goes one way only.
+    /// Messages of one process of a role, on average. Each kind goes one way only.
     pub messages: f64,
     /// Their bytes.
     pub bytes: f64,
@@ -153,8 +153,12 @@
     pub placer: Usage,
     /// A real node; its messages are those of a hollow node.
     pub node: Usage,
+    /// A control machine, where there are some.
+    pub control: Option<Usage>,
     /// Messages of a measured placer, by kind; those alone that it had.
     pub kinds: Vec<KindUsage>,
+    /// Messages of a hollow node, by kind.
+    pub node_kinds: Vec<KindUsage>,
     /// Seconds from asking for a change until it was in force at every placer, each change by itself.
     pub in_force: Vec<f64>,
     /// What else was found, in words.
--- a/crates/trials/src/scale/player.rs
+++ b/crates/trials/src/scale/player.rs
@@ -83,9 +83,10 @@
         if phase == PhaseName::Standing {
             found.notes.push(self.bytes_per_task(&before, &after, found.events));
         }
-        let Used { placer, node, kinds } = used(self.cluster, &self.followers, &before, &after);
+        let Used { placer, node, control, kinds, node_kinds } =
+            used(self.cluster, &self.followers, &before, &after);
         let (elapsed, Found { events, in_force, notes }) = (after.at - before.at, found);
-        Ok(PhaseResult { phase, elapsed, events, placer, node, kinds, in_force, notes })
+        Ok(PhaseResult { phase, elapsed, events, placer, node, control, kinds, node_kinds, in_force, notes })
     }
 
     fn bytes_per_task(&self, before: &Snapshot, after: &Snapshot, tasks: u64) -> String {
@@ -102,10 +103,13 @@
     /// Where a process does not tell its counts.
     pub fn wait_quiet(&mut self) -> Result<(), ScaleError> {
         let until = Instant::now() + NEVER_QUIET;
-        let mut known = self.cluster.counts()?;
+        let look = |cluster: &mut Cluster| -> Result<_, ScaleError> {
+            Ok((cluster.counts()?, cluster.control_counts()?))
+        };
+        let mut known = look(self.cluster)?;
         while Instant::now() < until {
             std::thread::sleep(QUIET);
-            let counts = self.cluster.counts()?;
+            let counts = look(self.cluster)?;
             if counts == known {
                 return Ok(());
             }
@@ -114,17 +118,21 @@
         Ok(())
     }
 
-    /// Waits until the first measured placer has asked every hollow node once more what it keeps. Nothing else comes of
+    /// Waits until the first measured placer has asked every node that votes once more what it keeps. Nothing else comes of
     /// an idle cluster, so a measurement from one such moment to another holds a whole number of these rounds.
     ///
     /// # Errors
     /// Where it does not ask in time.
     pub fn wait_asked(&mut self) -> Result<(), ScaleError> {
         let name = self.cluster.placers[self.followers[0]].spec.name.clone();
+        // Where there are control machines, only they are asked.
+        let (control, hollow) = (self.cluster.control.len(), self.cluster.hollow_nodes());
         let asked = |cluster: &mut Cluster| -> Result<u64, ScaleError> {
-            Ok(cluster.counts()?.of(&name).read[MessageKind::PlanAsk as usize].messages)
+            let counts = if control > 0 { cluster.control_counts()? } else { cluster.counts()? };
+            Ok(counts.of(&name).read[MessageKind::PlanAsk as usize].messages)
         };
-        let (nodes, until) = (self.cluster.hollow_nodes() as u64, Instant::now() + PATIENCE);
+        let nodes = if control > 0 { control } else { hollow } as u64;
+        let until = Instant::now() + PATIENCE;
         let known = asked(self.cluster)?;
         while asked(self.cluster)? < known + nodes {
             if Instant::now() > until {
