--- a/crates/trials/src/scale/cluster/nodes.rs
+++ b/crates/trials/src/scale/cluster/nodes.rs
@@ -67,7 +67,7 @@
         let control: Vec<NodeSpec> = self.nodes.iter().filter(|node| node.control).cloned().collect();
         for node in control {
             let config =
-                self.write(&format!("{}.toml", node.name), &node_configs(&[node.clone()], self.seed))?;
+                self.write(&format!("{}.toml", node.name), &node_configs(std::slice::from_ref(&node), self.seed))?;
             let arguments = ["hollow-nodes", "--config", &config.display().to_string()];
             let process = Program::start_with_input(&self.program, &node.name, &arguments)?;
             process.wait_line(0, "ready", PATIENCE, |line| line == "ready")?;
@@ -92,7 +92,7 @@
         let real: Vec<NodeSpec> = self.nodes.iter().filter(|node| node.real).cloned().collect();
         for node in real {
             let config =
-                self.write(&format!("{}.toml", node.name), &node_configs(&[node.clone()], self.seed))?;
+                self.write(&format!("{}.toml", node.name), &node_configs(std::slice::from_ref(&node), self.seed))?;
             let config = config.display().to_string();
             let arguments = ["child-program", "--log", LOG, "standin", "--config", &config];
             let process = Program::start(&self.program, &node.name, &arguments, None)?;
