--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -22,7 +22,7 @@
     /// Changes of the plan under faults.
     Versions(Rounds),
     /// A cluster of many nodes and several placers on this machine: what it costs, counted.
-    Scale(Scale),
+    Scale(Box<Scale>),
     /// Nodes of a scale run, many in this process.
     #[command(hide = true)]
     HollowNodes {
@@ -51,7 +51,7 @@
 #[derive(Subcommand)]
 enum ScaleRuns {
     /// Runs that differ on one axis, lines through them, and one more run that the lines foretell.
-    Slopes(SlopeOptions),
+    Slopes(Box<SlopeOptions>),
 }
 
 #[derive(Args)]
