--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -8,7 +8,7 @@
 use reedring_audit::Event;
 use reedring_core::Input;
 use reedring_core::reconnect::{Failure, LinkId};
-use reedring_nodeproto::{AttemptId, Message, Order, Reader, encode};
+use reedring_nodeproto::{AttemptId, Message, Order, Reader, Traffic, encode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -106,7 +106,10 @@
         let (shared, came) = (Arc::clone(shared), came.clone());
         let turns = self.pacer.wanted(&zone);
         let id = turns.id();
-        let keeper = Keeper { node: node.clone(), address, number: *number, shared, came, turns, old: None };
+        let traffic = shared.traffic.as_ref().map(|peers| peers.of(&node));
+        let node_name = node.clone();
+        let keeper =
+            Keeper { node: node_name, address, number: *number, shared, came, turns, old: None, traffic };
         let task = tokio::spawn(async move {
             if let Some(first) = first {
                 let _ = keeper.came.send(first).await;
@@ -152,6 +155,8 @@
     turns: Turns,
     /// The life of the node in which it was shown that it speaks version 1 alone.
     old: Option<u64>,
+    /// Counters of this node's messages.
+    traffic: Option<Arc<Traffic>>,
 }
 
 impl Keeper {
@@ -279,8 +284,13 @@
         let mut buffer = vec![0; 64 * 1024];
         loop {
             match reader.next_message() {
-                Ok(Some((Message::Record(_), _))) => return true,
-                Ok(Some(_)) => continue,
+                Ok(Some((message, bytes))) => {
+                    self.count_read(&message, bytes.len());
+                    if matches!(message, Message::Record(_)) {
+                        return true;
+                    }
+                    continue;
+                }
                 Ok(None) => {}
                 Err(_) => return false,
             }
@@ -297,6 +307,7 @@
             match reader.next_message() {
                 Ok(Some((message, bytes))) => {
                     self.shared.record_link(Event::FromNode, &self.node, self.number, bytes);
+                    self.count_read(&message, bytes.len());
                     let Message::Welcome { node: called, life, up_ms, can_suspend, record } = message else {
                         return Err("it did not greet".to_owned());
                     };
@@ -322,6 +333,7 @@
                 match reader.next_message() {
                     Ok(Some((message, bytes))) => {
                         self.shared.record_link(Event::FromNode, &self.node, self.number, bytes);
+                        self.count_read(&message, bytes.len());
                         let input = Input::Message { node: self.node.clone(), message };
                         if self.came.send(Came::Input(input)).await.is_err() {
                             return "the placer ends".to_owned();
@@ -339,6 +351,12 @@
         }
     }
 
+    fn count_read(&self, message: &Message, bytes: usize) {
+        if let Some(traffic) = &self.traffic {
+            traffic.read(message, bytes);
+        }
+    }
+
     async fn writes(&self, write: &mut OwnedWriteHalf, messages: &mut mpsc::Receiver<Meant>) -> String {
         let mut batch = Vec::new();
         while messages.recv_many(&mut batch, WRITE_BATCH).await > 0 {
@@ -360,6 +378,9 @@
         for message in batch {
             let frame = encode(message);
             self.shared.record_link(Event::ToNode, &self.node, self.number, &frame);
+            if let Some(traffic) = &self.traffic {
+                traffic.wrote(message, frame.len());
+            }
             bytes.extend_from_slice(&frame);
         }
         write.write_all(&bytes).await
@@ -385,6 +406,7 @@
             came,
             turns: Pacer::new("p", 1).wanted(""),
             old: None,
+            traffic: None,
         };
         let (out, messages) = mpsc::channel(8);
         out.send((4, Message::Probe { nonce: 1 })).await.unwrap();
@@ -428,6 +450,7 @@
                 came,
                 turns: Pacer::new("p", 1).wanted(""),
                 old: None,
+                traffic: None,
             };
             let (out, messages) = mpsc::channel(8);
             let (attempt, offer) = offer(1);
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod load;
 mod relay;
+pub mod scale;
 pub mod versions;
 
 pub use fleet::{Fleet, NodeFile, Site, TrialError};
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -1,10 +1,13 @@
 //! Plays trials. The processes of a trial are this program too: `program` runs `reedring` with what follows.
 #![forbid(unsafe_code)]
 
-use std::path::Path;
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use reedring_trials::scale::slopes::{SlopeOptions, slopes};
+use reedring_trials::scale::{self, ScaleError, ScaleOptions};
 use reedring_trials::versions::Round;
 
 /// Trials of whole programs over loopback sockets.
@@ -21,6 +24,37 @@
     Versions(Rounds),
     /// Changes of the plan while control machines are killed, a minority at a time.
     Control(Rounds),
+    /// A cluster of many nodes and several placers on this machine: what it costs, counted.
+    Scale(Box<Scale>),
+    /// Nodes of a scale run, many in this process.
+    #[command(hide = true)]
+    HollowNodes {
+        /// The nodes.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Placers of a scale run, many in this process.
+    #[command(hide = true)]
+    HollowPlacers {
+        /// Settings of each placer.
+        #[arg(long)]
+        config: Vec<PathBuf>,
+    },
+}
+
+#[derive(Args)]
+#[command(args_conflicts_with_subcommands = true)]
+struct Scale {
+    #[command(subcommand)]
+    several: Option<ScaleRuns>,
+    #[command(flatten)]
+    one: ScaleOptions,
+}
+
+#[derive(Subcommand)]
+enum ScaleRuns {
+    /// Runs that differ on one axis, lines through them, and one more run that the lines foretell.
+    Slopes(Box<SlopeOptions>),
 }
 
 #[derive(Args)]
@@ -33,24 +67,62 @@
     rounds: u64,
 }
 
+/// Exit code of a trial that could not be played.
+const CANNOT_PLAY: u8 = 2;
+
+fn failed(error: impl std::fmt::Display) -> ExitCode {
+    eprintln!("reedring-trials: {error}");
+    ExitCode::from(CANNOT_PLAY)
+}
+
+/// Runs `reedring` in this process, where the first argument asks for that.
+fn program(arguments: &[OsString]) -> Option<ExitCode> {
+    let word = arguments.get(1)?;
+    if word == "child-program" {
+        if let Err(error) = scale::lifeline::die_with_parent() {
+            return Some(failed(error));
+        }
+    } else if word != "program" {
+        return None;
+    }
+    let name = arguments.iter().take(1);
+    Some(reedring_cli::main_with(name.chain(arguments.iter().skip(2)).cloned()))
+}
+
 fn main() -> ExitCode {
-    let mut arguments = std::env::args_os();
-    let name = arguments.next();
-    if std::env::args_os().nth(1).is_some_and(|word| word == "program") {
-        return reedring_cli::main_with(name.into_iter().chain(arguments.skip(1)));
+    let arguments: Vec<OsString> = std::env::args_os().collect();
+    if let Some(code) = program(&arguments) {
+        return code;
     }
-    let trial = Cli::parse().trial;
-    let program = match std::env::current_exe() {
-        Ok(program) => program,
-        Err(error) => {
-            eprintln!("reedring-trials: {error}");
-            return ExitCode::from(2);
+    match Cli::parse().trial {
+        Trial::Versions(rounds) => with_own_program(|program| versions(program, &rounds)),
+        Trial::Control(rounds) => with_own_program(|program| control(program, &rounds)),
+        Trial::Scale(options) => scale_run(&options),
+        Trial::HollowNodes { config } => ended(scale::hollow::nodes(&config)),
+        Trial::HollowPlacers { config } => ended(scale::hollow::placers(&config)),
+    }
+}
+
+fn ended(result: Result<(), scale::hollow::Failure>) -> ExitCode {
+    result.map_or_else(failed, |()| ExitCode::SUCCESS)
+}
+
+fn scale_run(Scale { several, one }: &Scale) -> ExitCode {
+    let played = || -> Result<(), ScaleError> {
+        let (program, mut out) = (std::env::current_exe()?, std::io::stdout());
+        if let Some(ScaleRuns::Slopes(options)) = several {
+            return slopes(&program, options, &mut out);
         }
+        let report = scale::play(&program, one, &mut out)?;
+        print!("{}", report.table());
+        one.json.as_deref().map_or(Ok(()), |path| report.add_to(path))
     };
-    match trial {
-        Trial::Versions(rounds) => versions(&program, &rounds),
-        Trial::Control(rounds) => control(&program, &rounds),
-    }
+    played().map_or_else(failed, |()| ExitCode::SUCCESS)
+}
+
+/// Plays with this very program as the processes of the trial.
+fn with_own_program(play: impl FnOnce(&Path) -> ExitCode) -> ExitCode {
+    std::env::current_exe().map_or_else(failed, |program| play(&program))
 }
 
 /// What rounds came to, taken together.
