Plan: typed deltas between two plans, and the frame that carries one

A change of the plan was its whole text, up to 48 KiB, to whoever lacked it. A delta names the sections that were put or removed; the rest stand in the target as in the base. What comes of one counts only with the digest of its target, and each wrong one says where: other base, number repeated or skipped, a section removed that is not there, two edits of one, a text that is not that section, a place past the end, over the bound.

The frame is of version 3 of the node protocol; nothing sends it yet.

--- a/crates/nodeproto/src/codec.rs
+++ b/crates/nodeproto/src/codec.rs
@@ -4,6 +4,7 @@
 use winnow::error::{ContextError, ErrMode, StrContext};
 use winnow::prelude::*;
 
+use crate::delta::{delta, put_delta};
 use crate::frame::{FrameError, Reader};
 use crate::message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
 use crate::versions::{Ballot, Digest, Introduced, Order, Record, Stamp, Version};
@@ -27,6 +28,7 @@
     pub const REPORT: u8 = 71;
     pub const RECORD: u8 = 72;
     pub const PLAN_TEXT: u8 = 73;
+    pub const PLAN_DELTA: u8 = 74;
 }
 
 // ---- Writing ----
@@ -35,7 +37,7 @@
     &text[..text.floor_char_boundary(most.min(text.len()))]
 }
 
-fn put_text(out: &mut Vec<u8>, text: &str, most: usize) {
+pub(crate) fn put_text(out: &mut Vec<u8>, text: &str, most: usize) {
     let text = cut(text, most);
     out.extend_from_slice(&(text.len() as u16).to_be_bytes());
     out.extend_from_slice(text.as_bytes());
@@ -92,7 +94,7 @@
     put_text(out, text, MAX_TEXT);
 }
 
-fn put_version(out: &mut Vec<u8>, version: &Version) {
+pub(crate) fn put_version(out: &mut Vec<u8>, version: &Version) {
     out.extend_from_slice(&version.number.to_be_bytes());
     out.extend_from_slice(&version.digest.0);
 }
@@ -175,6 +177,7 @@
         | Message::Plan(_)
         | Message::Record(_)
         | Message::PlanText { .. } => 2,
+        Message::PlanDelta(_) => 3,
         _ => 1,
     }
 }
@@ -293,18 +296,22 @@
             put_text(out, text, MAX_PLAN);
             kind::PLAN_TEXT
         }
+        Message::PlanDelta(delta) => {
+            put_delta(out, delta);
+            kind::PLAN_DELTA
+        }
     }
 }
 
 // ---- Reading ----
 
-type Input<'a> = &'a [u8];
+pub(crate) type Input<'a> = &'a [u8];
 
-fn label(text: &'static str) -> StrContext {
+pub(crate) fn label(text: &'static str) -> StrContext {
     StrContext::Label(text)
 }
 
-fn text(most: usize) -> impl FnMut(&mut Input<'_>) -> ModalResult<String> {
+pub(crate) fn text(most: usize) -> impl FnMut(&mut Input<'_>) -> ModalResult<String> {
     move |input| {
         let bytes = length_take(be_u16).verify(|bytes: &[u8]| bytes.len() <= most);
         bytes.try_map(|bytes| std::str::from_utf8(bytes).map(str::to_owned)).parse_next(input)
@@ -409,7 +416,7 @@
     Ok(Held { attempt, task, state })
 }
 
-fn plan_version(input: &mut Input<'_>) -> ModalResult<Version> {
+pub(crate) fn plan_version(input: &mut Input<'_>) -> ModalResult<Version> {
     let digest =
         winnow::token::take(16_usize).map(|bytes: &[u8]| Digest(bytes.try_into().unwrap_or_default()));
     let version = (be_u64, digest).map(|(number, digest)| Version { number, digest });
@@ -536,6 +543,7 @@
             let (version, text) = (plan_version, plan_text).parse_next(input)?;
             Message::PlanText { version, text }
         }
+        kind::PLAN_DELTA if version >= 3 => Message::PlanDelta(delta(input)?),
         _ => return Ok(None),
     }))
 }
--- a/crates/nodeproto/src/lib.rs
+++ b/crates/nodeproto/src/lib.rs
@@ -9,18 +9,21 @@
 #![forbid(unsafe_code)]
 
 mod codec;
+mod delta;
 mod frame;
 mod message;
 mod versions;
 
 pub use codec::decode;
+pub use delta::{Delta, Edit, SectionKey, Table};
 pub use frame::{FrameError, Reader, encode};
 pub use message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
 pub use versions::{Ballot, Digest, Introduced, Order, Record, Stamp, Version, level};
 
 /// The newest version of the protocol that this crate speaks. A frame has version 1 unless it says what only
-/// version 2 can, so that who tells nothing of plans is read by every node.
-pub const VERSION: u8 = 2;
+/// version 2 can, so that who tells nothing of plans is read by every node; version 3 adds what changed between two
+/// plans.
+pub const VERSION: u8 = 3;
 /// Bytes of a frame's body at most.
 pub const MAX_BODY: usize = 64 * 1024;
 /// Bytes of a name at most: placers, nodes, jobs, classes, tenants, services, sessions.
--- a/crates/nodeproto/src/message.rs
+++ b/crates/nodeproto/src/message.rs
@@ -1,5 +1,6 @@
 //! The messages, in the words of the field.
 
+use crate::delta::Delta;
 use crate::versions::{Order, Record, Stamp, Version};
 
 /// One attempt to place a task: the life of the placer that made it, its request there, its number.
@@ -275,6 +276,8 @@
         /// Its text.
         text: String,
     },
+    /// Node to placer, from version 3 on: in place of a plan's text, what changed from the plan that the placer has.
+    PlanDelta(Delta),
     /// Node to placer, after the welcome: what it holds for this placer, in as many messages as it takes.
     Holds {
         /// The tasks.
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -6,11 +6,13 @@
 //!
 //! Everything here is a pure function or a value that is changed by one: what a node keeps ([`Memory`]), what a placer
 //! makes of all that nodes told ([`Fleet`]), what it asks of them next ([`Maker`]), how it stands ([`standing`]), which
-//! nodes it may send to ([`hold`]), and by which bounds two plans may be acted on at once ([`joint`]). Nothing here
+//! nodes it may send to ([`hold`]), by which bounds two plans may be acted on at once ([`joint`]), and what changed
+//! from one to the next ([`delta`]). Nothing here
 //! opens a socket or a file, reads a clock or draws a number. `docs/plan.md` has the tables in one place.
 #![forbid(unsafe_code)]
 
 mod bounds;
+pub mod delta;
 mod fleet;
 mod hold;
 mod joint;
@@ -29,6 +31,9 @@
 pub use maker::{Maker, Step, Texts};
 pub use memory::{Declined, Memory, Next, Refusal, Seen};
 pub use pace::Pace;
-pub use reedring_nodeproto::{Ballot, Digest, Introduced, MAX_PLAN, Order, Record, Stamp, Version, level};
+pub use reedring_nodeproto::{
+    Ballot, Delta, Digest, Edit, Introduced, MAX_PLAN, Order, Record, SectionKey, Stamp, Table, Version,
+    level,
+};
 pub use standing::{Acts, Heard, Own, Standing, Use, Why, standing};
 pub use text::{Kept, WrongText};
--- a/crates/settings/tests/plan.rs
+++ b/crates/settings/tests/plan.rs
@@ -1,5 +1,6 @@
 //! The plan of a settings file: one canonical text, told apart from the placer's own, and taken from others as a whole.
 
+use reedring_plan::delta::{apply, between};
 use reedring_settings::{Class, Settings};
 
 const EXAMPLE: &str = include_str!("../../../deploy/reedring.toml");
@@ -94,3 +95,34 @@
     assert_eq!(told.classes[2].kind, used.classes[2].kind);
     assert_eq!((&told.kinds, &told.tenants), (&used.kinds, &used.tenants));
 }
+
+/// Values that look like sections, in every form in which the canonical text writes strings.
+#[test]
+fn canonical_texts_have_deltas_whatever_their_values_look_like() {
+    const ODD: &str = r#####"
+[[category]]
+name = 'odd \ "name" # [[tenant]]'
+native = "class=edition tenant=radio life=40s"
+
+[[constraint]]
+name = "several-lines"
+text = """
+require name = 'x
+
+[[tenant]]
+name = \"y\"
+\\\\'
+"""
+"#####;
+    let number = |number: u64, text: &str| text.replace("number = 1", &format!("number = {number}"));
+    let plan = |text: &str| parse(text).plan().unwrap().unwrap();
+    let first = plan(EXAMPLE);
+    let second = plan(&number(2, &format!("{EXAMPLE}{ODD}")));
+    let third = plan(&number(3, &EXAMPLE.replace("cold_offers = 40.0", "cold_offers = 41.0")));
+    assert!(second.text().contains("\n\n[[tenant]]\nname = \"y\"\n"), "{}", second.text());
+    for (base, target, edits) in [(&first, &second, 2), (&second, &third, 3)] {
+        let delta = between(base, target).unwrap();
+        assert_eq!(delta.edits.len(), edits, "{:?}", delta.edits);
+        assert_eq!(&apply(base, &delta).unwrap(), target);
+    }
+}
