--- a/crates/audit/src/judge/versions.rs
+++ b/crates/audit/src/judge/versions.rs
@@ -3,7 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use reedring_nodeproto::{AttemptId, Message, Order, Reason, Record, Stamp, Version};
+use reedring_nodeproto::{
+    AttemptId, Delta, DeltaStep, Edit, Message, Order, Reason, Record, SectionKey, Stamp, Version,
+};
 use serde::Deserialize;
 
 use super::told::time;
@@ -90,6 +92,19 @@
         }
     }
 
+    /// A plan whose text was told as what changed: of cold nodes only `[site]` says anything.
+    fn changed_text(&mut self, delta: &Delta) {
+        let site = delta.edits.iter().find_map(|edit| match edit {
+            Edit::Put { key: SectionKey::Site, text, .. } => Some(text),
+            _ => None,
+        });
+        match (site, self.texts.get(&delta.base).copied()) {
+            (Some(site), _) => self.text(delta.target, site),
+            (None, Some(base)) => drop(self.texts.entry(delta.target).or_insert(base)),
+            (None, None) => {}
+        }
+    }
+
     /// The stricter of a plan and, where joint, the one before.
     fn bound(&self, stamp: &Stamp) -> Option<Cold> {
         let new = *self.texts.get(&stamp.version)?;
@@ -132,6 +147,12 @@
                 versions.text(*version, text);
                 versions.step(*version, 0, frame.time_us);
             }
+            Message::Plan(Order::ByDelta { step, delta, .. }) => {
+                versions.changed_text(delta);
+                if let DeltaStep::Accept { .. } = step {
+                    versions.step(delta.target, 0, frame.time_us);
+                }
+            }
             Message::Plan(Order::Joint { version, text, .. } | Order::Force { version, text, .. }) => {
                 versions.text(*version, text);
             }
--- a/crates/cli/src/programs.rs
+++ b/crates/cli/src/programs.rs
@@ -8,7 +8,7 @@
 use clap::Args;
 use reedring_audit::Recorder;
 use reedring_net::Signals;
-use reedring_placer::{FileSource, Options, Placer};
+use reedring_placer::{FileSource, Options, Placer, SettingsFile};
 use reedring_settings::{Settings, State};
 use reedring_site::{Plan, Site};
 use reedring_standin::{Fleet, Groups, serve};
@@ -102,6 +102,7 @@
         let options = Options {
             source: Box::new(source),
             recorder: recorder.clone(),
+            settings_file: Some(SettingsFile::new(self.config, text.clone())),
             settings_text: text,
             threads: self.threads,
         };
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -49,6 +49,8 @@
     pub(crate) holds: Holds,
     /// What is known of plans; none where the file has no `[plan]`.
     pub(crate) versions: Option<Versions>,
+    /// Own tables that the settings file has otherwise than at the start.
+    pub(crate) own_changes: Vec<&'static str>,
     /// Revision of the node list; 0 where it has none.
     pub(crate) list_revision: u64,
     /// How far behind the loop and the disk were lately.
@@ -108,6 +110,7 @@
             constrain: Constrainer::default(),
             holds: Holds::default(),
             versions: Versions::new(&settings, start.life),
+            own_changes: Vec::new(),
             list_revision: 0,
             lag: decide::Lag::default(),
             stats: Stats::default(),
@@ -167,6 +170,7 @@
                 self.reads.retain(|(of, ..)| *of != conn);
             }
             Input::Listed(list) => self.listed(now, list),
+            Input::SettingsChanged(settings) => self.settings_changed(&settings),
             Input::LinkUp { node, called, life, up_ms, can_suspend, record } => {
                 self.link_up(now, &node, &called, life, up_ms, can_suspend, record);
             }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -26,6 +26,8 @@
     ClientGone(ConnId),
     /// The node list, whole. A node that it lacks is gone.
     Listed(NodeList),
+    /// The settings file says something else; it was read and checked as a whole.
+    SettingsChanged(Box<Settings>),
     /// A link to a node stands: its welcome was read. What it holds follows as messages.
     LinkUp {
         /// The node, by its name in the list.
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -1,12 +1,13 @@
 //! By which plan this placer acts: what nodes tell of plans goes to `reedring_plan`, and what that answers becomes
 //! settings for the module, nodes that are held back, orders to nodes and lines for the staff.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use reedring::{Event, Micros};
 use reedring_nodeproto::{Message, Order, Record, Stamp, Version};
 use reedring_plan::{
-    Acts, Fleet, Heard, Kept, Kin, Maker, Own, Pace, Standing, Step, Texts, Use, hold, joint, standing,
+    Acts, Compactor, Delta, Fleet, Heard, Kept, Kin, Maker, Own, Pace, Standing, Step, Texts, Use, delta,
+    hold, joint, standing,
 };
 use reedring_settings::{Health, Settings};
 use reedring_state::{self as state, Change};
@@ -21,6 +22,15 @@
 /// How often all nodes are asked within a lease.
 const ASKS: u64 = 3;
 
+/// Changes of the settings file that wait for the ones before them to be in force.
+const MAX_QUEUED: usize = 64;
+
+/// A plan of the settings file, and the settings with it.
+struct FilePlan {
+    plan: Kept,
+    settings: Settings,
+}
+
 /// What a placer knows of plans. There is none where its file has no `[plan]`.
 pub(crate) struct Versions {
     own: Kept,
@@ -28,9 +38,14 @@
     lease_us: Micros,
     /// The settings of its file.
     file: Settings,
+    /// Later plans of the file, in the order of their numbers, while the one before is not in force.
+    queued: VecDeque<FilePlan>,
     build: u32,
     maker: Maker,
     pace: Pace,
+    compactor: Compactor,
+    /// The newest plan in force whose text is here: what orders and answers may leave out.
+    base: Option<Kept>,
     texts: Texts,
     kin: BTreeMap<NodeNo, Kin>,
     /// When each node told last, on a link that may have ended since.
@@ -70,9 +85,12 @@
             pinned,
             lease_us,
             file: settings.clone(),
+            queued: VecDeque::new(),
             build: crate::build(),
             maker: Maker::new(life),
             pace: Pace::default(),
+            compactor: Compactor::default(),
+            base: None,
             texts,
             kin: BTreeMap::new(),
             heard: BTreeMap::new(),
@@ -86,6 +104,61 @@
         })
     }
 
+    /// Brings this plan of the file in from now on, in place of the one before.
+    fn take_up(&mut self, FilePlan { plan, settings }: FilePlan) {
+        self.texts.add(&plan);
+        self.plans.insert(plan.version(), Ok(settings.clone()));
+        (self.own, self.file) = (plan, settings);
+        self.dirty = true;
+    }
+
+    /// The file says something else.
+    ///
+    /// | its plan | is |
+    /// | --- | --- |
+    /// | the one that was taken up last | left: nothing changed |
+    /// | the one after it, which is not in force yet | queued, so that neither is lost |
+    /// | else | taken up at once; those of its number and over it that wait are dropped |
+    ///
+    /// # Errors
+    /// Why it can't be taken up.
+    fn file_changed(&mut self, settings: &Settings) -> Result<(), String> {
+        let plan = settings.plan().map_err(|problems| problems.to_string())?;
+        let plan = plan.ok_or("plan: the table is gone; it is taken out by a restart")?;
+        // Its own tables are those of the start.
+        let settings =
+            self.file.with_plan(plan.text(), "the settings file").map_err(|all| all.to_string())?;
+        let number = plan.version().number;
+        self.queued.retain(|queued| queued.plan.version().number < number);
+        let last = self.queued.back().map_or(&self.own, |queued| &queued.plan).version();
+        if plan.version() == last {
+            return Ok(());
+        }
+        let waits = last.number > self.force.number && number == last.number + 1;
+        match (waits, self.queued.len()) {
+            (true, MAX_QUEUED) => {
+                return Err(format!(
+                    "plan.number: {MAX_QUEUED} plans of the file wait, plan {number} does not fit"
+                ));
+            }
+            (true, _) => self.queued.push_back(FilePlan { plan, settings }),
+            (false, _) => {
+                self.queued.clear();
+                self.take_up(FilePlan { plan, settings });
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes up the next plan of the file that waits, once the one before is in force or another one is.
+    fn next_of_file(&mut self) {
+        if self.own.version().number <= self.force.number
+            && let Some(next) = self.queued.pop_front()
+        {
+            self.take_up(next);
+        }
+    }
+
     /// Why nothing is taken, where that does not end by itself.
     pub fn shut_out(&self) -> Option<&'static str> {
         match self.standing {
@@ -111,6 +184,21 @@
         }
     }
 
+    /// The same orders without what their nodes have already.
+    fn compact(&mut self, orders: Vec<(NodeNo, Order)>) -> Vec<(NodeNo, Order)> {
+        if self.base.as_ref().map(Kept::version) != Some(self.force)
+            && let Some(force) = self.texts.kept(self.force)
+        {
+            self.base = Some(force);
+        }
+        let (base, kin) = (self.base.as_ref(), &self.kin);
+        let compact = |(node, order): (NodeNo, Order)| match kin.get(&node).and_then(Kin::record) {
+            Some(record) => (node, self.compactor.compact(order, record, base)),
+            None => (node, order),
+        };
+        orders.into_iter().map(compact).collect()
+    }
+
     /// What can be done with a plan, after another or by itself.
     fn can(&self, version: Version, force: Version) -> Use {
         match self.plans.get(&version) {
@@ -218,6 +306,51 @@
         }
     }
 
+    /// The settings file says something else.
+    pub(crate) fn settings_changed(&mut self, settings: &Settings) {
+        let mut own = self.settings.own_changes(settings);
+        if own != self.own_changes {
+            self.own_changes.clone_from(&own);
+            if self.versions.is_none() {
+                own.retain(|name| *name != "plan");
+            }
+            if !own.is_empty() {
+                let tables = own.join("], [");
+                self.log(
+                    Level::Warn,
+                    format!("settings: [{tables}] changed, which needs a restart; the old holds"),
+                );
+            }
+        }
+        let Some(versions) = &mut self.versions else {
+            let line = "settings: the file has changed; without a [plan] table at its start a placer takes up nothing";
+            return self.log(Level::Warn, line.to_owned());
+        };
+        if let Err(why) = versions.file_changed(settings) {
+            let why = why.replace('\n', "; ");
+            self.log(Level::Warn, format!("settings: the file can't be taken up, the old one holds: {why}"));
+        }
+    }
+
+    /// A node tells what changed to a plan that was asked for.
+    pub(crate) fn plan_delta(&mut self, number: NodeNo, delta: &Delta) {
+        let Some(versions) = &mut self.versions else { return };
+        if versions.texts.get(delta.target).is_some() {
+            return;
+        }
+        let Some(base) = versions.texts.kept(delta.base) else { return };
+        versions.dirty = true;
+        match delta::apply(&base, delta) {
+            Ok(kept) => versions.texts.add(&kept),
+            Err(wrong) => {
+                // It is asked for the whole text from now on.
+                versions.base = None;
+                let node = self.node_name(number);
+                self.log(Level::Warn, format!("plans: node {node}: {wrong}"));
+            }
+        }
+    }
+
     /// By what an offer to this node is decided, where the node can read it.
     pub(crate) fn stamp_for(&self, number: NodeNo) -> Option<Stamp> {
         let versions = self.versions.as_ref().filter(|versions| versions.standing != Standing::Unkept)?;
@@ -259,6 +392,7 @@
         };
         versions.ever |= heard == Heard::Lately;
         versions.force = versions.force.max(fleet.force());
+        versions.next_of_file();
         let force = versions.force;
         versions.read(force);
         let decided = fleet.decided(force);
@@ -275,11 +409,15 @@
         self.tell_standing(&mut versions, proposes.as_ref().err());
         let own = proposes.ok().flatten().filter(|_| heard == Heard::Lately);
         let may_outbid = versions.pace.may_outbid(now, self.start.life, &fleet);
+        let carries_on = versions.pace.may_carry_on(now, self.start.life, &fleet);
         let (step, mut orders) = if heard == Heard::Lately {
             versions.maker.next(may_outbid, &fleet, force, own.as_ref(), &versions.texts)
         } else {
             (Step::Quiet, Vec::new())
         };
+        if !carries_on {
+            orders.retain(|(_, order)| !matches!(order, Order::Joint { .. } | Order::Force { .. }));
+        }
         let stamp = versions.stamp(self.list_revision);
         let every = versions.lease_us / ASKS;
         let changed = (stamp.version, stamp.joint) != (before.version, before.joint) || versions.asked == 0;
@@ -298,12 +436,14 @@
                 list: stamp.list,
             }));
         }
+        let orders = versions.compact(orders);
         let mut orders = versions.pace.due(now, orders);
         orders.retain(|(node, _)| versions.kin.get(node).is_some_and(|kin| kin.record().is_some()));
         let settles = self.hold_by_plans(now, &versions);
         let busy = step != Step::Quiet || settles || matches!(versions.standing, Standing::Waits(_));
         versions.due = now + if busy { BUSY_US } else { every };
-        versions.texts.forget_before(force.number);
+        let base = versions.base.as_ref().map_or(force, Kept::version);
+        versions.texts.forget_before(force.number.min(base.number));
         versions
             .plans
             .retain(|version, _| version.number >= force.number || *version == versions.own.version());
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -440,6 +440,7 @@
             Message::Report { nonce, report } => self.probed(now, nonce, Some(report)),
             Message::Record(record) => self.node_records(now, number, record),
             Message::PlanText { version, text } => self.plan_text(number, version, &text),
+            Message::PlanDelta(delta) => self.plan_delta(number, &delta),
             // The rest is what placers say; the shell reads greetings itself.
             _ => {}
         }
--- a/crates/core/tests/plans/mod.rs
+++ b/crates/core/tests/plans/mod.rs
@@ -26,6 +26,14 @@
     Settings::parse(&format!("{text}{plan}"), "bench").expect("the bench's own settings")
 }
 
+/// Settings whose plan has these tenants.
+pub fn settings_of_teams(plan: u64, placers: usize, teams: &[String]) -> Settings {
+    let tenants: String = teams.iter().map(|team| format!("[[tenant]]\nname = {team:?}\n")).collect();
+    let site = SETTINGS.replace("[site]", &format!("[site]\nplacers = {placers}"));
+    Settings::parse(&format!("{site}[plan]\nnumber = {plan}\n{tenants}"), "teams")
+        .expect("the teams' settings")
+}
+
 /// A disk that takes everything.
 struct Takes;
 
@@ -40,6 +48,16 @@
     AtPlacer(usize, usize, Message),
 }
 
+/// A message that was sent.
+#[derive(Debug)]
+pub struct Sent {
+    pub at: u64,
+    pub placer: usize,
+    pub node: usize,
+    pub to_node: bool,
+    pub message: Message,
+}
+
 /// Placers and nodes in simulated time, on a grid of a millisecond: what comes in one slot is one turn of a loop.
 pub struct World {
     pub now: u64,
@@ -48,6 +66,8 @@
     groups: Groups,
     pub queue: BTreeMap<(u64, u64), Due>,
     made: u64,
+    /// When the last message of each link comes, by its direction.
+    last: BTreeMap<(bool, usize, usize), u64>,
     draw: Pcg32,
     /// How far ahead each placer's clock is, in microseconds.
     pub ahead: BTreeMap<usize, u64>,
@@ -58,6 +78,9 @@
     /// The life of each placer: its links' numbers end in it.
     lives: Vec<u64>,
     pub messages: u64,
+    /// Every message, where they are recorded.
+    pub sent: Vec<Sent>,
+    pub records: bool,
     pub list: NodeList,
 }
 
@@ -83,10 +106,13 @@
             lines: Vec::new(),
             queue: BTreeMap::new(),
             made: 0,
+            last: BTreeMap::new(),
             draw: Pcg32::new(1, 1),
             acts: vec![(0, 0); placers],
             lives: vec![0; placers.max(1)],
             messages: 0,
+            sent: Vec::new(),
+            records: false,
             list: NodeList { revision: 1, nodes: (0..nodes).map(entry).collect() },
         };
         (0..placers).for_each(|p| world.start(p, settings(1, placers), 1));
@@ -136,11 +162,32 @@
         self.turn(placer);
     }
 
+    /// A placer's settings file says something else.
+    pub fn change_file(&mut self, placer: usize, settings: Settings) {
+        let now = self.clock(placer);
+        self.cores[placer].handle(now, Input::SettingsChanged(Box::new(settings)));
+        self.turn(placer);
+    }
+
     fn send(&mut self, due: Due) {
         self.made += 1;
         self.messages += 1;
+        if self.records {
+            let (placer, node, to_node, message) = match &due {
+                Due::AtNode(placer, node, message) => (*placer, *node, true, message.clone()),
+                Due::AtPlacer(placer, node, message) => (*placer, *node, false, message.clone()),
+            };
+            self.sent.push(Sent { at: self.now, placer, node, to_node, message });
+        }
         let after = 1 + u64::from(self.draw.next_u32() % 2);
-        self.queue.insert(((self.now / MS + after) * MS, self.made), due);
+        let link = match &due {
+            Due::AtNode(placer, node, _) => (true, *placer, *node),
+            Due::AtPlacer(placer, node, _) => (false, *placer, *node),
+        };
+        // A link keeps the order of its messages.
+        let last = self.last.entry(link).or_default();
+        *last = (*last).max((self.now / MS + after) * MS);
+        self.queue.insert((*last, self.made), due);
     }
 
     pub fn turn(&mut self, placer: usize) {
@@ -175,7 +222,7 @@
         while self.now < end {
             let wakes = (0..self.cores.len()).filter_map(|placer| self.wakes(placer)).min();
             let next = self.queue.first_key_value().map(|((at, _), _)| *at);
-            self.now = next.into_iter().chain(wakes).min().unwrap_or(end).max(self.now + MS);
+            self.now = next.into_iter().chain(wakes).min().unwrap_or(end).min(end).max(self.now + MS);
             let mut turns: BTreeSet<usize> = BTreeSet::new();
             while let Some(due) = self.queue.first_entry().filter(|due| due.key().0 <= self.now) {
                 match due.remove() {
--- a/crates/nodeproto/src/codec.rs
+++ b/crates/nodeproto/src/codec.rs
@@ -7,7 +7,7 @@
 use crate::delta::{delta, put_delta};
 use crate::frame::{FrameError, Reader};
 use crate::message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
-use crate::versions::{Ballot, Digest, Introduced, Order, Record, Stamp, Version};
+use crate::versions::{Ballot, DeltaStep, Digest, Introduced, Order, Record, Stamp, Version};
 use crate::{MAX_NAME, MAX_PAYLOAD, MAX_PLAN, MAX_REPORT, MAX_TEXT};
 
 mod kind {
@@ -127,16 +127,38 @@
     out.push(u8::from(record.stuck));
 }
 
+fn put_step(out: &mut Vec<u8>, step: &DeltaStep) {
+    match step {
+        DeltaStep::Accept { ballot } => {
+            out.push(0);
+            put_ballot(out, ballot);
+        }
+        DeltaStep::Joint => out.push(1),
+        DeltaStep::Force => out.push(2),
+    }
+}
+
 fn put_order(out: &mut Vec<u8>, order: &Order) {
     match order {
         Order::Ask { stamp } => {
             out.push(0);
             put_stamp(out, stamp);
         }
-        Order::Fetch { version } => {
+        Order::Fetch { version, have: None } => {
             out.push(1);
             put_version(out, version);
         }
+        Order::Fetch { version, have: Some(have) } => {
+            out.push(7);
+            put_version(out, version);
+            put_version(out, have);
+        }
+        Order::ByDelta { step, delta, list } => {
+            out.push(8);
+            put_step(out, step);
+            put_delta(out, delta);
+            out.extend_from_slice(&list.to_be_bytes());
+        }
         Order::Prepare { follows, ballot, list } => {
             out.push(2);
             put_version(out, follows);
@@ -174,17 +196,44 @@
         | Message::Offer { stamp: Some(_), .. }
         | Message::Welcome { record: Some(_), .. }
         | Message::Refused { reason: Reason::Superseded, .. }
-        | Message::Plan(_)
+        | Message::Plan(
+            Order::Ask { .. }
+            | Order::Fetch { have: None, .. }
+            | Order::Prepare { .. }
+            | Order::Accept { .. }
+            | Order::Joint { .. }
+            | Order::Force { .. },
+        )
         | Message::Record(_)
         | Message::PlanText { .. } => 2,
-        Message::PlanDelta(_) => 3,
+        Message::Plan(Order::Fetch { have: Some(_), .. } | Order::ByDelta { .. }) | Message::PlanDelta(_) => {
+            3
+        }
         _ => 1,
     }
 }
 
-/// Appends the body of a message; returns its kind and version.
-pub(crate) fn write(message: &Message, out: &mut Vec<u8>) -> (u8, u8) {
-    (write_body(message, out), needs(message))
+/// What a frame's header says of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Head {
+    pub version: u8,
+    pub kind: u8,
+    pub flags: u8,
+}
+
+/// The record of this message is that of a node that reads deltas.
+const DELTAS: u8 = 2;
+
+fn flags(message: &Message) -> u8 {
+    match message {
+        Message::Welcome { record: Some(record), .. } | Message::Record(record) if record.deltas => DELTAS,
+        _ => 0,
+    }
+}
+
+/// Appends the body of a message; returns what its header says.
+pub(crate) fn write(message: &Message, out: &mut Vec<u8>) -> Head {
+    Head { version: needs(message), kind: write_body(message, out), flags: flags(message) }
 }
 
 fn write_body(message: &Message, out: &mut Vec<u8>) -> u8 {
@@ -442,17 +491,27 @@
     };
     let (promised, list, floor_ms, linked, behind, stuck) =
         (ballot, be_u64, be_u64, be_u16, be_u16, flag).context(label("the record")).parse_next(input)?;
-    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck })
+    // Whether the node reads deltas the header says.
+    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck, deltas: false })
 }
 
 fn plan_text(input: &mut Input<'_>) -> ModalResult<String> {
     text(MAX_PLAN).context(label("the plan's text")).parse_next(input)
 }
 
-fn order(input: &mut Input<'_>) -> ModalResult<Order> {
+fn step(input: &mut Input<'_>) -> ModalResult<DeltaStep> {
+    Ok(match u8.context(label("the step")).parse_next(input)? {
+        0 => DeltaStep::Accept { ballot: ballot(input)? },
+        1 => DeltaStep::Joint,
+        2 => DeltaStep::Force,
+        _ => return Err(ErrMode::Backtrack(ContextError::new())),
+    })
+}
+
+fn order(version: u8, input: &mut Input<'_>) -> ModalResult<Order> {
     Ok(match u8.context(label("the order")).parse_next(input)? {
         0 => Order::Ask { stamp: stamp(input)? },
-        1 => Order::Fetch { version: plan_version(input)? },
+        1 => Order::Fetch { version: plan_version(input)?, have: None },
         2 => {
             let (follows, ballot, list) = (plan_version, ballot, be_u64).parse_next(input)?;
             Order::Prepare { follows, ballot, list }
@@ -471,6 +530,14 @@
             let (version, text, list) = (plan_version, plan_text, be_u64).parse_next(input)?;
             Order::Force { version, text, list }
         }
+        7 if version >= 3 => {
+            let (version, have) = (plan_version, plan_version).parse_next(input)?;
+            Order::Fetch { version, have: Some(have) }
+        }
+        8 if version >= 3 => {
+            let (step, delta, list) = (step, delta, be_u64).parse_next(input)?;
+            Order::ByDelta { step, delta, list }
+        }
         _ => return Err(ErrMode::Backtrack(ContextError::new())),
     })
 }
@@ -537,7 +604,7 @@
             let (nonce, report) = (be_u64, report).parse_next(input)?;
             Message::Report { nonce, report }
         }
-        kind::PLAN if version >= 2 => Message::Plan(order(input)?),
+        kind::PLAN if version >= 2 => Message::Plan(order(version, input)?),
         kind::RECORD if version >= 2 => Message::Record(record(input)?),
         kind::PLAN_TEXT if version >= 2 => {
             let (version, text) = (plan_version, plan_text).parse_next(input)?;
@@ -548,12 +615,23 @@
     }))
 }
 
-/// Reads the body of a frame.
-pub(crate) fn read(version: u8, kind: u8, bytes: &[u8]) -> Result<Message, FrameError> {
+/// Gives the record of a message what its header says.
+fn mark(message: &mut Message, flags: u8) {
+    if let Message::Welcome { record: Some(record), .. } | Message::Record(record) = message {
+        record.deltas = flags & DELTAS != 0;
+    }
+}
+
+/// Reads the body of a frame. Flags that are not known here are passed by.
+pub(crate) fn read(head: Head, bytes: &[u8]) -> Result<Message, FrameError> {
+    let Head { version, kind, flags } = head;
     let mut input = bytes;
     let fault = |field: String| FrameError::Field { kind, field };
     match body(version, kind, &mut input) {
-        Ok(Some(message)) if input.is_empty() => Ok(message),
+        Ok(Some(mut message)) if input.is_empty() => {
+            mark(&mut message, flags);
+            Ok(message)
+        }
         Ok(Some(_)) => Err(fault(format!("{} bytes are left over", input.len()))),
         Ok(None) => Err(FrameError::Kind(kind)),
         Err(error) => {
--- a/crates/nodeproto/src/frame.rs
+++ b/crates/nodeproto/src/frame.rs
@@ -1,10 +1,10 @@
 //! Frames: length, version, kind, body, checksum; all numbers big-endian.
 
-use crate::codec;
+use crate::codec::{self, Head};
 use crate::message::Message;
 use crate::{MAX_BODY, VERSION};
 
-/// Bytes before the body: length (4), version (1), kind (1), two zeros.
+/// Bytes before the body: length (4), version (1), kind (1), flags (1), a zero.
 const HEADER: usize = 8;
 /// Bytes after it: CRC-32C of all before.
 const TRAILER: usize = 4;
@@ -39,10 +39,10 @@
 /// Names, texts and payloads over their limits are cut to them; the core refuses such at the door.
 pub fn encode(message: &Message) -> Vec<u8> {
     let mut out = vec![0; HEADER];
-    let (kind, version) = codec::write(message, &mut out);
+    let head = codec::write(message, &mut out);
     let length = (out.len() - HEADER) as u32;
     out[..4].copy_from_slice(&length.to_be_bytes());
-    (out[4], out[5]) = (version, kind);
+    (out[4], out[5], out[6]) = (head.version, head.kind, head.flags);
     let sum = crc32c::crc32c(&out);
     out.extend_from_slice(&sum.to_be_bytes());
     out
@@ -77,7 +77,7 @@
         let Some(header) = rest.first_chunk::<HEADER>() else {
             return Ok(None);
         };
-        let [a, b, c, d, version, kind, ..] = *header;
+        let [a, b, c, d, version, kind, flags, _] = *header;
         let length = u32::from_be_bytes([a, b, c, d]);
         if length as usize > MAX_BODY {
             return Err(FrameError::Long(length));
@@ -93,7 +93,7 @@
         if rest[body..body + TRAILER] != sum {
             return Err(FrameError::Checksum);
         }
-        let message = codec::read(version, kind, &rest[HEADER..body])?;
+        let message = codec::read(Head { version, kind, flags }, &rest[HEADER..body])?;
         let from = self.at;
         self.at += body + TRAILER;
         Ok(Some((message, &self.buffer[from..self.at])))
--- a/crates/nodeproto/src/versions.rs
+++ b/crates/nodeproto/src/versions.rs
@@ -1,5 +1,7 @@
 //! What placers and nodes tell each other of plans: versions, what a node keeps of them, and orders to it.
 
+use crate::delta::Delta;
+
 /// The first half of the SHA-256 of a plan's canonical text.
 #[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest(pub [u8; 16]);
@@ -95,6 +97,8 @@
     pub behind: u16,
     /// It could not write what it should keep: it votes for nothing new.
     pub stuck: bool,
+    /// It reads deltas between plans: version 3 of the node protocol.
+    pub deltas: bool,
 }
 
 impl Record {
@@ -107,6 +111,20 @@
     }
 }
 
+/// Which order a delta stands in for a text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DeltaStep {
+    /// [`Order::Accept`].
+    Accept {
+        /// The ballot.
+        ballot: Ballot,
+    },
+    /// [`Order::Joint`].
+    Joint,
+    /// [`Order::Force`].
+    Force,
+}
+
 /// What a placer asks of a node's memory. `list` is the revision of the sender's node list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -119,6 +137,8 @@
     Fetch {
         /// The plan.
         version: Version,
+        /// A plan whose text the sender has: what changed since will do. From version 3 on.
+        have: Option<Version>,
     },
     /// Answer no smaller ballot any more, and tell what you have kept.
     Prepare {
@@ -142,13 +162,22 @@
         /// The list.
         list: u64,
     },
+    /// From version 3 on: an order about the plan that comes of this delta, which follows the delta's base.
+    ByDelta {
+        /// Which order.
+        step: DeltaStep,
+        /// What changed from the plan in force, as the sender knows it.
+        delta: Delta,
+        /// The list.
+        list: u64,
+    },
     /// A majority of the listed nodes has kept this plan with one ballot: it is the next one.
     Joint {
         /// The plan that it follows.
         follows: Version,
         /// The plan.
         version: Version,
-        /// Its text.
+        /// Its text; empty for a node that was seen to keep it and reads version 3.
         text: String,
         /// The list.
         list: u64,
@@ -157,7 +186,7 @@
     Force {
         /// The plan.
         version: Version,
-        /// Its text.
+        /// Its text; empty for a node that was seen to keep it and reads version 3.
         text: String,
         /// The list.
         list: u64,
--- a/crates/nodeproto/tests/frames.rs
+++ b/crates/nodeproto/tests/frames.rs
@@ -80,9 +80,9 @@
 fn record() -> impl Strategy<Value = Record> {
     let next = (ballot(), version(), any::<bool>());
     let next = next.prop_map(|(ballot, version, joint)| Introduced { ballot, version, joint });
-    let rest = (any::<u64>(), any::<u64>(), any::<u16>(), any::<u16>(), any::<bool>());
+    let rest = (any::<u64>(), any::<u64>(), any::<u16>(), any::<u16>(), (any::<bool>(), any::<bool>()));
     (version(), prop::option::of(next), ballot(), rest).prop_map(
-        |(force, next, promised, (list, floor_ms, linked, behind, stuck))| Record {
+        |(force, next, promised, (list, floor_ms, linked, behind, (stuck, deltas)))| Record {
             force,
             next,
             promised,
@@ -91,15 +91,27 @@
             linked,
             behind,
             stuck,
+            deltas,
         },
     )
 }
 
+fn delta(base: Version, target: Version, text: &str) -> Delta {
+    let key = SectionKey::Named { table: Table::Tenant, name: format!("\"{text}\"") };
+    let put = Edit::Put { key: SectionKey::Site, at: 3, text: text.to_owned() };
+    Delta { base, target, edits: vec![Edit::Remove { key }, put] }
+}
+
 fn order() -> impl Strategy<Value = Order> {
-    let all = (0..6, stamp(), version(), ballot(), "[a-z\n =]{0,40}", any::<u64>());
+    let all = (0..8, stamp(), version(), ballot(), "[a-z\n =]{0,40}", any::<u64>());
     all.prop_map(|(kind, stamp, version, ballot, text, list)| match kind {
         0 => Order::Ask { stamp },
-        1 => Order::Fetch { version },
+        1 => Order::Fetch { version, have: None },
+        6 => Order::Fetch { version, have: Some(stamp.version) },
+        7 => {
+            let step = [DeltaStep::Accept { ballot }, DeltaStep::Joint, DeltaStep::Force][list as usize % 3];
+            Order::ByDelta { step, delta: delta(stamp.version, version, &text), list }
+        }
         2 => Order::Prepare { follows: stamp.version, ballot, list },
         3 => Order::Accept { follows: stamp.version, ballot, version, text, list },
         4 => Order::Joint { follows: stamp.version, version, text, list },
@@ -124,6 +136,8 @@
         order().prop_map(Message::Plan),
         record().prop_map(Message::Record),
         (version(), "[a-z ]{0,40}").prop_map(|(version, text)| Message::PlanText { version, text }),
+        (version(), version(), "[a-z ]{0,40}")
+            .prop_map(|(base, target, text)| Message::PlanDelta(delta(base, target, &text))),
         (attempt(), task(), any::<u32>(), prop::option::of(stamp())).prop_map(
             |(attempt, task, within_ms, stamp)| Message::Offer {
                 attempt,
@@ -223,3 +237,76 @@
     assert_eq!(bytes[..26], want);
     assert_eq!(bytes[26..], crc32c::crc32c(&want).to_be_bytes());
 }
+
+/// The frame of this header and body.
+fn frame(version: u8, kind: u8, flags: u8, body: &[u8]) -> Vec<u8> {
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend([version, kind, flags, 0]);
+    bytes.extend(body);
+    let sum = crc32c::crc32c(&bytes).to_be_bytes();
+    bytes.extend(sum);
+    bytes
+}
+
+/// Ends of the former version: what they write is read, and what is written to them is what they always read.
+#[test]
+fn ends_of_version_2_and_3_read_each_other() {
+    let version = Version { number: 5, digest: Digest([7; 16]) };
+    let told: Vec<u8> = [&5_u64.to_be_bytes()[..], &[7; 16]].concat();
+    // What a placer of version 2 asks for, and what one of version 3 asks a node of version 2 for.
+    let ask_in_full = frame(2, 8, 0, &[&[1], &told[..]].concat());
+    let fetch = Message::Plan(Order::Fetch { version, have: None });
+    assert_eq!(encode(&fetch), ask_in_full);
+    assert_eq!(decode(&ask_in_full).unwrap(), fetch);
+    // What only version 3 has says so in its header, and is none of version 2.
+    let have = Version { number: 4, digest: Digest([6; 16]) };
+    let had = [&4_u64.to_be_bytes()[..], &[6; 16]].concat();
+    let body = [&[7], &told[..], &had].concat();
+    let fetch = Message::Plan(Order::Fetch { version, have: Some(have) });
+    assert_eq!(encode(&fetch), frame(3, 8, 0, &body));
+    assert_eq!(decode(&frame(3, 8, 0, &body)).unwrap(), fetch);
+    assert!(decode(&frame(2, 8, 0, &body)).is_err());
+    let accept =
+        Message::Plan(Order::ByDelta { step: DeltaStep::Joint, delta: delta(have, version, "t"), list: 1 });
+    let bytes = encode(&accept);
+    assert_eq!((bytes[4], bytes[8]), (3, 8));
+    assert!(decode(&frame(2, 8, 0, &bytes[8..bytes.len() - 4])).is_err());
+}
+
+/// A record is of version 2 to the byte: that its node reads deltas is a flag that former ends pass by.
+#[test]
+fn a_record_tells_former_ends_nothing_new() {
+    let version = Version { number: 5, digest: Digest([7; 16]) };
+    let body = [
+        &[0, 0, 0, 0, 0, 0, 0, 5][..],
+        &[7; 16],
+        &[0],
+        &[0; 16],
+        &[0, 0, 0, 0, 0, 0, 0, 9],
+        &[0, 0, 0, 0, 0, 0, 1, 0],
+        &[0, 3, 0, 1, 1],
+    ]
+    .concat();
+    let record = Record {
+        force: version,
+        list: 9,
+        floor_ms: 256,
+        linked: 3,
+        behind: 1,
+        stuck: true,
+        ..Record::default()
+    };
+    let deltas = Record { deltas: true, ..record };
+    assert_eq!(encode(&Message::Record(record)), frame(2, 72, 0, &body));
+    assert_eq!(encode(&Message::Record(deltas)), frame(2, 72, 2, &body));
+    assert_eq!(decode(&frame(2, 72, 0, &body)).unwrap(), Message::Record(record));
+    assert_eq!(decode(&frame(2, 72, 2, &body)).unwrap(), Message::Record(deltas));
+    // Flags that are not known yet are passed by, and so they are on messages without a record.
+    assert_eq!(decode(&frame(2, 72, 0xf0, &body)).unwrap(), Message::Record(record));
+    assert_eq!(decode(&frame(1, 4, 2, &[0; 8])).unwrap(), Message::Probe { nonce: 0 });
+    let welcome =
+        |record| Message::Welcome { node: "n".into(), life: 1, up_ms: 2, can_suspend: false, record };
+    let bytes = encode(&welcome(Some(deltas)));
+    assert_eq!((bytes[4], bytes[6]), (2, 2));
+    assert_eq!(decode(&bytes).unwrap(), welcome(Some(deltas)));
+}
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -8,9 +8,11 @@
 mod clients;
 mod links;
 mod run;
+mod settings_file;
 mod source;
 mod state;
 
 pub use run::{Options, Placer, StartError};
+pub use settings_file::SettingsFile;
 pub use source::{FileSource, NodeSource, Update};
 pub use state::StateError;
--- a/crates/placer/src/run.rs
+++ b/crates/placer/src/run.rs
@@ -18,6 +18,7 @@
 
 use crate::clients::{self, Came, Clients, Listener};
 use crate::links::Links;
+use crate::settings_file::{FileUpdate, SettingsFile};
 use crate::source::{NodeSource, Update};
 use crate::state::{Folder, StateError, Writer};
 
@@ -32,6 +33,8 @@
     pub source: Box<dyn NodeSource>,
     /// Records what crosses its sockets.
     pub recorder: Option<Arc<Recorder>>,
+    /// The settings file, if changes of its plan are taken up while the placer runs.
+    pub settings_file: Option<SettingsFile>,
     /// The settings' text, for the trace.
     pub settings_text: String,
     /// Threads of its runtime; 1 runs the sockets on the core's thread.
@@ -311,6 +314,10 @@
     core.time_module(monotonic_ns);
     let (listed, mut lists) = mpsc::channel(4);
     tokio::spawn(clients::accept(listener, limit, Arc::clone(&shared), came.clone()));
+    let (changed, mut changes) = mpsc::channel(4);
+    if let Some(file) = options.settings_file {
+        tokio::spawn(file.watch(changed));
+    }
     let known = options.source.settings();
     tokio::spawn(options.source.run(listed));
     let (clients, links) = (Clients::default(), Links::default());
@@ -321,6 +328,7 @@
         tokio::select! {
             _ = coming.recv_many(&mut batch, BATCH) => {}
             Some(update) = lists.recv() => shell.listed(&mut core, now(), update),
+            Some(update) = changes.recv() => shell.file_changed(&mut core, now(), update),
             Some(Order::Stall(time)) = orders.recv() => {
                 shell.shared.record(Event::PlacerStalled, "", time.as_micros() as u64, b"");
                 std::thread::sleep(time);
@@ -396,6 +404,18 @@
         }
     }
 
+    fn file_changed(&self, core: &mut Core, now: u64, update: FileUpdate) {
+        match update {
+            FileUpdate::Changed(settings) => core.handle(now, Input::SettingsChanged(settings)),
+            FileUpdate::Failed(why) => {
+                tracing::warn!(
+                    placer = self.shared.name,
+                    "the settings file can't be used, the old one holds: {why}"
+                );
+            }
+        }
+    }
+
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Reply { conn, response } => self.clients.reply(conn, response),
--- a/crates/plan/src/delta.rs
+++ b/crates/plan/src/delta.rs
@@ -295,6 +295,11 @@
     bounded(Delta { base: base.version(), target: target.version(), edits })
 }
 
+/// What changed from one plan to the next, where that is known and shorter than the next one's text.
+pub fn shorter(base: &Kept, target: &Kept) -> Option<Delta> {
+    between(base, target).ok().filter(|delta| delta.encoded_len() < target.text().len())
+}
+
 /// Checks that a text is the section that a key names.
 fn check_section(wanted: &SectionKey, text: &str) -> Result<(), DeltaError> {
     let error = |line, wrong| DeltaError::Section { key: wanted.clone(), line, wrong };
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 
 mod bounds;
+mod compact;
 pub mod delta;
 mod fleet;
 mod hold;
@@ -24,6 +25,7 @@
 mod text;
 
 pub use bounds::{Again, Bounds, ClassBounds, Over};
+pub use compact::Compactor;
 pub use fleet::{Fleet, Kin};
 pub use hold::{Hold, hold};
 pub use joint::joint;
@@ -32,8 +34,8 @@
 pub use memory::{Declined, Memory, Next, Refusal, Seen};
 pub use pace::Pace;
 pub use reedring_nodeproto::{
-    Ballot, Delta, Digest, Edit, Introduced, MAX_PLAN, Order, Record, SectionKey, Stamp, Table, Version,
-    level,
+    Ballot, Delta, DeltaStep, Digest, Edit, Introduced, MAX_PLAN, Order, Record, SectionKey, Stamp, Table,
+    Version, level,
 };
 pub use standing::{Acts, Heard, Own, Standing, Use, Why, standing};
 pub use text::{Kept, WrongText};
--- a/crates/plan/src/maker.rs
+++ b/crates/plan/src/maker.rs
@@ -24,6 +24,11 @@
         self.0.get(&version).map(AsRef::as_ref)
     }
 
+    /// A plan, if its text is here.
+    pub fn kept(&self, version: Version) -> Option<Kept> {
+        Kept::checked(version, self.get(version)?).ok()
+    }
+
     /// Forgets plans of smaller numbers than these.
     pub fn forget_before(&mut self, number: u64) {
         self.0.retain(|version, _| version.number >= number);
@@ -98,7 +103,9 @@
                         let text = text.to_owned();
                         orders.push((*node, Order::Force { version: force, text, list: fleet.list }));
                     }
-                    None if record.force == force => orders.push((*node, Order::Fetch { version: force })),
+                    None if record.force == force => {
+                        orders.push((*node, Order::Fetch { version: force, have: None }))
+                    }
                     _ => {}
                 }
             }
@@ -140,7 +147,7 @@
         let has = |record: &Record| record.next.is_some_and(|kept| kept.version == next);
         let Some(text) = texts.get(next) else {
             let fetch = records.iter().filter(|(_, record)| has(record));
-            return orders.extend(fetch.map(|(node, _)| (*node, Order::Fetch { version: next })));
+            return orders.extend(fetch.map(|(node, _)| (*node, Order::Fetch { version: next, have: None })));
         };
         let enough = fleet.joint_at(next) >= fleet.majority();
         for (node, record) in records.iter().filter(|(_, record)| record.force == force) {
@@ -192,7 +199,7 @@
         };
         let Some(text) = texts.get(version) else {
             let has = here().filter(|(_, record)| record.next.is_some_and(|next| next.version == version));
-            return orders.extend(has.map(|(node, _)| (*node, Order::Fetch { version })));
+            return orders.extend(has.map(|(node, _)| (*node, Order::Fetch { version, have: None })));
         };
         let open = here().filter(|(_, record)| record.next.is_none_or(|next| next.ballot != ballot));
         let (text, list) = (text.to_owned(), fleet.list);
@@ -313,7 +320,7 @@
         let none = Texts::default();
         let (_, orders) =
             Maker::new(9).next(false, &fleet(&[there, behind]), Version::default(), None, &none);
-        assert_eq!(orders, [(0, Order::Fetch { version: one.version() })]);
+        assert_eq!(orders, [(0, Order::Fetch { version: one.version(), have: None })]);
     }
 
     /// A ballot of another is left alone until it has had its time, and is then carried on, not undone.
--- a/crates/plan/src/memory.rs
+++ b/crates/plan/src/memory.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use reedring_nodeproto::{Ballot, Introduced, Order, Record, Stamp, Version, level};
+use reedring_nodeproto::{Ballot, Delta, DeltaStep, Introduced, Order, Record, Stamp, Version, level};
 
+use crate::delta::{self, DeltaError};
 use crate::kept::MAX_PLACERS;
 use crate::text::{Kept, WrongText};
 
@@ -49,7 +50,7 @@
 }
 
 /// Why an order changes nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Declined {
     /// It asks for nothing that is not so already.
     #[error("it is so already")]
@@ -85,6 +86,9 @@
     /// The text is none of that version.
     #[error(transparent)]
     Text(#[from] WrongText),
+    /// The delta is none of the plan in force here.
+    #[error(transparent)]
+    Delta(#[from] DeltaError),
 }
 
 /// Why an offer is not admitted.
@@ -145,6 +149,35 @@
         kept.filter(|kept| kept.version() == version).map(Kept::text).next()
     }
 
+    /// What changed from a plan that somebody has to one that is kept here, where that is known and shorter than the
+    /// text.
+    pub fn delta(&self, have: Version, wanted: Version) -> Option<Delta> {
+        let base = self.force.as_ref().filter(|kept| kept.version() == have)?;
+        let target = self.next.as_ref().map(|next| &next.kept).filter(|kept| kept.version() == wanted)?;
+        delta::shorter(base, target)
+    }
+
+    /// The plan that an order is about: of its text, or as it is kept here where the sender left the text out.
+    fn told(&self, version: Version, text: &str) -> Result<Kept, WrongText> {
+        let kept = self.next.as_ref().map(|next| &next.kept).filter(|kept| kept.version() == version);
+        match kept {
+            Some(kept) if text.is_empty() => Ok(kept.clone()),
+            _ => Kept::checked(version, text),
+        }
+    }
+
+    /// The order with a text that one with a delta stands for.
+    fn with_text(&self, step: DeltaStep, changed: &Delta, list: u64) -> Result<Order, Declined> {
+        let base = self.force.as_ref().filter(|kept| kept.version() == changed.base);
+        let target = delta::apply(base.ok_or(Declined::OtherForce(self.force()))?, changed)?;
+        let (follows, version, text) = (changed.base, target.version(), target.text().to_owned());
+        Ok(match step {
+            DeltaStep::Accept { ballot } => Order::Accept { follows, ballot, version, text, list },
+            DeltaStep::Joint => Order::Joint { follows, version, text, list },
+            DeltaStep::Force => Order::Force { version, text, list },
+        })
+    }
+
     /// What is to be kept after an order. Nothing may be answered before it is durable.
     ///
     /// | order | where | is |
@@ -158,6 +191,10 @@
     /// | accept | the next plan is decided, or its ballot is smaller than the one answered | declined |
     /// | accept | its number is not the one after that in force (with none in force any will do) | declined: skips |
     /// | accept | else | kept, with its ballot |
+    /// | by delta | its base is not the plan in force | declined: other force |
+    /// | by delta | what comes of it is not its target | declined: delta |
+    /// | by delta | else | as that order with the text that comes of it |
+    /// | joint, force | it has no text, and its plan is not kept here | declined: text |
     /// | joint | another plan is decided | declined: decided |
     /// | joint | else | kept and decided: the floor rises half a step |
     /// | force | the number is under that in force, or another plan has it | declined: other force |
@@ -170,9 +207,14 @@
     /// # Errors
     /// Why nothing changes.
     pub fn after(&self, order: &Order, settled: bool) -> Result<Self, Declined> {
+        if let Order::ByDelta { step, delta, list } = order {
+            return self.after(&self.with_text(*step, delta, *list)?, settled);
+        }
         let (force, mut new) = (self.force(), self.clone());
         let told = match order {
-            Order::Ask { .. } | Order::Fetch { .. } => return Err(Declined::Same),
+            Order::Ask { .. } | Order::Fetch { .. } | Order::ByDelta { .. } => {
+                return Err(Declined::Same);
+            }
             Order::Prepare { list, .. }
             | Order::Accept { list, .. }
             | Order::Joint { list, .. }
@@ -193,7 +235,7 @@
         }
         let decided = self.joint().map(|next| next.kept.version());
         match order {
-            Order::Ask { .. } | Order::Fetch { .. } => {}
+            Order::Ask { .. } | Order::Fetch { .. } | Order::ByDelta { .. } => {}
             Order::Prepare { ballot, .. } => {
                 if let Some(decided) = decided {
                     return Err(Declined::Decided(decided));
@@ -222,7 +264,7 @@
                     Some(decided) => return Err(Declined::Decided(decided)),
                     None => {}
                 }
-                let kept = Kept::checked(*version, text)?;
+                let kept = self.told(*version, text)?;
                 follows(force, *version)?;
                 let ballot = self.next.as_ref().map_or(self.promised, |next| next.ballot);
                 new.next = Some(Next { ballot, kept, joint: true });
@@ -234,7 +276,7 @@
                 if version.number <= force.number {
                     return Err(Declined::OtherForce(force));
                 }
-                let kept = Kept::checked(*version, text)?;
+                let kept = self.told(*version, text)?;
                 new.changes = self.changes.saturating_add(u32::from(self.force.is_some()));
                 new.taught = self.force.is_none() && self.next.as_ref().is_none_or(|next| next.kept != kept);
                 new.force = Some(kept);
@@ -344,7 +386,8 @@
     fn orders() -> Vec<Order> {
         let none = Version::default();
         let (one, two, rival, four) = (kept(1, "one"), kept(2, "two"), kept(2, "rival"), kept(4, "four"));
-        let mut all = vec![Order::Ask { stamp: Stamp::default() }, Order::Fetch { version: two.version() }];
+        let mut all =
+            vec![Order::Ask { stamp: Stamp::default() }, Order::Fetch { version: two.version(), have: None }];
         for after in [none, one.version(), two.version()] {
             for round in [1, 3, 5] {
                 all.push(Order::Prepare { follows: after, ballot: ballot(round), list: 0 });
--- a/crates/plan/src/pace.rs
+++ b/crates/plan/src/pace.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
 
-use reedring_nodeproto::{Ballot, Order, Version};
+use reedring_nodeproto::{Ballot, DeltaStep, Order, Version};
 
 use crate::fleet::{Fleet, Kin};
 
@@ -13,28 +13,50 @@
 /// Microseconds for which a ballot of another placer is left alone; each placer adds up to as much again, by its
 /// own life.
 const LEAVE_US: u64 = 300_000;
+/// Microseconds for which one node's answer to a fetch is waited for before another one is asked.
+const FETCH_US: u64 = 100_000;
 
 /// The pace of one placer's orders.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
     /// The greatest ballot for the successor of which plan, and since when it is that.
     rival: (Version, Ballot, u64),
+    /// The plan in force and the decided one, as they were seen last, and since when.
+    seen: (Version, Option<Version>, u64),
+    /// The plan whose text or delta was asked for last, and when.
+    fetched: Option<(Version, u64)>,
     /// What was sent to each node, and when.
     sent: BTreeMap<(u32, u64), u64>,
 }
 
+/// Bits of a mark that tell the kind of an order.
+const KIND_BITS: u32 = 4;
+
 /// Tells two orders to a node apart.
 fn mark(order: &Order) -> u64 {
     match order {
-        Order::Ask { stamp } => 1 + (stamp.level() << 3),
-        Order::Fetch { version } => 2 + (version.number << 3),
-        Order::Prepare { ballot, .. } => 3 + (ballot.round << 3),
-        Order::Accept { ballot, .. } => 4 + (ballot.round << 3),
-        Order::Joint { version, .. } => 5 + (version.number << 3),
-        Order::Force { version, .. } => 6 + (version.number << 3),
+        Order::Ask { stamp } => 1 + (stamp.level() << KIND_BITS),
+        Order::Fetch { version, have: None } => 2 + (version.number << KIND_BITS),
+        Order::Prepare { ballot, .. } => 3 + (ballot.round << KIND_BITS),
+        Order::Accept { ballot, .. } | Order::ByDelta { step: DeltaStep::Accept { ballot }, .. } => {
+            4 + (ballot.round << KIND_BITS)
+        }
+        Order::ByDelta { step: DeltaStep::Joint, delta, .. } => 5 + (delta.target.number << KIND_BITS),
+        Order::ByDelta { step: DeltaStep::Force, delta, .. } => 6 + (delta.target.number << KIND_BITS),
+        Order::Joint { version, text, .. } if !text.is_empty() => 5 + (version.number << KIND_BITS),
+        Order::Force { version, text, .. } if !text.is_empty() => 6 + (version.number << KIND_BITS),
+        // A node that lacks what was left out is sent the whole at once.
+        Order::Fetch { version, have: Some(_) } => 8 + (version.number << KIND_BITS),
+        Order::Joint { version, .. } => 9 + (version.number << KIND_BITS),
+        Order::Force { version, .. } => 10 + (version.number << KIND_BITS),
     }
 }
 
+/// Microseconds by which placers wait differently long, drawn from their lives.
+fn spread(life: u64) -> u64 {
+    life.wrapping_mul(0x9e37_79b9_7f4a_7c15) % LEAVE_US
+}
+
 impl Pace {
     /// Whether the greatest ballot has had its time. A first ballot may be made at once.
     pub fn may_outbid(&mut self, now: u64, life: u64, fleet: &Fleet) -> bool {
@@ -45,19 +67,42 @@
         if (force, greatest) != (self.rival.0, self.rival.1) {
             self.rival = (force, greatest, now);
         }
-        let own = life.wrapping_mul(0x9e37_79b9_7f4a_7c15) % LEAVE_US;
-        greatest.round == 0 || now >= self.rival.2 + LEAVE_US + own
+        greatest.round == 0 || now >= self.rival.2 + LEAVE_US + spread(life)
+    }
+
+    /// Whether a decided plan may be brought on by whoever did not decide it: once its maker has had its time.
+    pub fn may_carry_on(&mut self, now: u64, life: u64, fleet: &Fleet) -> bool {
+        let force = fleet.force();
+        let decided = fleet.decided(force);
+        if (force, decided) != (self.seen.0, self.seen.1) {
+            self.seen = (force, decided, now);
+        }
+        let next = fleet.nodes.values().filter_map(Kin::record).filter_map(|record| record.next);
+        let own_ballot = next.filter(|next| Some(next.version) == decided).any(|next| next.ballot.by == life);
+        own_ballot || now >= self.seen.2 + LEAVE_US + spread(life)
     }
 
     /// Leaves out what was asked of a node, and has not had its time.
     pub fn due(&mut self, now: u64, orders: Vec<(u32, Order)>) -> Vec<(u32, Order)> {
         self.sent.retain(|_, at| now < at.saturating_add(AGAIN_US));
         let mut due = orders;
-        due.retain(|(node, order)| match self.sent.entry((*node, mark(order))) {
-            Entry::Occupied(_) => false,
-            Entry::Vacant(entry) => {
-                entry.insert(now);
-                true
+        due.retain(|(node, order)| {
+            if let Order::Fetch { version, .. } = order
+                && self
+                    .fetched
+                    .is_some_and(|(plan, at)| plan == *version && now < at.saturating_add(FETCH_US))
+            {
+                return false;
+            }
+            match self.sent.entry((*node, mark(order))) {
+                Entry::Occupied(_) => false,
+                Entry::Vacant(entry) => {
+                    entry.insert(now);
+                    if let Order::Fetch { version, .. } = order {
+                        self.fetched = Some((*version, now));
+                    }
+                    true
+                }
             }
         });
         due
@@ -66,6 +111,7 @@
     /// A node's link is another now: what was asked on the one before may be lost.
     pub fn forget(&mut self, node: u32) {
         self.sent.retain(|(to, _), _| *to != node);
+        self.fetched = None;
     }
 }
 
@@ -85,11 +131,15 @@
         assert_eq!(pace.due(AGAIN_US - 1, ask()), [(2, one.clone())]);
         assert_eq!(pace.due(AGAIN_US, ask()), [(1, one.clone())]);
         // Two things in turn are not asked over and over.
-        let both =
-            || vec![(7, one.clone()), (7, Order::Fetch { version: reedring_nodeproto::Version::default() })];
+        let both = || {
+            vec![
+                (7, one.clone()),
+                (7, Order::Fetch { version: reedring_nodeproto::Version::default(), have: None }),
+            ]
+        };
         assert_eq!(pace.due(AGAIN_US, both()).len(), 2);
         assert_eq!(pace.due(AGAIN_US + 1, both()).len(), 0);
-        let fetch = Order::Fetch { version: reedring_nodeproto::Version::default() };
+        let fetch = Order::Fetch { version: reedring_nodeproto::Version::default(), have: None };
         assert_eq!(pace.due(AGAIN_US, vec![(1, fetch)]).len(), 1);
     }
 
--- a/crates/plan/tests/delta.rs
+++ b/crates/plan/tests/delta.rs
@@ -54,6 +54,8 @@
             .prop_map(|value| format!("\"\"\"\n[[tenant]]\nname = \\\"{value}\\\"\n\n[site]\n\"\"\"")),
         "[a-z]{0,4}".prop_map(|value| format!("'''\n[[class]]\n\"{value}'''''")),
         "[a-z]{0,4}".prop_map(|value| format!("'{value}\"'")),
+        "[a-z]{0,4}".prop_map(|value| format!("'''{value}''''")),
+        "[a-z]{0,4}".prop_map(|value| format!("\"\"\"\n{value}\\\"\"\"\n[[tenant]]\n\"\"\"")),
         "[a-z]{0,4}".prop_map(|value| format!("\"{value}\\\\\\\"\" # [[\" kind]]")),
     ];
     let named = (0..Table::ALL.len(), "[a-e]{1,2}", prop::collection::vec(value, 0..3));
@@ -129,6 +131,17 @@
     assert_eq!(again, DeltaError::OtherBase { wanted: plans[1].version(), found: plans[2].version() });
 }
 
+/// A delta says what the target is, in whichever order its edits stand.
+#[test]
+fn the_order_of_the_edits_does_not_matter() {
+    let base = kept(1, &text_of(&[site(3), tenant("a"), tenant("b"), tenant("c")]));
+    let target = kept(2, &text_of(&[site(4), tenant("x"), tenant("b"), tenant("y")]));
+    let mut delta = between(&base, &target).unwrap();
+    assert_eq!(delta.edits.len(), 5);
+    delta.edits.reverse();
+    assert_eq!(apply(&base, &delta).unwrap(), target);
+}
+
 #[test]
 fn only_what_changed_is_named_and_what_moved_is_one_edit() {
     let (mut old, keys) = (names(), |delta: &Delta| -> Vec<String> {
--- a/crates/settings/src/settings/plan.rs
+++ b/crates/settings/src/settings/plan.rs
@@ -114,6 +114,20 @@
         Ok(Self { own: self.own.clone(), state: self.state.clone(), ..new })
     }
 
+    /// The own tables that another reading of the file has otherwise, apart from the plan's number: they are taken up
+    /// by a restart alone.
+    pub fn own_changes(&self, other: &Self) -> Vec<&'static str> {
+        let own = |settings: &Self| {
+            let mut tables: toml::Table = toml::from_str(&settings.own).unwrap_or_default();
+            if let Some(plan) = tables.get_mut("plan").and_then(toml::Value::as_table_mut) {
+                plan.remove("number");
+            }
+            tables
+        };
+        let (own, other) = (own(self), own(other));
+        OWN_TABLES.into_iter().filter(|name| own.get(*name) != other.get(*name)).collect()
+    }
+
     /// What the plan binds.
     pub fn bounds(&self) -> Bounds {
         let class = |class: &Class| {
--- a/crates/site/src/site.rs
+++ b/crates/site/src/site.rs
@@ -356,7 +356,8 @@
         let file = FileSource::new(list, settings.clone());
         let source: Box<dyn NodeSource> =
             if self.sabotage.blind_to_drains { Box::new(Blind(file)) } else { Box::new(file) };
-        let options = Options { source, recorder, settings_text: place.settings.clone(), threads };
+        let (settings_text, settings_file) = (place.settings.clone(), None);
+        let options = Options { source, recorder, settings_file, settings_text, threads };
         let placer = Placer::start(settings, options)?;
         place.contact = placer.contact().to_owned();
         if let Some(address) = placer.contact().strip_prefix("tcp:") {
--- a/crates/standin/src/model/plans.rs
+++ b/crates/standin/src/model/plans.rs
@@ -4,7 +4,7 @@
 
 use reedring::names::machine_id;
 use reedring_nodeproto::{Message, Order, Reason, Record, Stamp};
-use reedring_plan::{Declined, Memory, Seen};
+use reedring_plan::{Declined, Delta, DeltaStep, Kept, Memory, Seen, Version, delta};
 
 use super::Node;
 use super::types::{Effect, LinkId};
@@ -27,6 +27,8 @@
     /// What is acted by: further than what is durable where that could not be written.
     acts: Memory,
     keep: Option<Box<dyn Keep>>,
+    /// The plan that was in force here before, for placers that are one behind; a restart loses it.
+    former: Option<Kept>,
     /// What should be kept can't be written.
     stuck: bool,
     /// Since when the floor is what it is.
@@ -51,9 +53,26 @@
                 return false;
             }
         }
-        self.acts = memory;
+        self.take(memory);
         true
     }
+
+    /// Acts by this memory from now on.
+    fn take(&mut self, memory: Memory) {
+        if memory.force() != self.acts.force() {
+            self.former = self.acts.force.take();
+        }
+        self.acts = memory;
+    }
+
+    /// What changed from a plan that a placer has to the one that it asks for, where that is known and shorter.
+    fn delta(&self, have: Version, wanted: Version) -> Option<Delta> {
+        let former = || {
+            let base = self.former.as_ref().filter(|kept| kept.version() == have)?;
+            delta::shorter(base, self.acts.force.as_ref().filter(|kept| kept.version() == wanted)?)
+        };
+        self.acts.delta(have, wanted).or_else(former)
+    }
 }
 
 impl Node {
@@ -76,7 +95,7 @@
         }
         let floor_ms = now_us.saturating_sub(self.plans.floor_us) / 1_000;
         let stuck = self.plans.stuck || self.plans.acts.taught && !self.has_settled(now_us);
-        Record { floor_ms, linked, behind, stuck, ..self.plans.acts.record() }
+        Record { floor_ms, linked, behind, stuck, deltas: true, ..self.plans.acts.record() }
     }
 
     /// Writes of its memory of plans, and their bytes.
@@ -116,7 +135,10 @@
 
     /// An order to the node's memory.
     pub(super) fn ordered(&mut self, now_us: u64, link: LinkId, order: &Order) {
-        if let Order::Fetch { version } = order {
+        if let Order::Fetch { version, have } = order {
+            if let Some(delta) = have.and_then(|have| self.plans.delta(have, *version)) {
+                return self.effects.push(Effect::Send(link, Message::PlanDelta(delta)));
+            }
             let text = self.plans.acts.text(*version).unwrap_or_default().to_owned();
             return self.effects.push(Effect::Send(link, Message::PlanText { version: *version, text }));
         }
@@ -129,15 +151,25 @@
         let floor = self.plans.acts.floor();
         match self.plans.acts.after(order, self.has_settled(now_us)) {
             Ok(new) => {
-                let vote = matches!(order, Order::Prepare { .. } | Order::Accept { .. });
+                let vote = matches!(
+                    order,
+                    Order::Prepare { .. }
+                        | Order::Accept { .. }
+                        | Order::ByDelta { step: DeltaStep::Accept { .. }, .. }
+                );
                 if !self.plans.keep(new.clone()) && !vote {
                     // What a majority has kept is acted by all the same; it only counts for nothing here.
-                    self.plans.acts = new;
+                    self.plans.take(new);
                 }
                 if self.plans.acts.floor() != floor {
                     self.plans.floor_us = now_us;
                 }
-                self.tell_record(now_us);
+                if let Order::Prepare { .. } = order {
+                    // A promise concerns the placer that asked for it alone.
+                    self.effects.push(Effect::Send(link, Message::Record(self.record(now_us))));
+                } else {
+                    self.tell_record(now_us);
+                }
             }
             Err(Declined::Same) if self.plans.stuck => {
                 // The same again, and there may be room now.
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -82,6 +82,26 @@
     lives: u32,
 }
 
+impl Placer {
+    fn trace(&self, name: &str) -> String {
+        format!("{name}.{}.trace", self.lives)
+    }
+
+    /// Its settings file.
+    fn file(&self, name: &str) -> String {
+        // On a full disk it writes no trace.
+        let trace = match self.file_kib {
+            None => format!("trace = {:?}\n", self.trace(name)),
+            Some(_) => String::new(),
+        };
+        let (address, settings) = (self.address, &self.settings);
+        format!(
+            "[placer]\nname = {name:?}\nlisten = \"{address}\"\nnodes = \"{name}.nodes.toml\"\n{trace}\n\
+             [state]\nfolder = \"{name}.state\"\nlearn_every = \"1s\"\nretry = \"500ms\"\n\n{settings}"
+        )
+    }
+}
+
 /// A fleet of processes. What still runs is killed when it is dropped.
 pub struct Fleet {
     site: Site,
@@ -278,6 +298,16 @@
         self.placers.get_mut(name).into_iter().for_each(|placer| placer.settings = settings.to_owned());
     }
 
+    /// Rewrites the settings file of a placer, which may run.
+    ///
+    /// # Errors
+    /// Where it can't be written.
+    pub fn rewrite_settings(&mut self, name: &str, settings: &str) -> Result<(), TrialError> {
+        self.settings_of(name, settings);
+        let placer = self.placers.get(name).ok_or_else(|| TrialError::Unknown(name.to_owned()))?;
+        Ok(renamed(&self.dir.path().join(format!("{name}.toml")), &placer.file(name))?)
+    }
+
     /// How much a file of a placer may have from its next start on.
     pub fn limit_placer(&mut self, name: &str, file_kib: Option<u64>) {
         self.placers.get_mut(name).into_iter().for_each(|placer| placer.file_kib = file_kib);
@@ -292,16 +322,9 @@
         let dir = self.dir.path().to_owned();
         let placer = self.placers.get_mut(name).ok_or_else(|| TrialError::Unknown(name.to_owned()))?;
         placer.lives += 1;
-        let trace = format!("{name}.{}.trace", placer.lives);
+        let trace = placer.trace(name);
         let config = dir.join(format!("{name}.toml"));
-        let own = format!(
-            "[placer]\nname = {name:?}\nlisten = \"{}\"\nnodes = \"{name}.nodes.toml\"\n{}",
-            placer.address,
-            // On a full disk it writes no trace.
-            if placer.file_kib.is_none() { format!("trace = {trace:?}\n") } else { String::new() }
-        );
-        let state = format!("[state]\nfolder = \"{name}.state\"\nlearn_every = \"1s\"\nretry = \"500ms\"\n");
-        std::fs::write(&config, format!("{own}\n{state}\n{}", placer.settings))?;
+        renamed(&config, &placer.file(name))?;
         if placer.file_kib.is_none() {
             self.traces.push(dir.join(trace));
         }
