--- a/crates/core/tests/changes.rs
+++ b/crates/core/tests/changes.rs
@@ -4,7 +4,8 @@
 mod plans;
 
 use plans::{MS, SETTINGS, World, settings, settings_of_teams};
-use reedring_nodeproto::{Message, encode};
+use reedring_core::Input;
+use reedring_nodeproto::{Delta, Message, Order, encode};
 use reedring_settings::Settings;
 
 const SECOND: u64 = 1_000 * MS;
@@ -119,6 +120,60 @@
     assert!(world.nodes.iter().all(|node| seven.contains(&node.record(world.now).force)));
 }
 
+/// What waits follows the file: a text that is replaced before its turn is not brought in, nor is one that was taken back.
+#[test]
+fn what_waits_is_what_the_file_says_last() {
+    let version = |settings: &Settings| settings.plan().unwrap().unwrap().version();
+    let file = |number: u64, of: usize| settings_of_teams(number, PLACERS, &teams(of));
+    let mut world = fleet();
+    world.change_file(0, file(2, 2));
+    world.change_file(0, file(3, 3));
+    world.change_file(0, file(3, 33));
+    world.until_all(3, 10 * SECOND).expect("in force");
+    world.until_all(9, SECOND);
+    assert_eq!(acted_by(&world, 0), [1, 2, 3]);
+    assert!(world.nodes.iter().all(|node| node.record(world.now).force == version(&file(3, 33))));
+    world.change_file(0, file(4, 4));
+    world.change_file(0, file(5, 5));
+    world.change_file(0, file(9, 9));
+    world.change_file(0, file(4, 44));
+    world.until_all(4, 10 * SECOND).expect("in force");
+    world.until_all(9, 2 * SECOND);
+    assert_eq!(acted_by(&world, 0), [1, 2, 3, 4]);
+}
+
+/// A delta that does not make its plan is told, and the whole text is asked for.
+#[test]
+fn after_a_wrong_delta_the_text_is_fetched_whole() {
+    let mut world = fleet();
+    let version = |number| {
+        settings_of_teams(number, PLACERS, &teams(number as usize)).plan().unwrap().unwrap().version()
+    };
+    let wrong = Delta {
+        base: settings_of_teams(1, PLACERS, &teams(0)).plan().unwrap().unwrap().version(),
+        target: version(2),
+        edits: Vec::new(),
+    };
+    let now = world.clock(1);
+    world.cores[1]
+        .handle(now, Input::Message { node: "node-0".to_owned(), message: Message::PlanDelta(wrong) });
+    world.turn(1);
+    assert!(last_line(&world, 1).contains("what comes of the delta"), "{}", last_line(&world, 1));
+    world.records = true;
+    world.change_file(0, settings_of_teams(2, PLACERS, &teams(2)));
+    world.until_all(2, 10 * SECOND).expect("in force");
+    let fetches = |placer: usize| -> Vec<bool> {
+        let sent = world.sent.iter().filter(|sent| sent.placer == placer);
+        let fetch = |sent: &plans::Sent| match &sent.message {
+            Message::Plan(Order::Fetch { have, .. }) => Some(have.is_some()),
+            _ => None,
+        };
+        sent.filter_map(fetch).collect()
+    };
+    assert_eq!(fetches(1), [false]);
+    assert_eq!(fetches(2), [true]);
+}
+
 #[test]
 fn numbers_that_go_back_repeat_or_skip_are_told_and_change_nothing() {
     let mut world = fleet();
--- a/crates/nodeproto/src/codec.rs
+++ b/crates/nodeproto/src/codec.rs
@@ -186,6 +186,10 @@
             put_text(out, text, MAX_PLAN);
             out.extend_from_slice(&list.to_be_bytes());
         }
+        Order::Raise { stamp } => {
+            out.push(6);
+            put_stamp(out, stamp);
+        }
     }
 }
 
@@ -202,7 +206,8 @@
             | Order::Prepare { .. }
             | Order::Accept { .. }
             | Order::Joint { .. }
-            | Order::Force { .. },
+            | Order::Force { .. }
+            | Order::Raise { .. },
         )
         | Message::Record(_)
         | Message::PlanText { .. } => 2,
@@ -221,12 +226,18 @@
     pub flags: u8,
 }
 
+/// The record of this message is a learner's.
+const LEARNS: u8 = 1;
 /// The record of this message is that of a node that reads deltas.
 const DELTAS: u8 = 2;
 
 fn flags(message: &Message) -> u8 {
     match message {
-        Message::Welcome { record: Some(record), .. } | Message::Record(record) if record.deltas => DELTAS,
+        Message::Welcome { record: Some(record), .. } | Message::Record(record) => {
+            let learns = if record.learns { LEARNS } else { 0 };
+            let deltas = if record.deltas { DELTAS } else { 0 };
+            learns | deltas
+        }
         _ => 0,
     }
 }
@@ -491,8 +502,8 @@
     };
     let (promised, list, floor_ms, linked, behind, stuck) =
         (ballot, be_u64, be_u64, be_u16, be_u16, flag).context(label("the record")).parse_next(input)?;
-    // Whether the node reads deltas the header says.
-    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck, deltas: false })
+    // Whether it is a learner's, and whether the node reads deltas, the header says.
+    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck, learns: false, deltas: false })
 }
 
 fn plan_text(input: &mut Input<'_>) -> ModalResult<String> {
@@ -530,6 +541,7 @@
             let (version, text, list) = (plan_version, plan_text, be_u64).parse_next(input)?;
             Order::Force { version, text, list }
         }
+        6 => Order::Raise { stamp: stamp(input)? },
         7 if version >= 3 => {
             let (version, have) = (plan_version, plan_version).parse_next(input)?;
             Order::Fetch { version, have: Some(have) }
@@ -618,6 +630,7 @@
 /// Gives the record of a message what its header says.
 fn mark(message: &mut Message, flags: u8) {
     if let Message::Welcome { record: Some(record), .. } | Message::Record(record) = message {
+        record.learns = flags & LEARNS != 0;
         record.deltas = flags & DELTAS != 0;
     }
 }
--- a/crates/plan/src/memory.rs
+++ b/crates/plan/src/memory.rs
@@ -212,7 +212,7 @@
         }
         let (force, mut new) = (self.force(), self.clone());
         let told = match order {
-            Order::Ask { .. } | Order::Fetch { .. } | Order::ByDelta { .. } => {
+            Order::Ask { .. } | Order::Fetch { .. } | Order::Raise { .. } | Order::ByDelta { .. } => {
                 return Err(Declined::Same);
             }
             Order::Prepare { list, .. }
@@ -235,7 +235,7 @@
         }
         let decided = self.joint().map(|next| next.kept.version());
         match order {
-            Order::Ask { .. } | Order::Fetch { .. } | Order::ByDelta { .. } => {}
+            Order::Ask { .. } | Order::Fetch { .. } | Order::Raise { .. } | Order::ByDelta { .. } => {}
             Order::Prepare { ballot, .. } => {
                 if let Some(decided) = decided {
                     return Err(Declined::Decided(decided));
@@ -388,6 +388,7 @@
         let (one, two, rival, four) = (kept(1, "one"), kept(2, "two"), kept(2, "rival"), kept(4, "four"));
         let mut all =
             vec![Order::Ask { stamp: Stamp::default() }, Order::Fetch { version: two.version(), have: None }];
+        all.push(Order::Raise { stamp: Stamp { version: four.version(), ..Stamp::default() } });
         for after in [none, one.version(), two.version()] {
             for round in [1, 3, 5] {
                 all.push(Order::Prepare { follows: after, ballot: ballot(round), list: 0 });
--- a/crates/trials/tests/changes.rs
+++ b/crates/trials/tests/changes.rs
@@ -138,6 +138,14 @@
     fleet.wait_placer("placer-2", 0, AIM, |line| line.contains("does not follow plan 8/")).unwrap();
     assert_eq!(acted_until(&fleet, "placer-2"), 8);
     assert!(change(&mut fleet, "placer-2", 9) < AIM);
+    // The same file on every placer's disk at once: one change.
+    let from = Instant::now();
+    fleet.placers().iter().for_each(|name| fleet.rewrite_settings(name, &changed(10)).unwrap());
+    all_act_by(&fleet, 10);
+    assert!(from.elapsed() < AIM, "{:?}", from.elapsed());
+    for name in fleet.placers() {
+        assert!(acted_by(&fleet, &name).ends_with(&[9, 10]), "{name}");
+    }
     clean(fleet);
 }
 
