--- a/crates/core/tests/plans/mod.rs
+++ b/crates/core/tests/plans/mod.rs
@@ -26,6 +26,14 @@
     Settings::parse(&format!("{text}{plan}"), "bench").expect("the bench's own settings")
 }
 
+/// Settings whose plan has these tenants.
+pub fn settings_of_teams(plan: u64, placers: usize, teams: &[String]) -> Settings {
+    let tenants: String = teams.iter().map(|team| format!("[[tenant]]\nname = {team:?}\n")).collect();
+    let site = SETTINGS.replace("[site]", &format!("[site]\nplacers = {placers}"));
+    Settings::parse(&format!("{site}[plan]\nnumber = {plan}\n{tenants}"), "teams")
+        .expect("the teams' settings")
+}
+
 /// A disk that takes everything.
 struct Takes;
 
@@ -40,6 +48,16 @@
     AtPlacer(usize, usize, Message),
 }
 
+/// A message that was sent.
+#[derive(Debug)]
+pub struct Sent {
+    pub at: u64,
+    pub placer: usize,
+    pub node: usize,
+    pub to_node: bool,
+    pub message: Message,
+}
+
 /// Placers and nodes in simulated time, on a grid of a millisecond: what comes in one slot is one turn of a loop.
 pub struct World {
     pub now: u64,
@@ -60,6 +78,9 @@
     /// The life of each placer: its links' numbers end in it.
     lives: Vec<u64>,
     pub messages: u64,
+    /// Every message, where they are recorded.
+    pub sent: Vec<Sent>,
+    pub records: bool,
     /// Messages of plans alone: orders, records and texts.
     pub plan_messages: u64,
     /// Nodes that nothing reaches, and that reach nobody.
@@ -111,6 +132,8 @@
             acts: vec![(0, 0); placers],
             lives: vec![0; placers.max(1)],
             messages: 0,
+            sent: Vec::new(),
+            records: false,
             plan_messages: 0,
             cut_off: BTreeSet::new(),
             raises: BTreeMap::new(),
@@ -164,6 +187,13 @@
         self.turn(placer);
     }
 
+    /// A placer's settings file says something else.
+    pub fn change_file(&mut self, placer: usize, settings: Settings) {
+        let now = self.clock(placer);
+        self.cores[placer].handle(now, Input::SettingsChanged(Box::new(settings)));
+        self.turn(placer);
+    }
+
     /// Another machine takes a node's place, without any memory.
     pub fn replace_node(&mut self, n: usize, life: u64) {
         let votes = self.nodes[n].config().votes;
@@ -197,12 +227,22 @@
         }
         self.made += 1;
         self.messages += 1;
+        if self.records {
+            let (placer, node, to_node, message) = match &due {
+                Due::AtNode(placer, node, message) => (*placer, *node, true, message.clone()),
+                Due::AtPlacer(placer, node, message) => (*placer, *node, false, message.clone()),
+            };
+            self.sent.push(Sent { at: self.now, placer, node, to_node, message });
+        }
         match message {
             Message::Plan(Order::Raise { .. }) => *self.raises.entry(*n).or_default() += 1,
             Message::Offer { .. } => *self.offers.entry(*n).or_default() += 1,
             _ => {}
         }
-        let of_plans = matches!(message, Message::Plan(_) | Message::Record(_) | Message::PlanText { .. });
+        let of_plans = matches!(
+            message,
+            Message::Plan(_) | Message::Record(_) | Message::PlanText { .. } | Message::PlanDelta(_)
+        );
         self.plan_messages += u64::from(of_plans);
         let way = match &due {
             Due::AtNode(placer, n, _) => (*placer, *n, true),
@@ -247,7 +287,7 @@
         while self.now < end {
             let wakes = (0..self.cores.len()).filter_map(|placer| self.wakes(placer)).min();
             let next = self.queue.first_key_value().map(|((at, _), _)| *at);
-            self.now = next.into_iter().chain(wakes).min().unwrap_or(end).max(self.now + MS);
+            self.now = next.into_iter().chain(wakes).min().unwrap_or(end).min(end).max(self.now + MS);
             let mut turns: BTreeSet<usize> = BTreeSet::new();
             while let Some(due) = self.queue.first_entry().filter(|due| due.key().0 <= self.now) {
                 match due.remove() {
--- a/crates/nodeproto/src/codec.rs
+++ b/crates/nodeproto/src/codec.rs
@@ -4,9 +4,10 @@
 use winnow::error::{ContextError, ErrMode, StrContext};
 use winnow::prelude::*;
 
+use crate::delta::{delta, put_delta};
 use crate::frame::{FrameError, Reader};
 use crate::message::{AttemptId, End, Group, Held, HeldState, Message, Reason, Repeat, Task, Topic};
-use crate::versions::{Ballot, Digest, Introduced, Order, Record, Stamp, Version};
+use crate::versions::{Ballot, DeltaStep, Digest, Introduced, Order, Record, Stamp, Version};
 use crate::{MAX_NAME, MAX_PAYLOAD, MAX_PLAN, MAX_REPORT, MAX_TEXT};
 
 mod kind {
@@ -27,6 +28,7 @@
     pub const REPORT: u8 = 71;
     pub const RECORD: u8 = 72;
     pub const PLAN_TEXT: u8 = 73;
+    pub const PLAN_DELTA: u8 = 74;
 }
 
 // ---- Writing ----
@@ -35,7 +37,7 @@
     &text[..text.floor_char_boundary(most.min(text.len()))]
 }
 
-fn put_text(out: &mut Vec<u8>, text: &str, most: usize) {
+pub(crate) fn put_text(out: &mut Vec<u8>, text: &str, most: usize) {
     let text = cut(text, most);
     out.extend_from_slice(&(text.len() as u16).to_be_bytes());
     out.extend_from_slice(text.as_bytes());
@@ -92,7 +94,7 @@
     put_text(out, text, MAX_TEXT);
 }
 
-fn put_version(out: &mut Vec<u8>, version: &Version) {
+pub(crate) fn put_version(out: &mut Vec<u8>, version: &Version) {
     out.extend_from_slice(&version.number.to_be_bytes());
     out.extend_from_slice(&version.digest.0);
 }
@@ -125,16 +127,38 @@
     out.push(u8::from(record.stuck));
 }
 
+fn put_step(out: &mut Vec<u8>, step: &DeltaStep) {
+    match step {
+        DeltaStep::Accept { ballot } => {
+            out.push(0);
+            put_ballot(out, ballot);
+        }
+        DeltaStep::Joint => out.push(1),
+        DeltaStep::Force => out.push(2),
+    }
+}
+
 fn put_order(out: &mut Vec<u8>, order: &Order) {
     match order {
         Order::Ask { stamp } => {
             out.push(0);
             put_stamp(out, stamp);
         }
-        Order::Fetch { version } => {
+        Order::Fetch { version, have: None } => {
             out.push(1);
             put_version(out, version);
         }
+        Order::Fetch { version, have: Some(have) } => {
+            out.push(7);
+            put_version(out, version);
+            put_version(out, have);
+        }
+        Order::ByDelta { step, delta, list } => {
+            out.push(8);
+            put_step(out, step);
+            put_delta(out, delta);
+            out.extend_from_slice(&list.to_be_bytes());
+        }
         Order::Prepare { follows, ballot, list } => {
             out.push(2);
             put_version(out, follows);
@@ -176,9 +200,20 @@
         | Message::Offer { stamp: Some(_), .. }
         | Message::Welcome { record: Some(_), .. }
         | Message::Refused { reason: Reason::Superseded, .. }
-        | Message::Plan(_)
+        | Message::Plan(
+            Order::Ask { .. }
+            | Order::Fetch { have: None, .. }
+            | Order::Prepare { .. }
+            | Order::Accept { .. }
+            | Order::Joint { .. }
+            | Order::Force { .. }
+            | Order::Raise { .. },
+        )
         | Message::Record(_)
         | Message::PlanText { .. } => 2,
+        Message::Plan(Order::Fetch { have: Some(_), .. } | Order::ByDelta { .. }) | Message::PlanDelta(_) => {
+            3
+        }
         _ => 1,
     }
 }
@@ -193,10 +228,16 @@
 
 /// The record of this message is a learner's.
 const LEARNS: u8 = 1;
+/// The record of this message is that of a node that reads deltas.
+const DELTAS: u8 = 2;
 
 fn flags(message: &Message) -> u8 {
     match message {
-        Message::Welcome { record: Some(record), .. } | Message::Record(record) if record.learns => LEARNS,
+        Message::Welcome { record: Some(record), .. } | Message::Record(record) => {
+            let learns = if record.learns { LEARNS } else { 0 };
+            let deltas = if record.deltas { DELTAS } else { 0 };
+            learns | deltas
+        }
         _ => 0,
     }
 }
@@ -315,18 +356,22 @@
             put_text(out, text, MAX_PLAN);
             kind::PLAN_TEXT
         }
+        Message::PlanDelta(delta) => {
+            put_delta(out, delta);
+            kind::PLAN_DELTA
+        }
     }
 }
 
 // ---- Reading ----
 
-type Input<'a> = &'a [u8];
+pub(crate) type Input<'a> = &'a [u8];
 
-fn label(text: &'static str) -> StrContext {
+pub(crate) fn label(text: &'static str) -> StrContext {
     StrContext::Label(text)
 }
 
-fn text(most: usize) -> impl FnMut(&mut Input<'_>) -> ModalResult<String> {
+pub(crate) fn text(most: usize) -> impl FnMut(&mut Input<'_>) -> ModalResult<String> {
     move |input| {
         let bytes = length_take(be_u16).verify(|bytes: &[u8]| bytes.len() <= most);
         bytes.try_map(|bytes| std::str::from_utf8(bytes).map(str::to_owned)).parse_next(input)
@@ -431,7 +476,7 @@
     Ok(Held { attempt, task, state })
 }
 
-fn plan_version(input: &mut Input<'_>) -> ModalResult<Version> {
+pub(crate) fn plan_version(input: &mut Input<'_>) -> ModalResult<Version> {
     let digest =
         winnow::token::take(16_usize).map(|bytes: &[u8]| Digest(bytes.try_into().unwrap_or_default()));
     let version = (be_u64, digest).map(|(number, digest)| Version { number, digest });
@@ -457,18 +502,27 @@
     };
     let (promised, list, floor_ms, linked, behind, stuck) =
         (ballot, be_u64, be_u64, be_u16, be_u16, flag).context(label("the record")).parse_next(input)?;
-    // Whether it is a learner's the header says.
-    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck, learns: false })
+    // Whether it is a learner's, and whether the node reads deltas, the header says.
+    Ok(Record { force, next, promised, list, floor_ms, linked, behind, stuck, learns: false, deltas: false })
 }
 
 fn plan_text(input: &mut Input<'_>) -> ModalResult<String> {
     text(MAX_PLAN).context(label("the plan's text")).parse_next(input)
 }
 
-fn order(input: &mut Input<'_>) -> ModalResult<Order> {
+fn step(input: &mut Input<'_>) -> ModalResult<DeltaStep> {
+    Ok(match u8.context(label("the step")).parse_next(input)? {
+        0 => DeltaStep::Accept { ballot: ballot(input)? },
+        1 => DeltaStep::Joint,
+        2 => DeltaStep::Force,
+        _ => return Err(ErrMode::Backtrack(ContextError::new())),
+    })
+}
+
+fn order(version: u8, input: &mut Input<'_>) -> ModalResult<Order> {
     Ok(match u8.context(label("the order")).parse_next(input)? {
         0 => Order::Ask { stamp: stamp(input)? },
-        1 => Order::Fetch { version: plan_version(input)? },
+        1 => Order::Fetch { version: plan_version(input)?, have: None },
         2 => {
             let (follows, ballot, list) = (plan_version, ballot, be_u64).parse_next(input)?;
             Order::Prepare { follows, ballot, list }
@@ -488,6 +542,14 @@
             Order::Force { version, text, list }
         }
         6 => Order::Raise { stamp: stamp(input)? },
+        7 if version >= 3 => {
+            let (version, have) = (plan_version, plan_version).parse_next(input)?;
+            Order::Fetch { version, have: Some(have) }
+        }
+        8 if version >= 3 => {
+            let (step, delta, list) = (step, delta, be_u64).parse_next(input)?;
+            Order::ByDelta { step, delta, list }
+        }
         _ => return Err(ErrMode::Backtrack(ContextError::new())),
     })
 }
@@ -554,20 +616,22 @@
             let (nonce, report) = (be_u64, report).parse_next(input)?;
             Message::Report { nonce, report }
         }
-        kind::PLAN if version >= 2 => Message::Plan(order(input)?),
+        kind::PLAN if version >= 2 => Message::Plan(order(version, input)?),
         kind::RECORD if version >= 2 => Message::Record(record(input)?),
         kind::PLAN_TEXT if version >= 2 => {
             let (version, text) = (plan_version, plan_text).parse_next(input)?;
             Message::PlanText { version, text }
         }
+        kind::PLAN_DELTA if version >= 3 => Message::PlanDelta(delta(input)?),
         _ => return Ok(None),
     }))
 }
 
-/// Marks the record of a message as a learner's.
-fn mark_learner(message: &mut Message) {
+/// Gives the record of a message what its header says.
+fn mark(message: &mut Message, flags: u8) {
     if let Message::Welcome { record: Some(record), .. } | Message::Record(record) = message {
-        record.learns = true;
+        record.learns = flags & LEARNS != 0;
+        record.deltas = flags & DELTAS != 0;
     }
 }
 
@@ -578,9 +642,7 @@
     let fault = |field: String| FrameError::Field { kind, field };
     match body(version, kind, &mut input) {
         Ok(Some(mut message)) if input.is_empty() => {
-            if flags & LEARNS != 0 {
-                mark_learner(&mut message);
-            }
+            mark(&mut message, flags);
             Ok(message)
         }
         Ok(Some(_)) => Err(fault(format!("{} bytes are left over", input.len()))),
--- a/crates/nodeproto/src/traffic.rs
+++ b/crates/nodeproto/src/traffic.rs
@@ -32,6 +32,8 @@
     PlanPrepare,
     /// [`Order::Accept`].
     PlanAccept,
+    /// [`Order::ByDelta`].
+    PlanByDelta,
     /// [`Order::Joint`].
     PlanJoint,
     /// [`Order::Force`].
@@ -44,6 +46,8 @@
     Record,
     /// [`Message::PlanText`].
     PlanText,
+    /// [`Message::PlanDelta`].
+    PlanDelta,
     /// [`Message::Holds`].
     Holds,
     /// [`Message::Accepted`].
@@ -60,7 +64,7 @@
 
 impl MessageKind {
     /// Every kind, in the order of the counters.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 25] = [
         Self::Hello,
         Self::Offer,
         Self::Stop,
@@ -72,12 +76,14 @@
         Self::PlanFetch,
         Self::PlanPrepare,
         Self::PlanAccept,
+        Self::PlanByDelta,
         Self::PlanJoint,
         Self::PlanForce,
         Self::PlanRaise,
         Self::Welcome,
         Self::Record,
         Self::PlanText,
+        Self::PlanDelta,
         Self::Holds,
         Self::Accepted,
         Self::Refused,
@@ -100,12 +106,14 @@
             Message::Plan(Order::Fetch { .. }) => Self::PlanFetch,
             Message::Plan(Order::Prepare { .. }) => Self::PlanPrepare,
             Message::Plan(Order::Accept { .. }) => Self::PlanAccept,
+            Message::Plan(Order::ByDelta { .. }) => Self::PlanByDelta,
             Message::Plan(Order::Joint { .. }) => Self::PlanJoint,
             Message::Plan(Order::Force { .. }) => Self::PlanForce,
             Message::Plan(Order::Raise { .. }) => Self::PlanRaise,
             Message::Welcome { .. } => Self::Welcome,
             Message::Record(_) => Self::Record,
             Message::PlanText { .. } => Self::PlanText,
+            Message::PlanDelta(_) => Self::PlanDelta,
             Message::Holds { .. } => Self::Holds,
             Message::Accepted { .. } => Self::Accepted,
             Message::Refused { .. } => Self::Refused,
@@ -129,12 +137,14 @@
             Self::PlanFetch => "plan-fetch",
             Self::PlanPrepare => "plan-prepare",
             Self::PlanAccept => "plan-accept",
+            Self::PlanByDelta => "plan-by-delta",
             Self::PlanJoint => "plan-joint",
             Self::PlanForce => "plan-force",
             Self::PlanRaise => "plan-raise",
             Self::Welcome => "welcome",
             Self::Record => "record",
             Self::PlanText => "plan-text",
+            Self::PlanDelta => "plan-delta",
             Self::Holds => "holds",
             Self::Accepted => "accepted",
             Self::Refused => "refused",
@@ -153,10 +163,12 @@
                 | Self::Holds
                 | Self::Record
                 | Self::PlanText
+                | Self::PlanDelta
                 | Self::PlanAsk
                 | Self::PlanFetch
                 | Self::PlanPrepare
                 | Self::PlanAccept
+                | Self::PlanByDelta
                 | Self::PlanJoint
                 | Self::PlanForce
                 | Self::PlanRaise
--- a/crates/standin/tests/learners.rs
+++ b/crates/standin/tests/learners.rs
@@ -28,9 +28,9 @@
         let mut site =
             Self { node: Node::new(config, 1, 1, 0), groups: Groups::default(), now_us: 1_000, offers: 0 };
         // Both files have plan 9, which nobody has agreed on.
-        for link in 1..=2 {
-            site.greet(link, Some(stamp(9, false)));
-        }
+        (1..=2).for_each(|link| {
+            let _ = site.greet(link, Some(stamp(9, false)));
+        });
         site
     }
 
@@ -142,7 +142,7 @@
     assert_eq!(record.floor(), level(version, true));
     let record = site.order(1, Order::Force { version, text, list });
     assert_eq!((record.floor(), record.force), (1, Version::default()));
-    let sent = site.send(1, Message::Plan(Order::Fetch { version }));
+    let sent = site.send(1, Message::Plan(Order::Fetch { version, have: None }));
     assert_eq!(sent, [(1, Message::PlanText { version, text: String::new() })], "it keeps no text");
     assert_eq!(site.node.plan_writes(), (0, 0));
 }
@@ -165,9 +165,9 @@
     let mut site = Site::new();
     let config = Config { votes: false, look_ms: 10.0, ..Config::named("n") };
     site.node = Node::new(config, 1, 1, 0);
-    for link in 1..=2 {
-        site.greet(link, Some(stamp(1, false)));
-    }
+    (1..=2).for_each(|link| {
+        let _ = site.greet(link, Some(stamp(1, false)));
+    });
     let offer = |request, stamp| {
         let attempt = AttemptId { life: 1, request, number: 0 };
         let task = Task {
--- a/crates/trials/src/scale/hollow.rs
+++ b/crates/trials/src/scale/hollow.rs
@@ -121,6 +121,7 @@
         source: Box::new(FileSource::new(list, settings.clone())),
         recorder: None,
         traffic: Some(Arc::clone(&traffic)),
+        settings_file: None,
         settings_text: text,
         threads: 1,
     };
