Capacity: what each role costs by measured slopes, before and after control machines

Corrected in the data, as the program wrote it wrongly then and no longer does: tasks that were wanted but not started count as none, starts by the second have no size to stand for, the command names its phases.

Scale runs: a size counts tasks that stand; a region that refuses is kept as a cut. Test of an even spread beside a hall of control machines, owed by the mechanism's guards.

--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -141,14 +141,18 @@
 }
 
 fn submit(world: &mut World, number: u64, native: &str) {
+    submit_bulk(world, number, 50, &format!("life=1ms {native}"));
+}
+
+fn submit_bulk(world: &mut World, number: u64, jobs: u64, native: &str) {
     if number == 1 {
         let init = Call::Init { session: "s".to_owned() };
         world.cores[0].handle(world.now, Input::Call { conn: 1, id: 0, call: init });
     }
     let key = CallKey { session: "s".to_owned(), call: number, settled: number, sent_to: 1_000 };
-    let native = format!("class=c life=1ms cores=0.01 memory=0.01 {native}");
+    let native = format!("class=c cores=0.01 memory=0.01 {native}");
     let job = Box::new(JobSpec { command: "work".to_owned(), native, ..JobSpec::default() });
-    let range = Range { first: 1, last: 50, step: 1 };
+    let range = Range { first: 1, last: jobs, step: 1 };
     let call = Call::RunBulkJobs { key, job, range };
     let now = world.now;
     world.cores[0].handle(now, Input::Call { conn: 1, id: number, call });
@@ -177,6 +181,21 @@
 
 /// The safe order of steps: machines that keep the plan in force are marked, and nodes that do not vote any more are
 /// still told what is decided, as they check offers by that.
+/// A hall of control machines alone has no copies for ever: counted, it would keep the other halls at one copy each.
+#[test]
+fn an_even_spread_goes_by_the_halls_that_can_take_tasks() {
+    let mut world = World::with_control(1, 3, 2);
+    for (n, node) in world.list.nodes.iter_mut().enumerate() {
+        node.hall = ["control", "control", "control", "east", "west"][n].to_owned();
+    }
+    let (now, list) = (world.now, world.list.clone());
+    world.cores[0].handle(now, Input::Listed(list));
+    first_plan(&mut world);
+    submit_bulk(&mut world, 1, 6, "life=60s service=v constraint='require spread by hall within 1'");
+    world.until_all(9, 3 * SECOND);
+    assert_eq!(world.offers, [(3, 3), (4, 3)].into());
+}
+
 #[test]
 fn a_list_that_marks_machines_which_keep_the_plan_goes_on_at_once() {
     let mut world = World::new(3, 9);
--- a/crates/trials/src/scale/options.rs
+++ b/crates/trials/src/scale/options.rs
@@ -101,6 +101,9 @@
         );
         text += &format!(" --tasks {} --starts-per-second {:.1}", self.running_tasks(), self.starts());
         text += &format!(" --lease {} --window {} --changes {}", self.lease, self.window, self.changes);
-        text + &format!(" --changes-per-hour {} --fast-seconds {}", self.changes_per_hour, self.fast_seconds)
+        text +=
+            &format!(" --changes-per-hour {} --fast-seconds {}", self.changes_per_hour, self.fast_seconds);
+        let phases: Vec<&str> = self.phases.iter().map(|phase| phase.name()).collect();
+        if phases.is_empty() { text } else { format!("{text} --phases {}", phases.join(",")) }
     }
 }
--- a/crates/trials/src/scale/phase.rs
+++ b/crates/trials/src/scale/phase.rs
@@ -85,14 +85,15 @@
         }
     }
 
-    /// Whether it lasts as long as it was told to, at a rate that was asked for: what it used by the second means
-    /// something. All others last until their events are over, and are measured by the event.
+    /// Whether it lasts as long as it was told to, at a rate that a size names: what it used by the second means
+    /// something. All others last until their events are over, or at a rate that no size names (starts), and are
+    /// measured by the event.
     pub const fn has_rate(self) -> bool {
-        matches!(self, Self::Idle | Self::Starts | Self::FastChanges)
+        matches!(self, Self::Idle | Self::FastChanges)
     }
 
-    /// The phase of run files under which it is kept; fast changes are changes at another rate. None for variants of
-    /// a phase that run files have once.
+    /// The phase of run files under which it is kept; fast changes are changes at another rate. Where a run played both
+    /// variants of a phase, the first one is kept.
     pub const fn in_run_files(self) -> Option<Phase> {
         match self {
             Self::Idle => Some(Phase::Idle),
@@ -101,9 +102,9 @@
             Self::Starts => Some(Phase::Starts),
             Self::Churn => Some(Phase::Churn),
             Self::ZoneLost => Some(Phase::ZoneLost),
-            Self::RegionStill => Some(Phase::RegionCut),
+            Self::RegionStill | Self::RegionRefused => Some(Phase::RegionCut),
             Self::PlacerKilled => Some(Phase::PlacerKilled),
-            Self::Standing | Self::PlacerRestarted | Self::RegionRefused => None,
+            Self::Standing | Self::PlacerRestarted => None,
         }
     }
 }
--- a/crates/trials/src/scale/report.rs
+++ b/crates/trials/src/scale/report.rs
@@ -91,7 +91,8 @@
     /// The run as run files have it.
     pub fn run(&self) -> Run {
         let mut measurements: Vec<Measurement> = Vec::new();
-        for measured in self.phases.iter().flat_map(|phase| self.measurements(phase)) {
+        let played = self.phases.iter().enumerate();
+        for measured in played.flat_map(|(number, phase)| self.measurements(number, phase)) {
             let same = |other: &Measurement| {
                 (other.role, other.phase, other.quantity)
                     == (measured.role, measured.phase, measured.quantity)
@@ -110,12 +111,18 @@
         }
     }
 
-    fn measurements(&self, result: &PhaseResult) -> Vec<Measurement> {
+    /// The tasks that stand in a phase: none before the phase that starts them.
+    fn running_tasks(&self, phase: usize) -> u32 {
+        let started = self.phases[..phase].iter().any(|before| before.phase == PhaseName::Standing);
+        if started { self.size.running_tasks } else { 0 }
+    }
+
+    fn measurements(&self, number: usize, result: &PhaseResult) -> Vec<Measurement> {
         let Some(phase) = result.phase.in_run_files() else { return Vec::new() };
         let (seconds, events) = (result.elapsed.as_secs_f64(), result.events as f64);
         let changes_per_hour =
             if result.phase == PhaseName::FastChanges { events / seconds * HOUR } else { 0.0 };
-        let size = Size { changes_per_hour, ..self.size };
+        let size = Size { changes_per_hour, running_tasks: self.running_tasks(number), ..self.size };
         let mut all = Vec::new();
         let control = result.control.iter().map(|usage| (Role::ControlMachine, usage));
         for (role, usage) in
@@ -190,8 +197,8 @@
 /// How the cluster agrees on a change.
 fn mechanism(control_machines: u32) -> String {
     match control_machines {
-        0 => "every node votes".to_owned(),
-        some => format!("{some} control machines"),
+        0 => "every node votes (crates/plan/src/fleet.rs)".to_owned(),
+        some => format!("{some} control machines vote (crates/plan/src/membership.rs)"),
     }
 }
 
--- a/crates/trials/tests/scale.rs
+++ b/crates/trials/tests/scale.rs
@@ -99,7 +99,12 @@
             .iter()
             .any(|one| (one.phase, one.role, one.quantity) == (phase, role, quantity))
     };
-    let by_second = [Phase::Idle, Phase::Starts];
+    let by_second = [Phase::Idle];
+    // Tasks stand from the phase on that starts them, and no size names a rate of starts.
+    for one in &read.0[0].measurements {
+        assert_eq!(one.size.running_tasks, if one.phase == Phase::Idle { 0 } else { 48 }, "{one:?}");
+        assert!(one.phase != Phase::Starts || one.quantity != Quantity::ProcessorShare, "{one:?}");
+    }
     let by_event =
         [Phase::Starts, Phase::PlanChange, Phase::ListChange, Phase::RegionCut, Phase::PlacerKilled];
     for role in [Role::Placer, Role::Node] {
@@ -152,7 +157,7 @@
         }
     }
     let run = report.run();
-    assert_eq!(run.mechanism, "3 control machines");
+    assert_eq!(run.mechanism, "3 control machines vote (crates/plan/src/membership.rs)");
     let of_control = run.measurements.iter().filter(|one| one.role == Role::ControlMachine);
     assert!(of_control.count() > 0);
 }
