--- a/crates/placer/src/links.rs
+++ b/crates/placer/src/links.rs
@@ -393,12 +393,9 @@
 
     use super::*;
 
-    /// A core behind a backlog sends on for an older link after the newer one has told what its node holds.
-    #[tokio::test]
-    async fn what_was_meant_for_an_older_link_is_not_written_to_a_newer_one() {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (came, mut coming) = mpsc::channel(8);
-        let keeper = Keeper {
+    /// The task of a link to a node, whose last link had number 4.
+    fn keeper_of(listener: &tokio::net::TcpListener, came: mpsc::Sender<Came>) -> Keeper {
+        Keeper {
             node: "n".into(),
             address: listener.local_addr().unwrap(),
             number: 4,
@@ -407,7 +404,15 @@
             turns: Pacer::new("p", 1).wanted(""),
             old: None,
             traffic: None,
-        };
+        }
+    }
+
+    /// A core behind a backlog sends on for an older link after the newer one has told what its node holds.
+    #[tokio::test]
+    async fn what_was_meant_for_an_older_link_is_not_written_to_a_newer_one() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (came, mut coming) = mpsc::channel(8);
+        let keeper = keeper_of(&listener, came);
         let (out, messages) = mpsc::channel(8);
         out.send((4, Message::Probe { nonce: 1 })).await.unwrap();
         let keeping = tokio::spawn(keeper.keep(messages));
@@ -442,16 +447,7 @@
         for reachable in [true, false] {
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (came, mut coming) = mpsc::channel(8);
-            let keeper = Keeper {
-                node: "n".into(),
-                address: listener.local_addr().unwrap(),
-                number: 4,
-                shared: Arc::new(Shared::for_tests()),
-                came,
-                turns: Pacer::new("p", 1).wanted(""),
-                old: None,
-                traffic: None,
-            };
+            let keeper = keeper_of(&listener, came);
             let (out, messages) = mpsc::channel(8);
             let (attempt, offer) = offer(1);
             out.send((4, offer)).await.unwrap();
