Stand-in: the tests of learners make their task in one place

Found on rereading: the same task of thirteen fields stood twice, and greetings were sent in a closure that threw their answers away. Change: one function, two plain loops; no assertion changed.

--- a/crates/standin/tests/learners.rs
+++ b/crates/standin/tests/learners.rs
@@ -22,15 +22,34 @@
     offers: u64,
 }
 
+/// A task that ends by itself after a moment.
+fn task(job: &str) -> Task {
+    Task {
+        session: "s".into(),
+        job: job.into(),
+        class: "c".into(),
+        tenant: "t".into(),
+        service: "s".into(),
+        repeat: Repeat::Safe,
+        group: Group::All,
+        window_ms: 0,
+        key: 0,
+        cores: 0.01,
+        memory: 0.01,
+        life_ms: 1,
+        payload: Vec::new(),
+    }
+}
+
 impl Site {
     fn new() -> Self {
         let config = Config { votes: false, look_ms: 0.0, start_ms: 0.0, ..Config::named("n") };
         let mut site =
             Self { node: Node::new(config, 1, 1, 0), groups: Groups::default(), now_us: 1_000, offers: 0 };
         // Both files have plan 9, which nobody has agreed on.
-        (1..=2).for_each(|link| {
-            let _ = site.greet(link, Some(stamp(9, false)));
-        });
+        for link in 1..=2 {
+            site.greet(link, Some(stamp(9, false)));
+        }
         site
     }
 
@@ -60,21 +79,7 @@
     fn offer(&mut self, link: u64, stamp: Option<Stamp>) -> (Result<(), Reason>, Option<u64>) {
         self.offers += 1;
         let attempt = AttemptId { life: 1, request: self.offers, number: 0 };
-        let task = Task {
-            session: "s".into(),
-            job: format!("j{}", self.offers),
-            class: "c".into(),
-            tenant: "t".into(),
-            service: "s".into(),
-            repeat: Repeat::Safe,
-            group: Group::All,
-            window_ms: 0,
-            key: 0,
-            cores: 0.01,
-            memory: 0.01,
-            life_ms: 1,
-            payload: Vec::new(),
-        };
+        let task = task(&format!("j{}", self.offers));
         let sent = self.send(link, Message::Offer { attempt, task: Box::new(task), within_ms: 0, stamp });
         assert!(sent.iter().all(|(to, _)| *to == link), "nobody else is told: {sent:?}");
         let floor = sent.iter().find_map(|(_, message)| match message {
@@ -165,26 +170,12 @@
     let mut site = Site::new();
     let config = Config { votes: false, look_ms: 10.0, ..Config::named("n") };
     site.node = Node::new(config, 1, 1, 0);
-    (1..=2).for_each(|link| {
-        let _ = site.greet(link, Some(stamp(1, false)));
-    });
+    for link in 1..=2 {
+        site.greet(link, Some(stamp(1, false)));
+    }
     let offer = |request, stamp| {
         let attempt = AttemptId { life: 1, request, number: 0 };
-        let task = Task {
-            session: "s".into(),
-            job: "j".into(),
-            class: "c".into(),
-            tenant: "t".into(),
-            service: "s".into(),
-            repeat: Repeat::Safe,
-            group: Group::All,
-            window_ms: 0,
-            key: 0,
-            cores: 0.01,
-            memory: 0.01,
-            life_ms: 1,
-            payload: Vec::new(),
-        };
+        let task = task("j");
         Message::Offer { attempt, task: Box::new(task), within_ms: 0, stamp: Some(stamp) }
     };
     site.send(1, offer(1, stamp(1, false)));
