review 3: tasks cut with a zone that is lost for 5 s are released after 9.7 s

Cause: the first connection that comes up after the loss clears all signs of it, so that only the start time in the list ends the tasks.

Change: review/3 with its claim and test. Nothing of the program is changed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# 1: the rule was broken; 0: it held; 2: the case couldn't run. TROUBLE=0 plays the same without the disruption.
+cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
