--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -565,7 +565,7 @@
             broken = await asyncio.wait_for(play(case), 110)
             if not broken:
                 case.placer.check_alive()
-        except (CannotRun, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+        except Exception as error:  # Whatever went wrong here says nothing about the rule.
             case.record.line("case", f"could not run: {error!r}")
             return 2
         finally:
