--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,8 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = HERE / "record.txt"
 sys.path.insert(0, str(HERE.parent / "lib"))
 import standin  # noqa: E402
 
@@ -90,4 +92,4 @@
     return over
 
 
-standin.main(HERE, play)
+standin.main(RECORD, play)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -530,8 +530,8 @@
 class Case:
     """The parts of a case, and its end: all processes and the temporary folder go with it."""
 
-    def __init__(self, folder):
-        self.record = Record(pathlib.Path(folder) / "record.txt")
+    def __init__(self, record):
+        self.record = Record(record)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="reedring-review-"))
         self.board, self.placer, self.hosts = Board(self.record), Placer(self.record, self.folder), []
@@ -553,13 +553,13 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, play):
-    """Plays a case and exits: 0 the rule held, 1 it was broken, 2 the case couldn't run.
+def main(record, play):
+    """Plays a case, writes the file `record`, and exits: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
     `play(case)` returns the lines that say how the rule was broken."""
 
     async def whole():
-        case = Case(folder)
+        case = Case(record)
         case.record.line("case", f"TROUBLE={'1' if case.trouble else '0'}")
         try:
             broken = await asyncio.wait_for(play(case), 110)
@@ -575,6 +575,10 @@
         case.record.line("case", "the rule was broken" if broken else "the rule held")
         return 1 if broken else 0
 
-    status = asyncio.run(whole())
+    try:
+        status = asyncio.run(whole())
+    except OSError as error:
+        print(error, file=sys.stderr)
+        status = 2
     print({0: "held", 1: "broken", 2: "could not run"}[status])
     sys.exit(status)
