Platform: a liveness check's link replaces an idle one, and closed links are read to their end

Cause: Engine::link_up closed the link of a liveness check in the call that handled its establishment if another link was established as far as the placer knew: let is_redundant = is_liveness_check && self.hosts.links_of(machine).any(is_usable); if is_redundant { return self.suspect_link(id); } A host repeats a release on the next connection opened, which was never read; the forgotten link was kept.

Evidence: the placer's message log has "link N up", then "close link N" in the same pass, and no "link N releases" at all. So the release was not ignored by the engine, nor did the choice of the owner's connection lose it: it was never read.

Change: the new link replaces the idle link that was established first (decide::choose_replaced_link).

The simulated world of the tests now lets a host learn of a close late. tests/clients.rs sent an end on the link of the set-up, which 30 s later is replaced; it sends it on a link that is open, all else equal.

--- a/crates/platform/src/decide/links.rs
+++ b/crates/platform/src/decide/links.rs
@@ -111,3 +111,23 @@
 pub fn may_add_link(links: usize, extra: usize, listed: usize, limit: usize) -> bool {
     links < limit && (links < limit / 2 || extra < limit.saturating_sub(listed))
 }
+
+/// An established link of a host to which another link was established later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OlderLink {
+    /// Whether nothing is in flight on the link.
+    pub is_idle: bool,
+    /// When the link was established, in microseconds.
+    pub up_since: u64,
+}
+
+/// Chooses the link that a new link replaces after a host was silent, as an index into `older`: the idle one that was
+/// established first. `None` if all are in use.
+///
+/// The new link proves that the host can be reached on it. An older one proves nothing: its host may have forgotten it,
+/// and then neither reports the ends of tasks on it nor reads what is sent there.
+pub fn choose_replaced_link(older: &[OlderLink]) -> Option<usize> {
+    let idle = older.iter().enumerate().filter(|(_, link)| link.is_idle);
+    idle.min_by_key(|(_, link)| link.up_since)
+        .map(|(index, _)| index)
+}
--- a/crates/platform/src/decide/mod.rs
+++ b/crates/platform/src/decide/mod.rs
@@ -15,6 +15,6 @@
 };
 pub use hosts::{HostLoss, HostObservation, detect_host_loss};
 pub use links::{
-    EvictionCandidate, LinkCandidate, LinkChoice, choose_eviction, choose_link, may_add_link,
-    needs_standby_link,
+    EvictionCandidate, LinkCandidate, LinkChoice, OlderLink, choose_eviction, choose_link,
+    choose_replaced_link, may_add_link, needs_standby_link,
 };
--- a/crates/platform/src/decide/tests.rs
+++ b/crates/platform/src/decide/tests.rs
@@ -130,6 +130,23 @@
     }
 }
 
+#[test]
+fn the_idle_link_established_first_is_replaced() {
+    let link = |is_idle, up_since| OlderLink { is_idle, up_since };
+    let cases = [
+        (vec![], None),
+        (vec![link(true, 5)], Some(0)),
+        (vec![link(false, 5)], None),
+        (vec![link(true, 7), link(true, 5)], Some(1)),
+        (vec![link(true, 7), link(false, 5)], Some(0)),
+        (vec![link(false, 7), link(false, 5)], None),
+        (vec![link(true, 5), link(true, 5)], Some(0)),
+    ];
+    for (older, replaced) in cases {
+        assert_eq!(choose_replaced_link(&older), replaced, "{older:?}");
+    }
+}
+
 #[test]
 fn additional_links_leave_capacity_for_the_first_link_of_each_host() {
     for (links, extra, listed, may) in [
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -45,6 +45,8 @@
     pub clients: usize,
     /// Links to hosts, established or being made.
     pub links: usize,
+    /// Links that were closed but on which messages may still arrive.
+    pub closing_links: usize,
     /// Hosts that are listed, linked or run tasks of this placer.
     pub hosts: usize,
     /// Task ends that are not sent yet, or that were sent a moment ago and may have to be sent again.
@@ -112,6 +114,7 @@
             requests: self.requests.len(),
             clients: self.clients.len(),
             links: self.hosts.link_count(),
+            closing_links: self.hosts.closing_link_count(),
             hosts: self.hosts.host_count(),
             task_ends: self.task_ends.len(),
             health_checks: self.health_checks.len(),
--- a/crates/platform/src/hosts/failure.rs
+++ b/crates/platform/src/hosts/failure.rs
@@ -106,8 +106,7 @@
         }
     }
 
-    /// Makes a link for a liveness check if there is capacity. It is closed again if another link to the host is
-    /// established.
+    /// Makes a link for a liveness check if there is capacity. Once established, it replaces an older one.
     pub(super) fn start_liveness_check(&mut self, now: Micros, machine: MachineId) -> bool {
         let link = self.link_within_capacity(now, machine, true);
         let link = link.and_then(|link| self.hosts.link_mut(link));
--- a/crates/platform/src/hosts/links.rs
+++ b/crates/platform/src/hosts/links.rs
@@ -6,7 +6,7 @@
 use reedring_platform_protocol::host::{Figures, ToHost};
 
 use crate::attempts::remaining_ms;
-use crate::decide::{self, Execution, LinkEnd};
+use crate::decide::{self, Execution, LinkEnd, OlderLink};
 use crate::ids::LinkId;
 use crate::io::Output;
 use crate::state::{Engine, Host, Link, Phase};
@@ -14,6 +14,15 @@
 /// How often the same attempt is sent again after a link ended before any byte of it was written.
 const MAX_RESENDS: u8 = 3;
 
+impl From<&Link> for OlderLink {
+    fn from(link: &Link) -> Self {
+        Self {
+            is_idle: link.is_idle(),
+            up_since: link.up_since,
+        }
+    }
+}
+
 impl Engine {
     /// Connects a new link to a host; `None` if the host's address is not known.
     pub(super) fn connect_link(&mut self, machine: MachineId) -> Option<LinkId> {
@@ -109,7 +118,7 @@
     }
 
     pub(super) fn close_link(&mut self, id: LinkId) {
-        if self.hosts.remove_link(id).is_some() {
+        if self.hosts.close_link(id) {
             self.outputs.push_back(Output::CloseLink(id));
         }
     }
@@ -138,16 +147,31 @@
         host.consecutive_refusals = 0;
         host.backoff.reset();
         host.record_received(now);
-        let is_usable =
-            |(other, link): (LinkId, &Link)| other != id && link.is_up && !link.is_suspect;
-        let is_redundant = is_liveness_check && self.hosts.links_of(machine).any(is_usable);
-        if is_redundant {
-            // The link has shown that the host is reachable, and another link to it is established.
-            return self.suspect_link(id);
+        if is_liveness_check {
+            self.replace_older_link(id, machine);
         }
         self.repeat_stops(id, machine);
     }
 
+    /// Closes an older link of a host in favour of a new one. An old link may exist for the placer alone, and on the
+    /// first link after that the host reports the ends of tasks that it could not report before.
+    fn replace_older_link(&mut self, new: LinkId, machine: MachineId) {
+        let established = self.hosts.links_of(machine);
+        let older = established.filter(|(id, link)| *id != new && link.is_up);
+        let (ids, candidates): (Vec<LinkId>, Vec<OlderLink>) =
+            older.map(|(id, link)| (id, OlderLink::from(link))).unzip();
+        let Some(index) = decide::choose_replaced_link(&candidates) else {
+            return;
+        };
+        let replaced = ids[index];
+        // A liveness check is no use: a link that is not needed is still closed once it was unused for long enough.
+        let last_used = self.hosts.link(replaced).map(|link| link.last_used);
+        if let (Some(link), Some(last_used)) = (self.hosts.link_mut(new), last_used) {
+            link.last_used = last_used;
+        }
+        self.close_link(replaced);
+    }
+
     /// Repeats, on a new link, the messages that ask a host to stop tasks: the host may not have received them on a
     /// link that was reset.
     fn repeat_stops(&mut self, link: LinkId, machine: MachineId) {
--- a/crates/platform/src/hosts/messages.rs
+++ b/crates/platform/src/hosts/messages.rs
@@ -2,7 +2,7 @@
 
 use reedring::{AttemptId, Event, MachineId, Micros, Note, Outcome, Reason};
 use reedring_platform_protocol::host::{Figures, FromHost};
-use reedring_platform_protocol::{CANCELLED, ERROR, GIVEN_UP, NOT_STARTED, REFUSED};
+use reedring_platform_protocol::{CANCELLED, ERROR, FAILED, GIVEN_UP, NOT_STARTED, REFUSED};
 
 use crate::attempts::AttemptResult;
 use crate::ids::LinkId;
@@ -35,13 +35,19 @@
     }
 }
 
+/// Whether hosts release running tasks with this cause; all others are for attempts that were not accepted.
+fn ends_running_task(cause: u8) -> bool {
+    matches!(cause, GIVEN_UP | FAILED | CANCELLED)
+}
+
 impl Engine {
     pub(crate) fn host_message(&mut self, now: Micros, id: LinkId, message: FromHost) {
-        let Some(link) = self.hosts.link_mut(id) else {
+        let Some(machine) = self.hosts.machine_of_link(id) else {
             return;
         };
-        link.last_used = now;
-        let machine = link.machine;
+        if let Some(link) = self.hosts.link_mut(id) {
+            link.last_used = now;
+        }
         if let Some(host) = self.hosts.host_mut(machine) {
             host.record_received(now);
         }
@@ -94,7 +100,12 @@
         } = release;
         let report = self.load_report(&figures);
         let link = self.hosts.link(id);
-        if let Some(attempt) = link.and_then(|link| link.in_flight.get(&wire_id)).copied() {
+        let attempt = link.and_then(|link| link.in_flight.get(&wire_id)).copied();
+        // The attempts on a closed link were given up. A later attempt of the same request may have started a task at
+        // the host, which the release of an earlier one does not concern.
+        let may_end_task = link.is_some() || ends_running_task(cause);
+        let running = self.running_request(machine, wire_id);
+        if let Some(attempt) = attempt {
             let outcome = attempt_outcome(cause);
             self.end_attempt(
                 attempt.request,
@@ -104,7 +115,7 @@
                     report,
                 },
             );
-        } else if let Some(request) = self.running_request(machine, wire_id) {
+        } else if let Some(request) = running.filter(|_| may_end_task) {
             let outcome = task_outcome(cause);
             self.task_ended(
                 now,
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -37,7 +37,7 @@
     LinkUp(LinkId),
     /// A host sent a message.
     HostMessage(LinkId, FromHost),
-    /// A link ended, or could not be established.
+    /// A link ended, or could not be established. Each link ends once, also one that the engine closed.
     LinkDown {
         /// The link, which is not used again.
         link: LinkId,
@@ -67,7 +67,8 @@
     Connect(LinkId, SocketAddr),
     /// Write a message to a host.
     ToHost(LinkId, ToHost),
-    /// Close a link, and give up whatever is in flight on it.
+    /// Close a link, and give up whatever is in flight on it. What its host sends until it learns of that is still passed
+    /// on, and then [`Input::LinkDown`].
     CloseLink(LinkId),
     /// Accept no new connections any more.
     StopListening,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -43,6 +43,7 @@
 //! | situation | files, in the order in which they handle it |
 //! | --- | --- |
 //! | a client departed | `sockets/client.rs`, `clients/connections.rs`, `decide/clients.rs` (the table), `clients/departures.rs`, `attempts.rs`; ends of its tasks: `clients/task_ends.rs` |
+//! | a link is closed | `hosts/links.rs` (`close_link`), `run/shell.rs` (`close_link`), `sockets/host.rs`, `hosts/messages.rs` |
 //! | a link ended | `sockets/host.rs`, `hosts/links.rs` (`link_down`), `decide/attempts.rs`, `attempts.rs`, `hosts/failure.rs` |
 //! | a host is lost | `hosts/links.rs`, `hosts/sweep.rs` or `hosts/endpoints.rs`, `hosts/failure.rs`, `decide/hosts.rs`, `hosts/tasks.rs` (`task_ended`), `clients/task_ends.rs` |
 //! | discovery answered or failed | `discovery.rs`, `run/event_loop.rs`, `hosts/endpoints.rs`, `hosts/failure.rs` |
--- a/crates/platform/src/run/shell.rs
+++ b/crates/platform/src/run/shell.rs
@@ -23,6 +23,9 @@
 /// Interval at which the exit checks whether all messages are written.
 const WRITE_ALL_POLL: Duration = Duration::from_millis(5);
 
+/// Links that are being closed are ended early if fewer permits than this are left for other connections.
+const MIN_FREE_PERMITS: usize = 8;
+
 /// Parameters of [`Shell::new`].
 pub(super) struct ShellSettings {
     pub connect_timeout: Duration,
@@ -39,6 +42,8 @@
 pub(super) struct Shell {
     pub(super) clients: BTreeMap<ConnId, MessageWriter>,
     pub(super) links: BTreeMap<LinkId, MessageWriter>,
+    /// Links whose sending side is closed and whose hosts have not closed the other side yet.
+    closing_links: BTreeMap<LinkId, MessageWriter>,
     connect_timeout: Duration,
     permits: ConnectionPermits,
     pub(super) budget: WriteBudget,
@@ -57,6 +62,7 @@
         Self {
             clients: BTreeMap::new(),
             links: BTreeMap::new(),
+            closing_links: BTreeMap::new(),
             connect_timeout: settings.connect_timeout,
             permits: settings.permits,
             budget: settings.budget,
@@ -103,7 +109,10 @@
     fn handle(&mut self, engine: &mut Engine, now: u64, input: Input) {
         match &input {
             Input::ClientDisconnected(conn) => drop(self.clients.remove(conn)),
-            Input::LinkDown { link, .. } => drop(self.links.remove(link)),
+            Input::LinkDown { link, .. } => {
+                self.links.remove(link);
+                self.closing_links.remove(link);
+            }
             _ => {}
         }
         message_log::write(|| message_log::input_line(&input));
@@ -132,13 +141,7 @@
             }
             Output::Connect(link, address) => self.connect(link, address),
             Output::ToHost(link, message) => self.send_to_host(now, link, &message),
-            Output::CloseLink(link) => {
-                // Closing the link gives up its attempts, which must happen before they are sent on another link.
-                if let Some(writer) = self.links.remove(&link) {
-                    writer.flush();
-                    writer.abort();
-                }
-            }
+            Output::CloseLink(link) => self.close_link(link),
             Output::StopListening => drop(self.stop_listening.take()),
             Output::Log(event) => self.log.write(now, &event),
             Output::MayExit => {}
@@ -158,6 +161,29 @@
         tokio::spawn(connector.run(buffer.queue));
     }
 
+    /// Closes the sending side of a link. The link ends when the host has closed the other side, as the host may send the
+    /// end of a task until it learns of the close.
+    fn close_link(&mut self, link: LinkId) {
+        let Some(writer) = self.links.remove(&link) else {
+            return;
+        };
+        // Closing the link gives up its attempts, which must happen before they are sent on another link.
+        writer.flush();
+        writer.half_close();
+        self.closing_links.insert(link, writer);
+    }
+
+    /// Ends links that are being closed, the oldest first, as long as few permits for other connections are left.
+    fn end_closing_links_for_permits(&mut self) {
+        let missing = MIN_FREE_PERMITS.saturating_sub(self.permits.available());
+        for _ in 0..missing {
+            let Some((_, writer)) = self.closing_links.pop_first() else {
+                return;
+            };
+            writer.abort();
+        }
+    }
+
     fn send_to_host(&mut self, now: u64, link: LinkId, message: &ToHost) {
         let Some(writer) = self.links.get(&link) else {
             return;
@@ -179,8 +205,9 @@
         self.limit_pending_bytes(now);
     }
 
-    /// Writes the messages that were added since the last call.
+    /// Writes the messages that were added since the last call, and makes permits available for other connections.
     pub(super) fn flush(&mut self) {
+        self.end_closing_links_for_permits();
         for link in self.unflushed_links.drain(..) {
             self.links.get(&link).map(MessageWriter::flush);
         }
--- a/crates/platform/src/sockets/mod.rs
+++ b/crates/platform/src/sockets/mod.rs
@@ -8,9 +8,10 @@
 mod tests;
 
 use std::cell::RefCell;
-use std::io;
+use std::io::{self, Read as _};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -57,7 +58,21 @@
 
 /// Reads once without waiting and passes the bytes to `on_bytes`.
 fn read(stream: &TcpStream, on_bytes: impl FnOnce(&[u8])) -> io::Result<Read> {
-    BUFFER.with_borrow_mut(|buffer| match stream.try_read(buffer) {
+    read_with(|buffer| stream.try_read(buffer), on_bytes)
+}
+
+/// Like [`read`], but asks the system even if the runtime has not noticed yet that there is something to read. Input that
+/// arrived before an error of the connection is returned before that error.
+fn read_buffered(stream: &TcpStream, on_bytes: impl FnOnce(&[u8])) -> io::Result<Read> {
+    let socket = SockRef::from(stream);
+    read_with(|buffer| (&*socket).read(buffer), on_bytes)
+}
+
+fn read_with(
+    read: impl FnOnce(&mut [u8]) -> io::Result<usize>,
+    on_bytes: impl FnOnce(&[u8]),
+) -> io::Result<Read> {
+    BUFFER.with_borrow_mut(|buffer| match read(buffer) {
         Ok(0) => Ok(Read::EndOfStream),
         Ok(count) => {
             on_bytes(&buffer[..count]);
--- a/crates/platform/src/sockets/permits.rs
+++ b/crates/platform/src/sockets/permits.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// How many permits are left for links.
+    pub fn available(&self) -> usize {
+        self.all.available_permits()
+    }
+
     /// Waits for the permit of one more link, which the link holds until it is closed.
     pub(super) async fn for_link(&self) -> Option<OwnedSemaphorePermit> {
         Arc::clone(&self.all).acquire_owned().await.ok()
--- a/crates/platform/src/sockets/tests.rs
+++ b/crates/platform/src/sockets/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Accepting client connections, closing them as idle, and reporting their input.
 
+mod links;
+
 use std::sync::Arc;
 
 use reedring_platform_protocol::config::Limits;
--- a/crates/platform/src/state/host.rs
+++ b/crates/platform/src/state/host.rs
@@ -162,6 +162,8 @@
 pub(crate) struct HostTable {
     hosts: BTreeMap<MachineId, Host>,
     links: BTreeMap<LinkId, Link>,
+    /// Links that were closed and have not ended, with their hosts. A host may send until it learns of the close.
+    closing_links: BTreeMap<LinkId, MachineId>,
     last_link: LinkId,
     /// How many hosts have a link.
     hosts_with_links: usize,
@@ -178,6 +180,11 @@
         self.links.len()
     }
 
+    /// How many links were closed and have not ended.
+    pub fn closing_link_count(&self) -> usize {
+        self.closing_links.len()
+    }
+
     /// How many links there are beyond the first of each host.
     pub fn extra_links(&self) -> usize {
         self.links.len() - self.hosts_with_links
@@ -213,6 +220,12 @@
         self.links.get_mut(&id)
     }
 
+    /// The host of a link, which may be closing.
+    pub fn machine_of_link(&self, id: LinkId) -> Option<MachineId> {
+        let open = self.links.get(&id).map(|link| link.machine);
+        open.or_else(|| self.closing_links.get(&id).copied())
+    }
+
     pub fn links(&self) -> impl Iterator<Item = (LinkId, &Link)> {
         self.links.iter().map(|(id, link)| (*id, link))
     }
@@ -245,7 +258,19 @@
         Some(NewLink { id, address })
     }
 
+    /// Removes a link that is closed by the placer; messages may arrive on it until [`Self::remove_link`] is called.
+    /// Returns whether the link existed.
+    pub fn close_link(&mut self, id: LinkId) -> bool {
+        let Some(link) = self.remove_link(id) else {
+            return false;
+        };
+        self.closing_links.insert(id, link.machine);
+        true
+    }
+
+    /// Removes a link that has ended; `None` if it was closed before or is not known.
     pub fn remove_link(&mut self, id: LinkId) -> Option<Link> {
+        self.closing_links.remove(&id);
         let link = self.links.remove(&id)?;
         if let Some(host) = self.hosts.get_mut(&link.machine) {
             let was_last = host.links.remove(&id) && host.links.is_empty();
--- a/crates/platform/src/write_buffer/mod.rs
+++ b/crates/platform/src/write_buffer/mod.rs
@@ -71,6 +71,13 @@
         Ok(())
     }
 
+    /// Shuts the connection down, if it is established.
+    fn shut_down(&self, how: Shutdown) {
+        if let Some(connection) = self.connection.get() {
+            let _ = SockRef::from(&*connection.stream).shutdown(how);
+        }
+    }
+
     /// Discards the pending bytes, and all that is added later.
     fn discard(&self) {
         let mut pending = self.pending();
@@ -142,14 +149,23 @@
         self.0.changed.notify_one();
     }
 
+    /// Discards the pending bytes and shuts down the sending side at once. What the peer sends until it learns of that is
+    /// still read, until [`Self::abort`] is called or the writer is dropped.
+    pub fn half_close(&self) {
+        self.0.discard();
+        self.0.pending().is_half_closed = true;
+        // Shut down here for the same reason as in `abort`.
+        self.0.shut_down(Shutdown::Write);
+        self.0.changed.notify_one();
+    }
+
     /// Discards the pending bytes and shuts the connection down at once.
     pub fn abort(&self) {
         self.0.discard();
-        if let Some(connection) = self.0.connection.get() {
-            // Shut down here and not in the connection's task: the peer must see it before anything that is written on
-            // another connection afterwards.
-            let _ = SockRef::from(&*connection.stream).shutdown(Shutdown::Both);
-        }
+        self.0.pending().is_half_closed = false;
+        // Shut down here and not in the connection's task: the peer must see it before anything that is written on another
+        // connection afterwards.
+        self.0.shut_down(Shutdown::Both);
         self.0.changed.notify_one();
     }
 }
@@ -162,13 +178,17 @@
 }
 
 impl WriteQueue {
-    /// Sets the established connection, which holds `permits` until it is closed.
+    /// Sets the established connection, which holds `permits` until it is closed. If the writer has half-closed it in the
+    /// meantime, its sending side is shut down.
     pub fn attach(&self, stream: &Arc<TcpStream>, permits: Vec<OwnedSemaphorePermit>) {
         let connection = Connection {
             stream: stream.clone(),
             _permits: permits,
         };
         let _ = self.0.connection.set(connection);
+        if self.is_half_closed() {
+            self.0.shut_down(Shutdown::Write);
+        }
     }
 
     /// Waits until the writer's side has changed since the last call.
@@ -184,7 +204,12 @@
     /// Whether the writer was dropped or has aborted the connection, even if bytes are pending.
     pub fn is_closed(&self) -> bool {
         let pending = self.0.pending();
-        pending.is_finished || pending.is_discarded
+        pending.is_finished || pending.is_discarded && !pending.is_half_closed
+    }
+
+    /// Whether the writer has shut down the sending side, and the peer's input is still read.
+    pub fn is_half_closed(&self) -> bool {
+        self.0.pending().is_half_closed
     }
 
     /// Whether the connection is to be closed as idle: that was requested, and no bytes are pending.
@@ -201,7 +226,7 @@
     /// Whether the connection is to be closed: no more messages are added, and all bytes were written or discarded.
     pub fn is_done(&self) -> bool {
         let pending = self.0.pending();
-        pending.is_discarded || pending.is_finished && pending.len() == 0
+        pending.is_discarded && !pending.is_half_closed || pending.is_finished && pending.len() == 0
     }
 
     /// Number of messages of which at least one byte was written.
--- a/crates/platform/src/write_buffer/pending.rs
+++ b/crates/platform/src/write_buffer/pending.rs
@@ -19,6 +19,8 @@
     pub is_finished: bool,
     /// The pending bytes were discarded, and nothing more is written.
     pub is_discarded: bool,
+    /// The sending side of the connection was shut down; what its peer sends is still read.
+    pub is_half_closed: bool,
     /// The connection is to be closed, unless its peer sends something first.
     pub is_closing_if_idle: bool,
 }
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -15,7 +15,7 @@
     let conn = world.connect_client();
     world.send_request(conn, placement_request(1, "play", 1_000));
     world.run(30 * SECOND);
-    world.process_input(Input::HostMessage(world.to_hosts[0].0, task_end(1)));
+    world.finish_task(1, world.running_tasks[&1]);
     assert!(world.clients.contains(&conn));
     assert_eq!(
         (world.outcomes[&1].answers, world.outcomes[&1].task_ends),
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -153,6 +153,12 @@
     pub hosts_ignore_requests: bool,
     /// Tasks that ended at a host without an open link, by the host's port; they are reported on the next link.
     unreported_ends: BTreeMap<u16, Vec<u64>>,
+    /// Links that the placer closed and whose hosts have not learned of it yet.
+    closing_links: BTreeSet<LinkId>,
+    /// Time after which a host learns that the placer closed a link, in microseconds.
+    pub close_delay: u64,
+    /// Links that their hosts have forgotten: they send nothing on them, and reset them when something arrives.
+    forgotten_links: BTreeSet<LinkId>,
     next_conn: ConnId,
     /// Hash of the engine's outputs with their times, for comparison between versions of the code.
     pub digest: Digest,
@@ -209,6 +215,9 @@
             hosts_ignore_releases: false,
             hosts_ignore_requests: false,
             unreported_ends: BTreeMap::new(),
+            closing_links: BTreeSet::new(),
+            close_delay: 2 * MS,
+            forgotten_links: BTreeSet::new(),
             next_conn: 0,
             digest: Digest::default(),
         };
@@ -247,7 +256,7 @@
         match self
             .links
             .iter()
-            .find(|(_, link)| **link == (port, true))
+            .find(|(id, link)| **link == (port, true) && !self.forgotten_links.contains(id))
             .map(|(link, _)| *link)
         {
             Some(link) => self.process_input(Input::HostMessage(link, task_end(id))),
@@ -255,6 +264,11 @@
         }
     }
 
+    /// All hosts forget the links that are up, without a word to the placer.
+    pub fn forget_links(&mut self) {
+        self.forgotten_links.extend(self.open_links());
+    }
+
     /// Number of links that the bounds of this simulation allow.
     pub fn max_links(&self) -> usize {
         24
@@ -344,10 +358,11 @@
             }
             Input::HostMessage(link, message) => {
                 let is_up = self.links.get(link).is_some_and(|link| link.1);
-                if is_up {
+                let is_delivered = is_up || self.closing_links.contains(link);
+                if is_delivered {
                     self.track_host_message(*link, message);
                 }
-                is_up
+                is_delivered
             }
             Input::LinkDown { link, .. } => {
                 let link = *link;
@@ -372,7 +387,7 @@
                         self.outcomes.entry(id).or_default().may_have_run |= begun > 0;
                     }
                 }
-                self.links.remove(&link).is_some()
+                self.links.remove(&link).is_some() || self.closing_links.remove(&link)
             }
             _ => true,
         };
@@ -502,6 +517,15 @@
                 // Closing a link gives up its attempts in flight.
                 self.in_flight.retain(|_, attempt| attempt.link != link);
                 self.links.remove(&link);
+                self.closing_links.insert(link);
+                self.schedule(
+                    self.close_delay,
+                    Input::LinkDown {
+                        link,
+                        end: LinkEnd::Closed,
+                        messages_begun: u64::MAX,
+                    },
+                );
             }
             Output::MayExit => self.finished = true,
             Output::StopListening | Output::Log(_) => {}
@@ -550,6 +574,14 @@
         let Some((port, _)) = self.links.get(&link).copied() else {
             return;
         };
+        if self.forgotten_links.contains(&link) {
+            let reset = Input::LinkDown {
+                link,
+                end: LinkEnd::Reset,
+                messages_begun: u64::MAX,
+            };
+            return self.schedule(MS, reset);
+        }
         match message {
             ToHost::PlacementRequest { id, class, .. } => {
                 let id = *id;
