Platform: tasks handed over are bounded until a host confirms them, and keep no texts

Cause: Engine::adopt_task passed no limit, and RequestTable::add kept the request whole and counted nothing for it: let size = placement_request.description.len() + REQUEST_RECORD_BYTES; let pending_bytes = if is_open { size } else { 0 };

Evidence: 6.4 MB a client is 400 descriptions; it stayed when the clients had gone, so no buffer or queue of a connection held it. The message log shows all requests taken and no message about any of them.

Change: a running task keeps no texts. Tasks that were handed over and of which no host has sent anything since hold an eighth of the memory at most, 1 KiB each. Over that the one least likely to exist is stopped at its host and its client notified: of the connection with the most task time without a word from a host (decide::choose_least_likely). Owners with hundreds of tasks are vouched for by the first that ends.

--- a/crates/platform-protocol/src/client/mod.rs
+++ b/crates/platform-protocol/src/client/mod.rs
@@ -75,6 +75,21 @@
     pub description: String,
 }
 
+impl PlacementRequest {
+    /// The size of all texts, in bytes.
+    pub fn text_bytes(&self) -> usize {
+        let optional = [&self.tenant, &self.idempotency_key, &self.runs_at];
+        let optional = optional.into_iter().flatten().map(String::len);
+        self.class.len() + self.description.len() + optional.sum::<usize>()
+    }
+
+    /// Drops all texts and frees their memory.
+    pub fn discard_texts(&mut self) {
+        (self.class, self.description) = (String::new(), String::new());
+        (self.tenant, self.idempotency_key, self.runs_at) = (None, None, None);
+    }
+}
+
 /// A message from a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FromClient {
--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -11,6 +11,10 @@
 /// Pending requests may hold the configured memory divided by this, and at least [`MIN_PENDING_BYTES`].
 const PENDING_MEMORY_DIVISOR: usize = 8;
 const MIN_PENDING_BYTES: usize = 64 * 1024;
+/// Unconfirmed tasks may hold the configured memory divided by this.
+const UNCONFIRMED_MEMORY_DIVISOR: usize = 8;
+/// An upper bound of the memory of one unconfirmed task in all tables of the engine and the decision module.
+const UNCONFIRMED_TASK_BYTES: usize = 1024;
 
 /// Limits of the engine on connections and memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +31,8 @@
     pub links_per_host: usize,
     /// Maximum size of the requests that wait for their answers, in bytes.
     pub pending_request_bytes: usize,
+    /// Maximum number of tasks that clients handed over as running and of which no host has sent anything yet.
+    pub unconfirmed_tasks: usize,
 }
 
 impl Bounds {
@@ -35,7 +41,9 @@
     /// or closed. Clients that exceed their share get what links leave, up to half of the descriptors.
     pub fn from_limits(limits: &Limits) -> Self {
         let sockets = limits.sockets;
-        let pending = limits.memory_mb as usize * 1024 * 1024 / PENDING_MEMORY_DIVISOR;
+        let memory = limits.memory_mb as usize * 1024 * 1024;
+        let pending = memory / PENDING_MEMORY_DIVISOR;
+        let unconfirmed = memory / UNCONFIRMED_MEMORY_DIVISOR;
         Self {
             connections: sockets - NON_CONNECTION_DESCRIPTORS,
             clients: sockets / 2,
@@ -43,6 +51,7 @@
             reserved_for_clients: sockets / 3 + sockets / 16,
             links_per_host: LINKS_PER_HOST,
             pending_request_bytes: pending.max(MIN_PENDING_BYTES),
+            unconfirmed_tasks: unconfirmed / UNCONFIRMED_TASK_BYTES,
         }
     }
 
--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -2,9 +2,9 @@
 
 use reedring::names::machine_id;
 use reedring::{Event, MachineId, Micros, RequestId, ServiceId, Task, TaskKey};
-use reedring_platform_protocol::FAILED;
 use reedring_platform_protocol::client::{PlacementRequest, ToClient};
 use reedring_platform_protocol::discovery::number_of;
+use reedring_platform_protocol::{CANCELLED, FAILED};
 
 use crate::errors::Rejection;
 use crate::ids::ConnId;
@@ -63,6 +63,25 @@
             machine,
         });
         self.add_running_task(now, machine, request);
+        self.limit_unconfirmed_tasks(now, conn);
+    }
+
+    /// Discards the task that is least likely to exist if more tasks were handed over than may be unconfirmed. Its host is
+    /// asked to stop it and its client is notified, so that no attempt of it is left if it does exist.
+    fn limit_unconfirmed_tasks(&mut self, now: Micros, conn: ConnId) {
+        let unconfirmed_tasks = self.requests.unconfirmed_tasks();
+        if unconfirmed_tasks <= self.bounds.unconfirmed_tasks {
+            return;
+        }
+        let Some(task) = self.requests.take_least_likely_task(now) else {
+            return;
+        };
+        self.log(LogEvent::UnconfirmedTasksFull {
+            client: conn,
+            unconfirmed_tasks,
+        });
+        self.stop_task(now, task, CANCELLED);
+        self.task_stopped(now, task, FAILED);
     }
 
     /// Whether a new request can be accepted. If not, the request is answered with a failure or its connection is
--- a/crates/platform/src/decide/mod.rs
+++ b/crates/platform/src/decide/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod clients;
+mod hand_overs;
 mod hosts;
 mod links;
 #[cfg(test)]
@@ -13,6 +14,7 @@
     ClientDeparture, DepartureAction, NotificationRoute, RequestStage, choose_route,
     departure_action,
 };
+pub use hand_overs::{UnconfirmedGroup, choose_least_likely};
 pub use hosts::{HostLoss, HostObservation, detect_host_loss};
 pub use links::{
     EvictionCandidate, LinkCandidate, LinkChoice, OlderLink, choose_eviction, choose_link,
--- a/crates/platform/src/decide/tests.rs
+++ b/crates/platform/src/decide/tests.rs
@@ -147,6 +147,30 @@
     }
 }
 
+#[test]
+fn the_group_with_the_most_task_time_without_a_report_is_least_likely() {
+    let group = |tasks, silent_us| UnconfirmedGroup { tasks, silent_us };
+    let cases = [
+        (vec![], None),
+        (vec![group(1, 0)], Some(0)),
+        // As many tasks: the one that was silent for longer.
+        (vec![group(300, 9), group(300, 10)], Some(1)),
+        // As long: the larger one.
+        (vec![group(400, 10), group(300, 10)], Some(0)),
+        // An owner with few tasks outlasts a flood by far.
+        (vec![group(3, 1_000), group(400, 10)], Some(1)),
+        (vec![group(3, 1_400), group(400, 10)], Some(0)),
+        // An owner with many tasks of which one has just ended.
+        (vec![group(900, 1), group(400, 10)], Some(1)),
+        (vec![group(2, 0), group(3, 0)], Some(1)),
+        (vec![group(usize::MAX, u64::MAX), group(1, 1)], Some(0)),
+    ];
+    for (groups, chosen) in cases {
+        let indexed = groups.iter().copied().enumerate();
+        assert_eq!(choose_least_likely(indexed), chosen, "{groups:?}");
+    }
+}
+
 #[test]
 fn additional_links_leave_capacity_for_the_first_link_of_each_host() {
     for (links, extra, listed, may) in [
--- a/crates/platform/src/hosts/messages.rs
+++ b/crates/platform/src/hosts/messages.rs
@@ -77,7 +77,7 @@
                 self.host_release(now, id, machine, release);
             }
             FromHost::TaskSignal { id: wire_id, note } => {
-                self.host_task_signal(machine, wire_id, note)
+                self.host_task_signal(now, machine, wire_id, note)
             }
             FromHost::HealthCheckResult {
                 id,
@@ -117,6 +117,7 @@
             );
         } else if let Some(request) = running.filter(|_| may_end_task) {
             let outcome = task_outcome(cause);
+            self.requests.confirm_task(now, request);
             self.task_ended(
                 now,
                 request,
@@ -132,10 +133,11 @@
     }
 
     /// Passes a host's signal about a running task on to the decision module.
-    fn host_task_signal(&mut self, machine: MachineId, wire_id: u64, note: Note) {
+    fn host_task_signal(&mut self, now: Micros, machine: MachineId, wire_id: u64, note: Note) {
         let Some(request) = self.running_request(machine, wire_id) else {
             return;
         };
+        self.requests.confirm_task(now, request);
         let phase = self.requests.get(request).map(|entry| entry.phase);
         if let Some(Phase::Running(placement)) = phase {
             let attempt = AttemptId {
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -88,6 +88,21 @@
         self.add_running_task(now, machine, request);
     }
 
+    /// Ends a task that its host was asked to stop without waiting for the host, and notifies its client.
+    pub(crate) fn task_stopped(&mut self, now: Micros, request: RequestId, cause: u8) {
+        let Some(entry) = self.requests.get(request) else {
+            return;
+        };
+        let end = TaskEnd {
+            at: now,
+            requested_on: entry.conn,
+            id: entry.wire_id(),
+            cause,
+        };
+        self.task_ended(now, request, cause, Outcome::Stopped.into());
+        self.notify_task_end(now, end);
+    }
+
     /// Ends a running task: reports its end to the decision module, and notifies its client unless the task was being
     /// stopped.
     pub(super) fn task_ended(
--- a/crates/platform/src/log_event.rs
+++ b/crates/platform/src/log_event.rs
@@ -40,6 +40,13 @@
         /// Bytes that pending requests hold.
         pending_bytes: usize,
     },
+    /// A task that a client handed over is discarded, as hosts have confirmed none of too many such tasks.
+    UnconfirmedTasksFull {
+        /// The connection on which the last task was handed over.
+        client: ConnId,
+        /// How many tasks are unconfirmed.
+        unconfirmed_tasks: usize,
+    },
     /// All tasks of a host are lost.
     HostTasksLost {
         /// The host's name.
--- a/crates/platform/src/run/log.rs
+++ b/crates/platform/src/run/log.rs
@@ -69,7 +69,8 @@
         }
         LogEvent::ClientUnreadable { .. }
         | LogEvent::ClientMessageRejected { .. }
-        | LogEvent::PendingRequestsFull { .. } => write_client_event(event),
+        | LogEvent::PendingRequestsFull { .. }
+        | LogEvent::UnconfirmedTasksFull { .. } => write_client_event(event),
         LogEvent::HostTasksLost { .. }
         | LogEvent::LinkConnectFailed { .. }
         | LogEvent::LinkUnreadable { .. } => write_host_event(event),
@@ -111,6 +112,17 @@
                 "a request fails at once: pending requests hold {pending_bytes} bytes"
             );
         }
+        LogEvent::UnconfirmedTasksFull {
+            client,
+            unconfirmed_tasks,
+        } => {
+            tracing::info!(
+                event = "unconfirmed_tasks_full",
+                client,
+                unconfirmed_tasks,
+                "a task that a client handed over is discarded: hosts have confirmed none of {unconfirmed_tasks} such tasks"
+            );
+        }
         _ => {}
     }
 }
--- a/crates/platform/src/state/mod.rs
+++ b/crates/platform/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod health_check;
 mod host;
 mod request;
+mod unconfirmed;
 
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -5,11 +5,12 @@
 use reedring::{MachineId, Micros, RequestId};
 use reedring_platform_protocol::client::PlacementRequest;
 
+use super::unconfirmed::UnconfirmedTasks;
 use crate::ids::{ConnId, LinkId};
 
 /// Subtracted from the time for which a client waits, to leave time for the transfer of the answer.
 const ANSWER_RESERVE_US: Micros = 10_000;
-/// The memory that an unanswered request counts for, beside its description, against the limit on pending requests. It
+/// The memory that an unanswered request counts for, beside its texts, against the limit on pending requests. It
 /// is close to the size of a [`Request`], but constant, so that the limit does not change with the layout of that type.
 const REQUEST_RECORD_BYTES: usize = 296;
 
@@ -64,7 +65,7 @@
 
 /// A client's placement request and its progress.
 pub(crate) struct Request {
-    /// The request as it was received; its description is cleared once the task runs.
+    /// The request as it was received; its texts are dropped once the task runs.
     pub placement_request: PlacementRequest,
     /// The client's connection that the request came on.
     pub conn: ConnId,
@@ -118,6 +119,7 @@
     by_wire_id: BTreeMap<u64, RequestId>,
     /// The memory that unanswered requests count for, in bytes.
     pending_bytes: usize,
+    unconfirmed: UnconfirmedTasks,
     last_id: u64,
 }
 
@@ -154,19 +156,42 @@
         })
     }
 
-    /// Adds a request: an open one, or one whose task runs already.
+    /// How many running tasks were handed over without a report of their hosts since.
+    pub fn unconfirmed_tasks(&self) -> usize {
+        self.unconfirmed.len()
+    }
+
+    /// The unconfirmed task that is least likely to exist, which is to be discarded and counts as unconfirmed no more;
+    /// `None` if there is none.
+    pub fn take_least_likely_task(&mut self, now: Micros) -> Option<RequestId> {
+        self.unconfirmed.take_least_likely(now)
+    }
+
+    /// Records that a host sent something about a running task.
+    pub fn confirm_task(&mut self, now: Micros, id: RequestId) {
+        if let Some(request) = self.requests.get(&id) {
+            self.unconfirmed.confirm(now, request.conn, id);
+        }
+    }
+
+    /// Adds a request: an open one, or one whose task runs already, which is unconfirmed and whose texts are dropped.
     pub fn add(
         &mut self,
         now: Micros,
-        placement_request: PlacementRequest,
+        mut placement_request: PlacementRequest,
         conn: ConnId,
         phase: Phase,
     ) -> RequestId {
         self.last_id += 1;
         let id = RequestId(self.last_id);
         let is_open = phase == Phase::Open;
-        let size = placement_request.description.len() + REQUEST_RECORD_BYTES;
-        let pending_bytes = if is_open { size } else { 0 };
+        let mut pending_bytes = 0;
+        if is_open {
+            pending_bytes = placement_request.description.len() + REQUEST_RECORD_BYTES;
+        } else {
+            placement_request.discard_texts();
+            self.unconfirmed.add(now, conn, id);
+        }
         self.pending_bytes += pending_bytes;
         self.by_wire_id.insert(placement_request.id, id);
         let request = Request {
@@ -191,6 +216,7 @@
             return;
         };
         self.pending_bytes -= removed.pending_bytes;
+        self.unconfirmed.remove(removed.conn, id);
         if self.by_wire_id.get(&removed.wire_id()) == Some(&id) {
             self.by_wire_id.remove(&removed.wire_id());
         }
@@ -213,14 +239,14 @@
         Some(closed)
     }
 
-    /// Records that the task of an open request runs. The description is dropped, as it is not needed any more.
+    /// Records that the task of an open request runs. The texts are dropped, as they are not needed any more.
     pub fn start_running(&mut self, id: RequestId, placement: Placement) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         request.in_flight = None;
         request.phase = Phase::Running(placement);
-        request.placement_request.description = String::new();
+        request.placement_request.discard_texts();
         self.pending_bytes -= std::mem::take(&mut request.pending_bytes);
     }
 }
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -21,6 +21,9 @@
 pub const MS: u64 = 1_000;
 pub const SECOND: u64 = 1_000 * MS;
 
+/// Maximum number of tasks that were handed over and not confirmed.
+pub const UNCONFIRMED_TASKS: usize = 1_000;
+
 /// Class `play` is safe to repeat, `take` is deduplicated by zone, `print` is unsafe to repeat.
 const SETTINGS: &str = include_str!("../simulated_peers/settings.json");
 
@@ -184,6 +187,7 @@
             reserved_for_clients: 16,
             links_per_host: 4,
             pending_request_bytes: 1 << 20,
+            unconfirmed_tasks: UNCONFIRMED_TASKS,
         };
         let now = 1_700_000_000 * SECOND;
         let known = watch_response(1, true, hosts);
