Platform: the limit on pending requests counts all of their texts

Cause: Engine::admit_request and RequestTable::add counted the description of a pending request, and the request kept its other texts too. An idempotency key may be as long as a message, so 80 requests of 15 KB each passed a limit of 1 MiB (the class and the tenant must be in the settings; a host's name is only in hand-overs).

Change: PlacementRequest::text_bytes, all texts, in both places.

Test: all_texts_of_pending_requests_count_against_their_limit (tests/clients.rs) failed before with 80 requests pending.

--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -107,7 +107,7 @@
             return false;
         }
         let pending_bytes = self.requests.pending_bytes();
-        if pending_bytes + request.description.len() > self.bounds.pending_request_bytes {
+        if pending_bytes + request.text_bytes() > self.bounds.pending_request_bytes {
             self.log(LogEvent::PendingRequestsFull {
                 client: conn,
                 pending_bytes,
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -187,7 +187,7 @@
         let is_open = phase == Phase::Open;
         let mut pending_bytes = 0;
         if is_open {
-            pending_bytes = placement_request.description.len() + REQUEST_RECORD_BYTES;
+            pending_bytes = placement_request.text_bytes() + REQUEST_RECORD_BYTES;
         } else {
             placement_request.discard_texts();
             self.unconfirmed.add(now, conn, id);
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -205,6 +205,24 @@
     assert!(world.clients.contains(&idle[39]));
 }
 
+/// Guards against a limit on memory that counts descriptions alone: a request may be as large by its idempotency key.
+#[test]
+fn all_texts_of_pending_requests_count_against_their_limit() {
+    let mut world = World::new(30, &hosts(2));
+    world.hosts_ignore_requests = true;
+    let conn = world.connect_client();
+    let most = 80;
+    for id in 1..=most {
+        let mut request = placement_request(id, "take", 8_000);
+        request.idempotency_key = Some("k".repeat(15_000));
+        world.send_request(conn, request);
+    }
+    let failed = (1..=most).filter(|id| world.outcomes[id].failures == 1);
+    let pending = most - failed.count() as u64;
+    let largest = (1 << 20) / 15_000;
+    assert!((largest - 2..=largest).contains(&pending), "{pending}");
+}
+
 /// All places for clients are taken by connections with pending requests: a request on one more connection fails at
 /// once, and the others are not affected.
 #[test]
