Platform: nothing is kept of an unlisted host once its last task has ended

Cause: a task handed over under the name of a host that is not listed adds a record of that host. Engine::task_ended removed the task from it and not the record; only evaluate_host did, which the end of a task that its client stopped does not pass. So each name that a client made up cost a record for good.

Change: task_ended removes the host's record if nothing else needs it.

Test: nothing_is_kept_of_unknown_hosts_whose_tasks_ended (tests/hand_overs.rs) failed before with 203 records for 3 hosts.

--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -132,6 +132,7 @@
         }
         self.report_attempt_end(request, placement.attempt, placement.machine, result);
         self.requests.remove(request);
+        self.hosts.remove_if_unused(placement.machine);
         if is_notified {
             self.notify_task_end(now, end);
         }
--- a/crates/platform/tests/hand_overs.rs
+++ b/crates/platform/tests/hand_overs.rs
@@ -134,3 +134,19 @@
     assert!(world.running_tasks.contains_key(&3) && world.running_tasks.contains_key(&5_000));
     assert!(world.clients.contains(&conn));
 }
+
+/// Guards against a record of a host that stays for good: its only task was handed over under a name that is not listed,
+/// and ended by its client.
+#[test]
+fn nothing_is_kept_of_unknown_hosts_whose_tasks_ended() {
+    let mut world = World::new(5, &hosts(HOSTS));
+    let conn = world.connect_client();
+    for id in 1..=200 {
+        world.send_request(conn, hand_over(id, 1_000 + id));
+        world.cancel_request(conn, id);
+        world.run(50 * MS);
+    }
+    world.run(20 * SECOND);
+    let sizes = world.engine.sizes();
+    assert_eq!((sizes.hosts, sizes.requests), (usize::from(HOSTS), 0));
+}
