Platform: ends of tasks are sent on connections on which an owner only ends tasks

Cause: decide::choose_route asked for an answer or a valid request on the connection: let usable = routes.filter(|(_, route)| route.was_answered || route.sent_valid_request); Engine::client_release set neither, and only placement_request called send_unsent_ends. The ends waited for a request and were dropped after 30 s.

Evidence: the placer's message log has each host's release and no "to client" line for it, while the owner's connections and releases go on.

Change: a connection on which a client ends a running task, or one whose end waits, counts as an owner's: it carries ends, gets those that wait at once and is not closed as idle. was_answered is owns_tasks now.

--- a/crates/platform/src/clients/connections.rs
+++ b/crates/platform/src/clients/connections.rs
@@ -11,9 +11,9 @@
 use crate::log_event::LogEvent;
 use crate::state::{ClientConnection, Engine, Timer};
 
-/// A client without open requests that sends nothing valid for this long is disconnected. One that was answered is not:
-/// its connection may be the only way to notify it of the ends of its tasks, and is closed only when the limit on
-/// connections is reached.
+/// A client without open requests that sends nothing valid for this long is disconnected. One that owns running tasks is
+/// not: its connection may be the only way to notify it of their ends, and is closed only when the limit on connections
+/// is reached.
 const IDLE_TIMEOUT_US: Micros = 2_400_000;
 /// How long after a client's end of stream an attempt of its requests may still begin, so that a client that sends a
 /// request and closes its sending side at once is served. It is a quarter of the 0.1 s after which no attempt may begin
@@ -43,13 +43,13 @@
         self.evict_links_for_clients(now);
     }
 
-    /// The connection that has been idle longest; connections that were never answered come first.
+    /// The connection that has been idle longest; connections of clients that own no running tasks come first.
     fn longest_idle_client(&self) -> Option<ConnId> {
         let idle = self
             .clients
             .iter()
             .filter(|(_, client)| client.is_idle() && !client.is_overflow);
-        idle.min_by_key(|(_, client)| (client.was_answered, client.last_received))
+        idle.min_by_key(|(_, client)| (client.owns_tasks, client.last_received))
             .map(|(conn, _)| *conn)
     }
 
@@ -151,9 +151,7 @@
     /// Closes connections that have been idle too long, and drops expired task ends.
     pub(crate) fn sweep_clients(&mut self, now: Micros) {
         let is_timed_out = |client: &ClientConnection| {
-            client.is_idle()
-                && !client.was_answered
-                && client.last_received + IDLE_TIMEOUT_US <= now
+            client.is_idle() && !client.owns_tasks && client.last_received + IDLE_TIMEOUT_US <= now
         };
         let idle = self
             .clients
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -52,7 +52,9 @@
                 let passed = self.shutdown.requested_at.is_none();
                 self.send_to_client(conn, ToClient::HealthCheckResult { id, passed });
             }
-            Ok(FromClient::ReleaseConfirmed(id)) => self.task_ends.confirm(id),
+            Ok(FromClient::ReleaseConfirmed(id)) => {
+                self.task_ends.confirm(id);
+            }
             Ok(FromClient::Ignored) => {}
             Err(InvalidMessage { id, error }) => {
                 self.reject(now, conn, id, Rejection::InvalidMessage(error));
@@ -82,14 +84,18 @@
         }
     }
 
-    /// A client cancels a request or stops a task.
+    /// A client cancels a request or stops a task. A task may have ended meanwhile, and its client not be notified yet.
     fn client_release(&mut self, now: Micros, conn: ConnId, id: u64) {
+        if self.task_ends.confirm(id) {
+            return self.owner_was_active(now, conn);
+        }
         let Some(found) = self.requests.find(id) else {
             return;
         };
-        let (is_open, requested_on) = (found.request.phase == Phase::Open, found.request.conn);
+        let (phase, requested_on) = (found.request.phase, found.request.conn);
         // An open request may be cancelled only on the connection that it came on; a running task may be stopped on any
         // connection.
+        let is_open = phase == Phase::Open;
         if is_open && requested_on != conn {
             return;
         }
@@ -99,5 +105,16 @@
             client.last_received = now;
         }
         self.handle_departure(now, id, ClientDeparture::Cancelled);
+        if phase.placement().is_some() {
+            self.owner_was_active(now, conn);
+        }
+    }
+
+    /// Records that the client of a connection owns running tasks, and sends it the ends that wait for such a connection.
+    fn owner_was_active(&mut self, now: Micros, conn: ConnId) {
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.record_owner(now);
+        }
+        self.send_unsent_ends(now);
     }
 }
--- a/crates/platform/src/clients/task_ends.rs
+++ b/crates/platform/src/clients/task_ends.rs
@@ -32,7 +32,7 @@
         let usable = self.clients.iter().filter(|(_, client)| client.is_usable());
         decide::choose_route(usable.map(|(conn, client)| {
             let route = NotificationRoute {
-                was_answered: client.was_answered,
+                owns_tasks: client.owns_tasks,
                 sent_valid_request: client.sent_valid_request,
                 last_received: client.last_received,
             };
--- a/crates/platform/src/decide/clients.rs
+++ b/crates/platform/src/decide/clients.rs
@@ -82,20 +82,21 @@
 /// A client's connection on which the end of a task may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotificationRoute {
-    /// Whether the answer that a task runs was sent on the connection, or a running task was handed over on it.
-    pub was_answered: bool,
+    /// Whether the connection has shown that its client owns running tasks: the answer that a task runs was sent on it, a
+    /// running task was handed over on it, or the client ended a running task on it.
+    pub owns_tasks: bool,
     /// Whether the connection carried a valid request.
     pub sent_valid_request: bool,
     /// When the client was last active on the connection, in microseconds.
     pub last_received: u64,
 }
 
-/// The connection for the end of a task whose own connection is gone: one that was answered, else one that carried a
-/// valid request; among equals the one that was active last. `None` if there is no such connection: the end is kept
-/// until a client sends a valid request.
+/// The connection for the end of a task whose own connection is gone: one whose client owns running tasks, else one that
+/// carried a valid request; among equals the one that was active last. `None` if there is no such connection: the end is
+/// kept until there is one.
 pub fn choose_route<T>(routes: impl Iterator<Item = (T, NotificationRoute)>) -> Option<T> {
-    let usable = routes.filter(|(_, route)| route.was_answered || route.sent_valid_request);
+    let usable = routes.filter(|(_, route)| route.owns_tasks || route.sent_valid_request);
     usable
-        .max_by_key(|(_, route)| (route.was_answered, route.last_received))
+        .max_by_key(|(_, route)| (route.owns_tasks, route.last_received))
         .map(|(id, _)| id)
 }
--- a/crates/platform/src/decide/tests.rs
+++ b/crates/platform/src/decide/tests.rs
@@ -239,8 +239,8 @@
 
 #[test]
 fn a_task_end_goes_to_the_answered_connection_that_was_active_last() {
-    let route = |was_answered, sent_valid_request, last_received| NotificationRoute {
-        was_answered,
+    let route = |owns_tasks, sent_valid_request, last_received| NotificationRoute {
+        owns_tasks,
         sent_valid_request,
         last_received,
     };
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -82,8 +82,7 @@
         self.send_to_client(conn, ToClient::Answer { id, description });
         self.request_closed(conn, id);
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.was_answered = true;
-            client.last_received = now;
+            client.record_owner(now);
         }
         self.add_running_task(now, machine, request);
     }
--- a/crates/platform/src/state/mod.rs
+++ b/crates/platform/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod health_check;
 mod host;
 mod request;
+mod task_end;
 mod unconfirmed;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -15,10 +16,11 @@
 use reedring::timers::Timers;
 use reedring::{AttemptId, Event, MachineId, Micros, Placer, RequestId};
 
-pub(crate) use self::client::{ClientConnection, TaskEnd, TaskEnds};
+pub(crate) use self::client::ClientConnection;
 pub(crate) use self::health_check::{HealthCheck, HealthChecks};
 pub(crate) use self::host::{FIRST_RECONNECT_DELAY, Host, HostTable, Link};
 pub(crate) use self::request::{InFlightAttempt, Phase, Placement, Request, RequestTable};
+pub(crate) use self::task_end::{TaskEnd, TaskEnds};
 use crate::bounds::Bounds;
 use crate::ids::ConnId;
 use crate::io::Output;
