Platform: a release counts although its client's connection is reset or closed after it

Symptom: a client ends a running task and its connection is reset at once. The host is not asked to stop the task, which runs on without an owner.

Cause: ClientTask::read dropped the inputs of its first read if the second one failed ("Err(_) => return ReadOutcome::Broken"), a failed write ended the task without a read, and Engine::client_message ignored all messages of a connection that is being closed.

Change: releases and confirmations, which need no answer, count whenever they arrive. What a client sent before its connection ended is read; of that only these are reported, as a request would be given up at once.

Tests: a_release_sent_before_a_reset_is_reported (sockets) and a_release_counts_although_its_connection_is_closed (engine) failed before.

--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -38,23 +38,28 @@
         message: Result<FromClient, InvalidMessage>,
     ) {
         let client = self.clients.get_mut(&conn);
-        let Some(client) = client.filter(|client| !client.is_closing) else {
-            return;
-        };
-        client.is_closing_if_idle = false;
+        let client = client.filter(|client| !client.is_closing);
+        let is_usable = client.is_some();
+        if let Some(client) = client {
+            client.is_closing_if_idle = false;
+        }
         match message {
+            // These need no answer, so they count even if their connection is being closed or has ended.
+            Ok(FromClient::Release { id, .. }) => self.client_release(now, conn, id),
+            Ok(FromClient::ReleaseConfirmed(id)) => {
+                self.task_ends.confirm(id);
+            }
+            _ if !is_usable => {}
             Ok(FromClient::PlacementRequest(request)) => {
                 self.placement_request(now, conn, *request)
             }
-            Ok(FromClient::Release { id, .. }) => self.client_release(now, conn, id),
             Ok(FromClient::HealthCheck(id)) => {
-                client.last_received = now;
+                if let Some(client) = self.clients.get_mut(&conn) {
+                    client.last_received = now;
+                }
                 let passed = self.shutdown.requested_at.is_none();
                 self.send_to_client(conn, ToClient::HealthCheckResult { id, passed });
             }
-            Ok(FromClient::ReleaseConfirmed(id)) => {
-                self.task_ends.confirm(id);
-            }
             Ok(FromClient::Ignored) => {}
             Err(InvalidMessage { id, error }) => {
                 self.reject(now, conn, id, Rejection::InvalidMessage(error));
--- a/crates/platform/src/sockets/client.rs
+++ b/crates/platform/src/sockets/client.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use reedring_platform_protocol::client;
+use reedring_platform_protocol::client::{self, FromClient};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::Instant;
 
-use super::{ConnectionPermits, Incoming, Read, WRITE_STALL_LIMIT, deadline, read, write};
+use super::{
+    ConnectionPermits, Incoming, Read, WRITE_STALL_LIMIT, deadline, read, read_buffered, write,
+};
 use crate::errors::ClientReadError;
 use crate::ids::ConnId;
 use crate::io::Input;
@@ -87,8 +89,20 @@
 enum ReadOutcome {
     /// Inputs for the engine; `is_last` is set if nothing more is to be read from the client.
     Read { inputs: Vec<Input>, is_last: bool },
-    /// The connection failed.
-    Broken,
+    /// The connection failed after these inputs.
+    Broken { inputs: Vec<Input> },
+}
+
+/// Whether an input still counts when its connection has ended: it ends a request or a task, and needs no answer. A request
+/// would be given up at once.
+fn outlasts_connection(input: &Input) -> bool {
+    matches!(
+        input,
+        Input::ClientMessage(
+            _,
+            Ok(FromClient::Release { .. } | FromClient::ReleaseConfirmed(_))
+        )
+    )
 }
 
 /// Reason why a client's task woke up.
@@ -137,9 +151,16 @@
         }
     }
 
-    /// Reads and writes until the connection ends.
+    /// Reads and writes until the connection ends, and reports what the client sent before that.
     pub(super) async fn run(mut self) {
         let _ = self.stream.set_nodelay(true);
+        self.read_and_write().await;
+        if self.is_reading {
+            self.report_rest().await;
+        }
+    }
+
+    async fn read_and_write(&mut self) {
         loop {
             let stays_open = match self.wake().await {
                 Wake::Broken => false,
@@ -185,8 +206,12 @@
 
     /// Reads the available input and reports it. Returns `false` if the connection is to be closed.
     async fn read_and_report(&mut self) -> bool {
-        let ReadOutcome::Read { inputs, is_last } = self.read() else {
-            return false;
+        let (inputs, is_last) = match self.read() {
+            ReadOutcome::Read { inputs, is_last } => (inputs, is_last),
+            ReadOutcome::Broken { inputs } => {
+                self.report_outlasting(inputs).await;
+                return false;
+            }
         };
         let has_input = !inputs.is_empty();
         // Answers are still written after the client's end of stream.
@@ -222,7 +247,7 @@
                     };
                 }
                 Ok(Read::Bytes) => has_more = true,
-                Err(_) => return ReadOutcome::Broken,
+                Err(_) => return ReadOutcome::Broken { inputs },
             }
             if let Err(error) = self.decode(&mut inputs) {
                 inputs.push(Input::ClientUnreadable(self.conn, error));
@@ -244,6 +269,26 @@
         }
     }
 
+    /// Reports what was not read yet when the connection ended.
+    async fn report_rest(&mut self) {
+        let mut inputs = Vec::new();
+        for _ in 0..MAX_READS {
+            let read = read_buffered(self.stream, |bytes| self.reader.push(bytes));
+            if !matches!(read, Ok(Read::Bytes)) || self.decode(&mut inputs).is_err() {
+                break;
+            }
+        }
+        self.report_outlasting(inputs).await;
+    }
+
+    /// Reports the inputs that still count when the connection has ended.
+    async fn report_outlasting(&self, mut inputs: Vec<Input>) {
+        inputs.retain(outlasts_connection);
+        if !inputs.is_empty() {
+            self.report(inputs).await;
+        }
+    }
+
     fn decode(&mut self, inputs: &mut Vec<Input>) -> Result<(), ClientReadError> {
         while let Some(message) = self.reader.next_message()? {
             inputs.push(Input::ClientMessage(self.conn, message));
--- a/crates/platform/src/sockets/tests/mod.rs
+++ b/crates/platform/src/sockets/tests/mod.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use reedring_platform_protocol::client::FromClient;
 use reedring_platform_protocol::config::Limits;
 use socket2::SockRef;
 use tokio::net::TcpListener;
@@ -112,6 +113,51 @@
     }
 }
 
+/// An encoded release of a running task: the length 13, 9 bytes of type and ID, and a cause parameter of 4 bytes.
+const RELEASE: [u8; 15] = [0, 13, 12, 0, 0, 0, 0, 0, 0, 0, 9, 194, 0, 1, 31];
+
+/// Guards against tasks that run on without an owner: what a client sent before its connection was reset was dropped with
+/// it, though a release of a task needs no connection any more.
+#[tokio::test]
+async fn a_release_sent_before_a_reset_is_reported() {
+    for has_read in [false, true] {
+        let ServedClient {
+            client,
+            writer: _writer,
+            mut incoming,
+            task,
+        } = serve_client().await;
+        client.writable().await.unwrap();
+        if has_read {
+            assert_eq!(client.try_write(&HEALTH_CHECK).unwrap(), HEALTH_CHECK.len());
+            assert!(matches!(incoming.recv().await, Some(Incoming::Inputs(_))));
+        }
+        assert_eq!(client.try_write(&RELEASE).unwrap(), RELEASE.len());
+        SockRef::from(&client)
+            .set_linger(Some(Duration::ZERO))
+            .unwrap();
+        drop(client);
+        let received = tokio::time::timeout(Duration::from_secs(20), incoming.recv()).await;
+        let Ok(Some(Incoming::Inputs(inputs))) = received else {
+            panic!("the release was not reported");
+        };
+        assert!(
+            matches!(
+                inputs[..],
+                [Input::ClientMessage(
+                    1,
+                    Ok(FromClient::Release { id: 9, .. })
+                )]
+            ),
+            "{inputs:?}"
+        );
+        tokio::time::timeout(Duration::from_secs(20), task)
+            .await
+            .expect("the connection was not closed within 20 s")
+            .unwrap();
+    }
+}
+
 /// If part of a message has arrived when the connection is closed as idle, the connection stays open for the rest.
 #[tokio::test]
 async fn a_partial_message_that_crosses_an_idle_close_may_be_completed() {
--- a/crates/platform/tests/task_ends.rs
+++ b/crates/platform/tests/task_ends.rs
@@ -4,7 +4,8 @@
 mod world;
 
 use reedring_platform::{ConnId, Input};
-use reedring_platform_protocol::client::{FromClient, ToClient};
+use reedring_platform_protocol::client::{FromClient, InvalidMessage, MessageError, ToClient};
+use reedring_platform_protocol::host::ToHost;
 use world::{MS, SECOND, World, hosts, placement_request};
 
 const TASKS: u64 = 12;
@@ -105,6 +106,36 @@
     assert_eq!(notified_conns(&world, 2), [owner]);
 }
 
+/// Guards against tasks that run on without an owner: the owner ends one on a connection that the placer has just decided
+/// to close, or that has ended.
+#[test]
+fn a_release_counts_although_its_connection_is_closed() {
+    for is_closed_by_client in [false, true] {
+        let mut world = running_tasks_without_connection(6);
+        let conn = world.connect_client();
+        if is_closed_by_client {
+            world.close_client(conn);
+        } else {
+            for _ in 0..16 {
+                let invalid = InvalidMessage {
+                    id: 77,
+                    error: MessageError::UnknownType(99),
+                };
+                world
+                    .engine
+                    .handle(world.now, Input::ClientMessage(conn, Err(invalid)));
+            }
+        }
+        world.cancel_request(conn, 1);
+        let released =
+            |(_, message): &(_, ToHost)| matches!(message, ToHost::Release { id: 1, .. });
+        assert!(world.to_hosts.iter().any(released), "{is_closed_by_client}");
+        world.run(SECOND);
+        assert!(!world.running_tasks.contains_key(&1));
+        assert!(world.running_tasks.contains_key(&2));
+    }
+}
+
 /// Guards against ends that fill the memory: tasks handed over at hosts that are not listed end after some seconds, and no
 /// connection of an owner is left for the notifications.
 #[test]
