Platform: a client's input is reported in parts of 256 messages at most

Cause: ClientTask::read decoded all that it had read, up to 32 KiB, into one item of the input queue. Short messages take more than ten times their bytes then, in 128 items, and again as outputs.

Change: one report has 256 messages at most, the rest waits undecoded.

Test: a_flood_of_short_messages_is_reported_in_parts fails without the limit.

--- a/crates/platform/src/run/event_loop.rs
+++ b/crates/platform/src/run/event_loop.rs
@@ -22,7 +22,7 @@
 
 /// Maximum number of items taken from the input channel at once.
 const BATCH: usize = 64;
-/// Capacity of the input channel; senders wait while it is full. One item of a client may hold 32 KiB of messages.
+/// Capacity of the input channel; senders wait while it is full. One item of a client may hold 256 messages of 32 KiB in all.
 pub(super) const INPUT_QUEUE: usize = 128;
 /// If this many inputs were handled since the decision module last ran, or if requests wait to be submitted, more input
 /// is received before it runs again, up to [`MAX_PASSES`] passes and until [`MAX_INPUTS`] inputs are handled.
--- a/crates/platform/src/sockets/client.rs
+++ b/crates/platform/src/sockets/client.rs
@@ -21,6 +21,10 @@
 /// Maximum number of buffers read from a client before its inputs are reported.
 const MAX_READS: usize = 2;
 
+/// Maximum number of messages reported at once. A decoded message is much larger than the shortest one that a client may
+/// send, so the bytes that were read do not bound the memory of their inputs.
+const MAX_REPORTED_MESSAGES: usize = 256;
+
 /// Accepts client connections.
 pub(crate) struct Acceptor {
     pub permits: ConnectionPermits,
@@ -130,6 +134,8 @@
     stalled_since: Option<Instant>,
     /// Whether input of the client is still read.
     is_reading: bool,
+    /// Whether messages that were read may wait to be decoded, as the last report was full.
+    has_undecoded: bool,
 }
 
 impl<'a> ClientTask<'a> {
@@ -148,6 +154,7 @@
             message_since: None,
             stalled_since: None,
             is_reading: true,
+            has_undecoded: false,
         }
     }
 
@@ -188,7 +195,7 @@
 
     async fn wake(&self) -> Wake {
         // Before a connection is closed as idle, input that arrived in the meantime is read.
-        let must_read = self.is_reading && self.queue.is_closing_if_idle();
+        let must_read = self.is_reading && (self.has_undecoded || self.queue.is_closing_if_idle());
         let (stalled, message) = (self.stalled_since, self.message_since);
         tokio::select! {
             () = std::future::ready(()), if must_read => Wake::Readable,
@@ -232,8 +239,14 @@
     /// sends in one go are reported together.
     fn read(&mut self) -> ReadOutcome {
         let mut inputs = Vec::new();
-        let mut has_more = false;
+        if let Err(error) = self.decode(&mut inputs) {
+            return self.unreadable(inputs, error);
+        }
+        let mut has_more = self.has_undecoded;
         for _ in 0..MAX_READS {
+            if self.has_undecoded {
+                break;
+            }
             match read(self.stream, |bytes| self.reader.push(bytes)) {
                 Ok(Read::Nothing) => {
                     has_more = false;
@@ -250,11 +263,7 @@
                 Err(_) => return ReadOutcome::Broken { inputs },
             }
             if let Err(error) = self.decode(&mut inputs) {
-                inputs.push(Input::ClientUnreadable(self.conn, error));
-                return ReadOutcome::Read {
-                    inputs,
-                    is_last: true,
-                };
+                return self.unreadable(inputs, error);
             }
         }
         if !inputs.is_empty() {
@@ -271,14 +280,20 @@
 
     /// Reports what was not read yet when the connection ended.
     async fn report_rest(&mut self) {
-        let mut inputs = Vec::new();
         for _ in 0..MAX_READS {
             let read = read_buffered(self.stream, |bytes| self.reader.push(bytes));
-            if !matches!(read, Ok(Read::Bytes)) || self.decode(&mut inputs).is_err() {
+            if !matches!(read, Ok(Read::Bytes)) {
                 break;
             }
         }
-        self.report_outlasting(inputs).await;
+        loop {
+            let mut inputs = Vec::new();
+            let decoded = self.decode(&mut inputs);
+            self.report_outlasting(inputs).await;
+            if decoded.is_err() || !self.has_undecoded {
+                return;
+            }
+        }
     }
 
     /// Reports the inputs that still count when the connection has ended.
@@ -289,9 +304,23 @@
         }
     }
 
+    fn unreadable(&self, mut inputs: Vec<Input>, error: ClientReadError) -> ReadOutcome {
+        inputs.push(Input::ClientUnreadable(self.conn, error));
+        ReadOutcome::Read {
+            inputs,
+            is_last: true,
+        }
+    }
+
+    /// Decodes the messages that were read, up to [`MAX_REPORTED_MESSAGES`] in `inputs`.
     fn decode(&mut self, inputs: &mut Vec<Input>) -> Result<(), ClientReadError> {
+        self.has_undecoded = false;
         while let Some(message) = self.reader.next_message()? {
             inputs.push(Input::ClientMessage(self.conn, message));
+            if inputs.len() >= MAX_REPORTED_MESSAGES {
+                self.has_undecoded = true;
+                break;
+            }
         }
         Ok(())
     }
--- a/crates/platform/src/sockets/tests/mod.rs
+++ b/crates/platform/src/sockets/tests/mod.rs
@@ -158,6 +158,44 @@
     }
 }
 
+/// Guards against a flood of short messages that takes the placer over its memory limit: thousands of them were decoded
+/// into one report. All are reported in parts, in order, and then the end of the stream.
+#[tokio::test]
+async fn a_flood_of_short_messages_is_reported_in_parts() {
+    const MESSAGES: usize = 2_000;
+    const MAX_INPUTS: usize = 256 + 1;
+    let ServedClient {
+        client,
+        writer: _writer,
+        mut incoming,
+        task: _task,
+    } = serve_client().await;
+    client.writable().await.unwrap();
+    let flood = HEALTH_CHECK.repeat(MESSAGES);
+    assert_eq!(client.try_write(&flood).unwrap(), flood.len());
+    SockRef::from(&client)
+        .shutdown(std::net::Shutdown::Write)
+        .unwrap();
+    let mut messages = 0;
+    loop {
+        let received = tokio::time::timeout(Duration::from_secs(20), incoming.recv()).await;
+        let Ok(Some(Incoming::Inputs(inputs))) = received else {
+            panic!("{messages} messages were reported, and no end of the stream");
+        };
+        assert!(inputs.len() <= MAX_INPUTS, "{} inputs", inputs.len());
+        let is_message = |input: &&Input| matches!(input, Input::ClientMessage(1, Ok(_)));
+        messages += inputs.iter().filter(is_message).count();
+        match inputs.last() {
+            Some(Input::ClientEndOfStream(1)) => break,
+            Some(Input::ClientInputRead { has_more, .. }) => {
+                assert!(*has_more || messages == MESSAGES, "{messages}");
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(messages, MESSAGES);
+}
+
 /// If part of a message has arrived when the connection is closed as idle, the connection stays open for the rest.
 #[tokio::test]
 async fn a_partial_message_that_crosses_an_idle_close_may_be_completed() {
