Platform: timers of attempts and requests are cancelled when these end

Cause: timers were never cancelled, and those of attempts and of requests behind others are set for the time that the client chose, up to 71 minutes.

Change: Timers::set returns a TimerId and Timers::cancel takes it. The timer of an attempt ends with the attempt, that of a request's deadline when the request is submitted or given up.

Test: no_timers_are_kept_of_requests_that_were_taken_back_or_answered failed before with 19,802 timers of 10,000 requests.

--- a/crates/platform/src/attempts.rs
+++ b/crates/platform/src/attempts.rs
@@ -57,6 +57,10 @@
         }
         let deadline = entry.deadline;
         let deadline = within_us.map_or(deadline, |within| (now + within).min(deadline));
+        let timeout = self.timers.set(
+            deadline,
+            Timer::AttemptTimeout(AttemptId { request, number }),
+        );
         entry.in_flight = Some(InFlightAttempt {
             number,
             machine,
@@ -64,12 +68,9 @@
             message_index: 0,
             sent_at: now,
             deadline,
+            timeout,
             resends: 0,
         });
-        self.timers.set(
-            deadline,
-            Timer::AttemptTimeout(AttemptId { request, number }),
-        );
         self.send_attempt(now, request);
     }
 
@@ -85,6 +86,7 @@
         };
         let Some(link) = link else {
             entry.in_flight = None;
+            self.timers.cancel(attempt.timeout);
             let result = Outcome::Unconnected.into();
             return self.report_attempt_end(request, attempt.number, attempt.machine, result);
         };
@@ -145,6 +147,7 @@
             return;
         };
         let (id, is_closed) = (entry.wire_id(), entry.phase == Phase::Closed);
+        self.timers.cancel(attempt.timeout);
         if let Some(link) = self.hosts.link_mut(attempt.link) {
             link.in_flight.remove(&id);
         }
--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -123,10 +123,10 @@
         let id = request.id;
         let request = self.requests.add(now, request, conn, Phase::Open);
         if self.has_backlog()
-            && let Some(entry) = self.requests.get(request)
+            && let Some(entry) = self.requests.get_mut(request)
         {
-            self.timers
-                .set(entry.deadline, Timer::RequestDeadline(request));
+            let timer = Timer::RequestDeadline(request);
+            entry.deadline_timer = Some(self.timers.set(entry.deadline, timer));
         }
         if let Some(client) = self.clients.get_mut(&conn) {
             client.open_requests.insert(id);
--- a/crates/platform/src/clients/submission.rs
+++ b/crates/platform/src/clients/submission.rs
@@ -29,6 +29,9 @@
             return;
         };
         (entry.is_submitted, entry.client_departed) = (true, client_departed);
+        if let Some(timer) = entry.deadline_timer.take() {
+            self.timers.cancel(timer);
+        }
         let grace_us = if client_departed {
             0
         } else {
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -72,6 +72,7 @@
             attempt: attempt.number,
             since: now,
         };
+        self.timers.cancel(in_flight.timeout);
         self.requests.start_running(request, placement);
         let took_us = now.saturating_sub(in_flight.sent_at);
         self.events.push(Event::Placed {
--- a/crates/platform/src/state/mod.rs
+++ b/crates/platform/src/state/mod.rs
@@ -36,7 +36,8 @@
     timeout.unwrap_or(DEFAULT_CONNECT_TIMEOUT_US)
 }
 
-/// What a timer is for. Timers are never cancelled: whether one still applies is checked when it fires.
+/// What a timer is for. Timers whose time a client chooses are cancelled; for all others, whether one still applies is
+/// checked when it fires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Timer {
     /// A timer of the decision module, by its token.
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use reedring::timers::TimerId;
 use reedring::{MachineId, Micros, RequestId};
 use reedring_platform_protocol::client::PlacementRequest;
 
@@ -26,6 +27,8 @@
     pub sent_at: Micros,
     /// When the attempt times out.
     pub deadline: Micros,
+    /// The timer for that, which is cancelled when the attempt ends: clients choose how long it is set.
+    pub timeout: TimerId,
     /// How often the attempt was sent again because no byte of it had been written.
     pub resends: u8,
 }
@@ -78,6 +81,8 @@
     pub received_at: Micros,
     /// Whether the request was submitted to the decision module.
     pub is_submitted: bool,
+    /// The timer of its deadline, if one is set: until it is submitted, or is closed before that.
+    pub deadline_timer: Option<TimerId>,
     /// Whether the client has departed: no further attempt begins.
     pub client_departed: bool,
     /// The memory that the request counts for until it is answered, in bytes.
@@ -203,6 +208,7 @@
             phase,
             received_at: now,
             is_submitted: !is_open,
+            deadline_timer: None,
             client_departed: false,
             pending_bytes,
         };
--- a/crates/platform/tests/engine.rs
+++ b/crates/platform/tests/engine.rs
@@ -184,6 +184,41 @@
     assert!(world.engine.poll().is_none());
 }
 
+/// Guards against timers that fill the memory: that of an attempt stayed until the time for which its client had said it
+/// would wait, up to 71 minutes, although the request was taken back at once.
+#[test]
+fn no_timers_are_kept_of_requests_that_were_taken_back_or_answered() {
+    const LONGEST_WAIT_MS: u64 = 4_294_967;
+    let mut world = World::new(13, &hosts(2));
+    let conn = world.connect_client();
+    for batch in 0..100_u64 {
+        for id in batch * 100 + 1..=(batch + 1) * 100 {
+            let class = CLASSES[id as usize % 3];
+            let request = placement_request(id, class, LONGEST_WAIT_MS);
+            let request = Ok(FromClient::PlacementRequest(Box::new(request)));
+            world
+                .engine
+                .handle(world.now, Input::ClientMessage(conn, request));
+        }
+        // The first half is taken back before it is submitted, the second one while its attempts are in flight, but for
+        // some that are answered.
+        for id in batch * 100 + 1..=batch * 100 + 90 {
+            if id % 100 > 50 {
+                world.run(MS);
+            }
+            world.cancel_request(conn, id);
+        }
+        world.run(100 * MS);
+        for id in batch * 100 + 91..=(batch + 1) * 100 {
+            world.cancel_request(conn, id);
+        }
+    }
+    world.run(10 * SECOND);
+    let sizes = world.engine.sizes();
+    assert_eq!((sizes.requests, sizes.module[1]), (0, 0), "{sizes:?}");
+    assert!(sizes.timers < 100, "{sizes:?}");
+}
+
 #[test]
 fn a_request_that_arrives_after_may_exit_is_answered_and_may_exit_is_reported_again() {
     let mut world = World::new(27, &hosts(2));
--- a/src/timers.rs
+++ b/src/timers.rs
@@ -5,6 +5,13 @@
 
 use crate::api::Micros;
 
+/// Identifies a timer that was set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimerId {
+    due: Micros,
+    number: u64,
+}
+
 /// Timers that are set. Timers with the same due time are returned in the order in which they were set.
 #[derive(Debug)]
 pub struct Timers<T> {
@@ -24,10 +31,20 @@
 }
 
 impl<T> Timers<T> {
-    /// Sets a timer that is due at `at`, in microseconds on the caller's clock.
-    pub fn set(&mut self, at: Micros, timer: T) {
+    /// Sets a timer that is due at `at`, in microseconds on the caller's clock. The result cancels it.
+    pub fn set(&mut self, at: Micros, timer: T) -> TimerId {
         self.set_count += 1;
-        self.due.insert((at, self.set_count), timer);
+        let id = TimerId {
+            due: at,
+            number: self.set_count,
+        };
+        self.due.insert((id.due, id.number), timer);
+        id
+    }
+
+    /// Cancels a timer; does nothing if it was returned or cancelled before.
+    pub fn cancel(&mut self, id: TimerId) {
+        self.due.remove(&(id.due, id.number));
     }
 
     /// The due time of the next timer; `None` if none is set.
