Platform: the client that owns running tasks is called client, as everywhere else

Cause: the work on ends of tasks brought owner into names beside client, two terms for one concept (docs/vocabulary.md).

Change: client_owns_tasks and record_ownership; nothing else.

--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -92,7 +92,7 @@
     /// A client cancels a request or stops a task. A task may have ended meanwhile, and its client not be notified yet.
     fn client_release(&mut self, now: Micros, conn: ConnId, id: u64) {
         if self.task_ends.confirm(id) {
-            return self.owner_was_active(now, conn);
+            return self.client_owns_tasks(now, conn);
         }
         let Some(found) = self.requests.find(id) else {
             return;
@@ -111,14 +111,14 @@
         }
         self.handle_departure(now, id, ClientDeparture::Cancelled);
         if phase.placement().is_some() {
-            self.owner_was_active(now, conn);
+            self.client_owns_tasks(now, conn);
         }
     }
 
-    /// Records that the client of a connection owns running tasks, and sends it the ends that wait for such a connection.
-    fn owner_was_active(&mut self, now: Micros, conn: ConnId) {
+    /// Records that the client of a connection owns running tasks, and sends the ends that wait for such a connection.
+    fn client_owns_tasks(&mut self, now: Micros, conn: ConnId) {
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.record_owner(now);
+            client.record_ownership(now);
         }
         self.send_unsent_ends(now);
     }
--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -45,7 +45,7 @@
     ) {
         if let Some(client) = self.clients.get_mut(&conn) {
             client.record_valid_request(now);
-            client.record_owner(now);
+            client.record_ownership(now);
         }
         let known = self.requests.find(request.id);
         let is_in_use = known.is_some_and(|known| known.request.phase != Phase::Closed);
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -83,7 +83,7 @@
         self.send_to_client(conn, ToClient::Answer { id, description });
         self.request_closed(conn, id);
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.record_owner(now);
+            client.record_ownership(now);
         }
         self.add_running_task(now, machine, request);
     }
--- a/crates/platform/src/state/client.rs
+++ b/crates/platform/src/state/client.rs
@@ -44,8 +44,8 @@
         !self.is_closing && !self.is_closing_if_idle
     }
 
-    /// Records that the client was active as the owner of a running task.
-    pub fn record_owner(&mut self, now: Micros) {
+    /// Records that the client was active and owns running tasks.
+    pub fn record_ownership(&mut self, now: Micros) {
         self.last_received = now;
         self.owns_tasks = true;
     }
