Platform: a liveness check's link replaces another only after half of the idle time

Cause: since each liveness check, every 2.5 s at a silent host, kept its new link and closed an older one.

Change: decide::choose_surplus_link. An idle link that was unproven for half of the time after which hosts close idle links is replaced; otherwise the new link is closed, which no longer means unread.

Tests: the new table in decide/tests.rs; tests/link_closes.rs (its test of the replacement now says when it happens, the others are as they were). 32 digests recorded anew, as links are closed and kept otherwise.

--- a/crates/platform/src/decide/links.rs
+++ b/crates/platform/src/decide/links.rs
@@ -112,22 +112,44 @@
     links < limit && (links < limit / 2 || extra < limit.saturating_sub(listed))
 }
 
-/// An established link of a host to which another link was established later.
+/// An established link of a host to which another link was established for a liveness check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OlderLink {
     /// Whether nothing is in flight on the link.
     pub is_idle: bool,
-    /// When the link was established, in microseconds.
-    pub up_since: u64,
+    /// Whether a message on the link went unanswered in time.
+    pub is_suspect: bool,
+    /// For how long nothing has shown that the host still knows the link, in microseconds: since it was established, or a
+    /// message was last sent or received on it.
+    pub unproven_us: u64,
 }
 
-/// Chooses the link that a new link replaces after a host was silent, as an index into `older`: the idle one that was
-/// established first. `None` if all are in use.
+/// The link that is closed once a link for a liveness check is established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SurplusLink {
+    /// The older link at this index.
+    Older(usize),
+    /// The new link.
+    New,
+}
+
+/// Chooses the link that is closed once a link for a liveness check is established. An idle older link that was unproven
+/// for `max_unproven_us` is closed, the longest unproven first: its host may have forgotten it, and then neither reports
+/// the ends of tasks on it nor reads what is sent there. Otherwise the new link is closed. `None` if it is the only one
+/// that can be used.
 ///
-/// The new link proves that the host can be reached on it. An older one proves nothing: its host may have forgotten it,
-/// and then neither reports the ends of tasks on it nor reads what is sent there.
-pub fn choose_replaced_link(older: &[OlderLink]) -> Option<usize> {
-    let idle = older.iter().enumerate().filter(|(_, link)| link.is_idle);
-    idle.min_by_key(|(_, link)| link.up_since)
-        .map(|(index, _)| index)
+/// The new link is not always kept, as hosts do some work for each connection that stays.
+pub fn choose_surplus_link(older: &[OlderLink], max_unproven_us: u64) -> Option<SurplusLink> {
+    let usable = || {
+        older
+            .iter()
+            .enumerate()
+            .filter(|(_, link)| !link.is_suspect)
+    };
+    let unproven = usable().filter(|(_, link)| link.is_idle && link.unproven_us >= max_unproven_us);
+    let (longest, _) = match unproven.max_by_key(|(_, link)| link.unproven_us) {
+        Some(longest) => longest,
+        None => return usable().next().map(|_| SurplusLink::New),
+    };
+    Some(SurplusLink::Older(longest))
 }
--- a/crates/platform/src/decide/mod.rs
+++ b/crates/platform/src/decide/mod.rs
@@ -17,6 +17,6 @@
 pub use hand_overs::{UnconfirmedGroup, choose_least_likely};
 pub use hosts::{HostLoss, HostObservation, detect_host_loss};
 pub use links::{
-    EvictionCandidate, LinkCandidate, LinkChoice, OlderLink, choose_eviction, choose_link,
-    choose_replaced_link, may_add_link, needs_standby_link,
+    EvictionCandidate, LinkCandidate, LinkChoice, OlderLink, SurplusLink, choose_eviction,
+    choose_link, choose_surplus_link, may_add_link, needs_standby_link,
 };
--- a/crates/platform/src/hosts/failure.rs
+++ b/crates/platform/src/hosts/failure.rs
@@ -106,7 +106,8 @@
         }
     }
 
-    /// Makes a link for a liveness check if there is capacity. Once established, it replaces an older one.
+    /// Makes a link for a liveness check if there is capacity. Once it is established, it
+    /// or an older one is closed.
     pub(super) fn start_liveness_check(&mut self, now: Micros, machine: MachineId) -> bool {
         let link = self.link_within_capacity(now, machine, true);
         let link = link.and_then(|link| self.hosts.link_mut(link));
--- a/crates/platform/src/hosts/links.rs
+++ b/crates/platform/src/hosts/links.rs
@@ -6,7 +6,7 @@
 use reedring_platform_protocol::host::{Figures, ToHost};
 
 use crate::attempts::remaining_ms;
-use crate::decide::{self, Execution, LinkEnd, OlderLink};
+use crate::decide::{self, Execution, LinkEnd, OlderLink, SurplusLink};
 use crate::ids::LinkId;
 use crate::io::Output;
 use crate::state::{Engine, Host, Link, Phase};
@@ -14,14 +14,11 @@
 /// How often the same attempt is sent again after a link ended before any byte of it was written.
 const MAX_RESENDS: u8 = 3;
 
-impl From<&Link> for OlderLink {
-    fn from(link: &Link) -> Self {
-        Self {
-            is_idle: link.is_idle(),
-            up_since: link.up_since,
-        }
-    }
-}
+/// A link of a host that runs tasks is replaced at the next liveness check if nothing was sent or received on it for this
+/// part of the time after which hosts close idle links.
+const UNPROVEN_IDLE_DIVISOR: Micros = 2;
+/// The same, where the settings have no such time.
+const MAX_UNPROVEN_US: Micros = 15_000_000;
 
 impl Engine {
     /// Connects a new link to a host; `None` if the host's address is not known.
@@ -148,22 +145,30 @@
         host.backoff.reset();
         host.record_received(now);
         if is_liveness_check {
-            self.replace_older_link(id, machine);
+            self.close_surplus_link(now, id, machine);
         }
         self.repeat_stops(id, machine);
     }
 
-    /// Closes an older link of a host in favour of a new one. An old link may exist for the placer alone, and on the
-    /// first link after that the host reports the ends of tasks that it could not report before.
-    fn replace_older_link(&mut self, new: LinkId, machine: MachineId) {
+    /// Closes a link of a host to which a link for a liveness check was established, if another one is left. The closed
+    /// link is read until its host closes it, as hosts report on a new link the ends that they could not report before.
+    fn close_surplus_link(&mut self, now: Micros, new: LinkId, machine: MachineId) {
         let established = self.hosts.links_of(machine);
         let older = established.filter(|(id, link)| *id != new && link.is_up);
+        let candidate = |link: &Link| OlderLink {
+            is_idle: link.is_idle(),
+            is_suspect: link.is_suspect,
+            unproven_us: now.saturating_sub(link.last_used.max(link.up_since)),
+        };
         let (ids, candidates): (Vec<LinkId>, Vec<OlderLink>) =
-            older.map(|(id, link)| (id, OlderLink::from(link))).unzip();
-        let Some(index) = decide::choose_replaced_link(&candidates) else {
-            return;
+            older.map(|(id, link)| (id, candidate(link))).unzip();
+        let idle_close = self.settings.idle_close_us;
+        let max_unproven = idle_close.map_or(MAX_UNPROVEN_US, |at| at / UNPROVEN_IDLE_DIVISOR);
+        let replaced = match decide::choose_surplus_link(&candidates, max_unproven) {
+            None => return,
+            Some(SurplusLink::New) => return self.close_link(new),
+            Some(SurplusLink::Older(index)) => ids[index],
         };
-        let replaced = ids[index];
         // A liveness check is no use: a link that is not needed is still closed once it was unused for long enough.
         let last_used = self.hosts.link(replaced).map(|link| link.last_used);
         if let (Some(link), Some(last_used)) = (self.hosts.link_mut(new), last_used) {
