--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,8 @@
-"""Two of four hosts are cut off for 6 s. Their tasks go on. The class allows one task of a service on a host."""
+"""Bad clients take hundreds of requests back at once, and some answers of hosts are spoilt. The owner's tasks are of a class
+that must never be started twice."""
 import asyncio
 import os
+import random
 import sys
 import time
 
@@ -8,63 +10,84 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
 from standins import *
 
-CUT_S = 6.0
-SERVICES = range(1, 5)
+SECONDS = 60.0
+SPOILT = 0.1
+BAD_CLIENTS = 80
+random.seed(6)
 
 
-class SpreadHost(Host):
-    """A host that also counts, at each set-up, the tasks of its service that stand or are being placed here."""
+class UnsafeHost(Host):
+    """A host that also notes what became of each set-up of an id: refused, given up, out, or accepted."""
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.broken = []
+    spoils = False
+    spoilt = 0
+    attempts = {}      # id -> list of [host, state], over all hosts
 
     def handle(self, writer, message):
         if message["type"] == "setup":
-            service = message["sdp"].split()[-1]
-            held = [id for id in [*self.standing, *self.pending] if self.services[id].split()[-1] == service]
-            if held:
-                self.broken.append(f"{self.name} got {message['id']} of service {service} while it holds {', '.join(held)}")
-                self.record(self.broken[-1])
+            earlier = self.attempts.setdefault(message["id"], [])
+            if earlier:
+                self.record(f"{self.name}: set-up {message['id']} comes again; before: {earlier}")
+            earlier.append([self.name, "out"])
         super().handle(writer, message)
 
+    async def accept(self, writer, id):
+        attempt = self.attempts[id][-1]
+        await asyncio.sleep(random.uniform(0.006, 0.029))
+        if self.pending.get(id) is not writer:
+            attempt[1] = "given up"
+            return
+        del self.pending[id]
+        attempt[1] = "accepted"
+        self.standing[id] = writer
+        if self.spoils and random.random() < SPOILT:
+            UnsafeHost.spoilt += 1
+            self.record(f"{self.name}: {id} stands; its answer is noise, the connection stays open")
+            writer.write(b"\x7f#! noise\n")
+        else:
+            self.send(writer, {"type": "answer", "id": id, "fields": {}, "sdp": f"at {self.name}\r\n"})
+        await asyncio.sleep(random.uniform(1.0, 3.0))
+        self.end(id, 16)
+
 
 async def case(world):
-    hosts = [SpreadHost(world.record, f"s-{n:08x}", None) for n in range(4)]
-    classes = [one_class("lobby", "free", spread_over="machine", most_together=1)]
-    await world.start(hosts, settings(classes), proxied=[host.name for host in hosts])
-    owner = await world.owner("owner")
-    for service in SERVICES:
-        owner.set_up(service, "lobby", 4000, service=service)
-        answer = await owner.answer(service, 5)
-        if not answer or answer[1] != ANSWER:
-            raise CannotRun("a task was not placed before the disruption")
-    await asyncio.sleep(1.0)
-    cut = [host for host in hosts if host.standing][:2]
-    began = time.monotonic()
-    if TROUBLE:
-        await asyncio.gather(*(world.proxy[host.name].cut() for host in cut))
-    await asyncio.sleep(CUT_S - 0.05 - (time.monotonic() - began))
+    hosts = [UnsafeHost(world.record, f"s-{n:08x}", None) for n in range(4)]
+    await world.start(hosts, settings([one_class("publish", "single_shot")]))
+    owners = [await world.owner(f"owner {n}") for n in range(3)]
+    floods = []
     if TROUBLE:
-        for host in cut:
-            world.proxy[host.name].heal()
-    world.record(f"the cut took {time.monotonic() - began:.2f} s")
-    await asyncio.sleep(1.5)
-    # The owner wants four tasks of each service, one to a host. It asks for three more, and again for each that it was
-    # told is over.
-    number = 0x100
-    for service in SERVICES:
-        is_over = bool(owner.messages(service, RELEASE))
-        if is_over:
-            stands = any(f"{service:016x}" in host.standing for host in hosts)
-            world.record(f"the owner was told that task {service:016x} is over; it {'stands' if stands else 'has ended'}")
-        for _ in range(3 + is_over):
-            number += 1
-            owner.set_up(number, "lobby", 4000, service=service)
-            await asyncio.sleep(0.25)
-    await asyncio.sleep(6)
-    broken = [one for host in hosts for one in host.broken]
-    return f"{len(broken)} set-ups beyond the spread of 1, the first: {broken[0]}" if broken else None
+        for host in hosts:
+            host.spoils = True
+        world.record(f"bad clients: {BAD_CLIENTS} connections begin")
+        for _ in range(2):
+            floods.append(await asyncio.create_subprocess_exec(
+                sys.executable, os.path.join(HERE, "..", "lib-2", "flood.py"), world.placer.host, str(world.placer.port),
+                str(BAD_CLIENTS // 2), str(SECONDS)))
+    ids = []
+    end = time.monotonic() + SECONDS
+    try:
+        while time.monotonic() < end:
+            # A service asks for several tasks at once; 40 a second in all.
+            for _ in range(5):
+                ids.append(len(ids) + 1)
+                random.choice(owners).set_up(ids[-1], "publish", 8000, service=ids[-1] % 5, cores="0.5", memory="0.5")
+            await asyncio.sleep(0.125)
+    finally:
+        for flood in floods:
+            if flood.returncode is None:
+                flood.kill()
+            await flood.wait()
+    await asyncio.sleep(5)
+    twice = []
+    for id in ids:
+        states = [state for _, state in UnsafeHost.attempts.get(f"{id:016x}", [])]
+        if len(states) > 1 and "accepted" in states[:-1]:
+            twice.append((f"{id:016x}", UnsafeHost.attempts[f"{id:016x}"]))
+    world.record(f"{len(ids)} tasks asked for, {UnsafeHost.spoilt} answers spoilt; sent again after they ran: {twice}")
+    if twice:
+        stood = sum(1 for _, attempts in twice if sum(state == "accepted" for _, state in attempts) > 1)
+        return f"{len(twice)} of {len(ids)} unsafe tasks were sent again after they ran, {stood} of them stood twice"
+    return None
 
 
 play(HERE, case)
