--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -27,8 +27,8 @@
 class Record:
     """What was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
 
     def now(self):
@@ -582,10 +582,9 @@
 class World:
     """A placer, its board, its hosts and what else a case needs, in a temporary folder."""
 
-    def __init__(self, case_folder):
+    def __init__(self, record_path):
         self.folder = tempfile.mkdtemp(prefix="reedring-review-")
-        self.case_folder = case_folder
-        self.record = Record(case_folder)
+        self.record = Record(record_path)
         self.board = Board(self.record)
         self.hosts, self.proxies, self.owners = [], [], []
 
@@ -628,11 +627,12 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(case_folder, case):
-    """Runs a case: `case(world)` returns a sentence that says how the rule was broken, or None if it held."""
+def play(record_path, case):
+    """Runs a case and writes it down in the file `record_path`. `case(world)` returns a sentence that says how the rule was
+    broken, or None if it held."""
 
     async def run():
-        world = World(case_folder)
+        world = World(record_path)
         try:
             broken = await asyncio.wait_for(case(world), 110)
             if not broken and not world.placer.running():
