--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,6 +6,8 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+# What was sent, answered and run.
+RECORD = os.path.join(HERE, "record.txt")
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
 from standins import *
 
@@ -63,4 +65,4 @@
     return f"the owner was told that {len(told)} tasks are over, which stand" if told else None
 
 
-play(HERE, case)
+play(RECORD, case)
