--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,6 +7,8 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+# What was sent, answered and run.
+RECORD = os.path.join(HERE, "record.txt")
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
 from standins import *
 
@@ -90,4 +92,4 @@
     return None
 
 
-play(HERE, case)
+play(RECORD, case)
