Platform: a link made after lost input lets a busy host repeat the ends of its tasks

Cause: hosts repeat an end on the next link that they accept, and link_down noted nothing for a link that could not be read. needs_liveness_check asked for a new link only where none was left or one was reset, and was_reset was cleared by any message on another link.

Evidence: in record.txt the hosts open no connection after 0.06 s, and the three missing ends are the first messages after the answers that stop; the other ends of these hosts arrive. Ruled out: the route to the owner, and silence of the host.

Change: decide::may_have_lost_input over LinkEnd, with the new end Incomplete (not read up to an end of stream after a whole message). A host that runs tasks gets one link made after the loss; 3.5 s later if the placer had closed the lost link itself. Delays between connections return to the shortest only after a link that was up for 1 s, and refusals before a reset do not count against a draining host, so that the new connections break no other rule.

--- a/crates/platform-protocol/src/host/mod.rs
+++ b/crates/platform-protocol/src/host/mod.rs
@@ -105,6 +105,11 @@
         self.input.push(bytes);
     }
 
+    /// Whether a part of a message was received whose rest was not.
+    pub fn is_partial(&self) -> bool {
+        !self.input.unread().is_empty()
+    }
+
     /// Removes and returns the next message; `None` if it is not complete yet.
     ///
     /// # Errors
--- a/crates/platform/src/decide/attempts.rs
+++ b/crates/platform/src/decide/attempts.rs
@@ -7,10 +7,13 @@
     Refused,
     /// The connection attempt timed out, or failed for another reason than a refusal.
     ConnectFailed,
-    /// The link was established and ended without an error: the host closed its sending side (end of file), whether the
-    /// link was idle or had attempts in flight. A link closed by the placer also ends like this once everything is
-    /// written, but the engine has removed it by then.
+    /// The link was established and ended without an error: the host closed its sending side (end of file) after whole
+    /// messages, whether the link was idle or had attempts in flight. A link closed by the placer also ends like this once
+    /// its host has closed it too, but the engine has removed it by then.
     Closed,
+    /// The link was established and was not read to its end: the host closed its sending side in the middle of a message,
+    /// or the placer gave the link up before the host had closed it.
+    Incomplete,
     /// The link was established and ended with an error, or nothing could be written to it for too long. The placer
     /// also ends links to a host that left the endpoint list like this.
     Reset,
@@ -29,12 +32,25 @@
     MayHaveRun,
 }
 
+/// Whether messages that a host sent on a link may not have been received, given how the link ended. A host that sent the
+/// end of a task there repeats it only on the next link that it accepts.
+pub fn may_have_lost_input(end: LinkEnd) -> bool {
+    match end {
+        LinkEnd::Refused | LinkEnd::ConnectFailed | LinkEnd::Closed => false,
+        LinkEnd::Incomplete | LinkEnd::Reset | LinkEnd::Unreadable => true,
+    }
+}
+
 /// Whether an attempt may have run, given how its link ended. `begun`: at least one byte of the attempt's message was
 /// written.
 pub fn execution_after(end: LinkEnd, begun: bool) -> Execution {
     match (end, begun) {
         (LinkEnd::Refused | LinkEnd::ConnectFailed, _) => Execution::NeverRan,
-        (LinkEnd::Closed | LinkEnd::Reset | LinkEnd::Unreadable, false) => Execution::Unsent,
-        (LinkEnd::Closed | LinkEnd::Reset | LinkEnd::Unreadable, true) => Execution::MayHaveRun,
+        (LinkEnd::Closed | LinkEnd::Incomplete | LinkEnd::Reset | LinkEnd::Unreadable, false) => {
+            Execution::Unsent
+        }
+        (LinkEnd::Closed | LinkEnd::Incomplete | LinkEnd::Reset | LinkEnd::Unreadable, true) => {
+            Execution::MayHaveRun
+        }
     }
 }
--- a/crates/platform/src/decide/mod.rs
+++ b/crates/platform/src/decide/mod.rs
@@ -9,7 +9,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use attempts::{Execution, LinkEnd, execution_after};
+pub use attempts::{Execution, LinkEnd, execution_after, may_have_lost_input};
 pub use clients::{
     ClientDeparture, DepartureAction, NotificationRoute, RequestStage, choose_route,
     departure_action,
--- a/crates/platform/src/decide/tests.rs
+++ b/crates/platform/src/decide/tests.rs
@@ -2,18 +2,31 @@
 
 use super::*;
 
+const LINK_ENDS: [LinkEnd; 6] = [
+    LinkEnd::Refused,
+    LinkEnd::ConnectFailed,
+    LinkEnd::Closed,
+    LinkEnd::Incomplete,
+    LinkEnd::Reset,
+    LinkEnd::Unreadable,
+];
+
+#[test]
+fn only_what_a_host_sent_on_a_link_that_was_not_read_to_its_end_may_be_lost() {
+    for end in LINK_ENDS {
+        let want = matches!(
+            end,
+            LinkEnd::Incomplete | LinkEnd::Reset | LinkEnd::Unreadable
+        );
+        assert_eq!(may_have_lost_input(end), want, "{end:?}");
+    }
+}
+
 #[test]
 fn only_an_attempt_begun_on_an_established_link_may_have_run() {
-    for end in [
-        LinkEnd::Refused,
-        LinkEnd::ConnectFailed,
-        LinkEnd::Closed,
-        LinkEnd::Reset,
-        LinkEnd::Unreadable,
-    ] {
+    for end in LINK_ENDS {
         for begun in [false, true] {
-            let was_established =
-                matches!(end, LinkEnd::Closed | LinkEnd::Reset | LinkEnd::Unreadable);
+            let was_established = !matches!(end, LinkEnd::Refused | LinkEnd::ConnectFailed);
             let execution = execution_after(end, begun);
             assert_eq!(
                 execution == Execution::MayHaveRun,
--- a/crates/platform/src/hosts/failure.rs
+++ b/crates/platform/src/hosts/failure.rs
@@ -9,6 +9,9 @@
 use crate::state::{Engine, FIRST_RECONNECT_DELAY, Host, Timer};
 
 const FIRST_RECONNECT_DELAY_US: Micros = FIRST_RECONNECT_DELAY.as_micros() as Micros;
+/// A host that runs tasks is connected to again this long after the placer itself closed or gave up a link to it. The time
+/// fits twice into the 8 s within which clients must be notified of a task end that the host could not report.
+const DELAYED_RECONNECT_US: Micros = 3_500_000;
 
 impl Engine {
     /// Ends the tasks of a host if they are lost, schedules the next connection to the host if its tasks need one, and
@@ -69,12 +72,16 @@
         let Some(host) = self.hosts.host_mut(machine) else {
             return;
         };
-        let is_scheduled = host.is_reconnect_scheduled || host.evicted_until.is_some();
+        let is_scheduled = host.is_reconnect_scheduled || host.delayed_reconnect_at.is_some();
         if !host.needs_liveness_check() || is_scheduled || host.address().is_none() {
             return;
         }
         let delay = host.backoff.next_delay();
-        let is_immediate = host.consecutive_refusals == 0 && delay == FIRST_RECONNECT_DELAY;
+        // After lost input the host must learn that the former link has ended before it accepts the new one, as it would
+        // send the next end on the former one again.
+        let is_immediate = host.consecutive_refusals == 0
+            && host.lost_input_before.is_none()
+            && delay == FIRST_RECONNECT_DELAY;
         let delay_us = if is_immediate {
             0
         } else {
@@ -84,15 +91,28 @@
         self.timers.set(now + delay_us, Timer::Reconnect(machine));
     }
 
+    /// Schedules a connection to a host to which the placer itself closed or gave up a link, if the host's tasks need one
+    /// and none is scheduled. It is not made at once, as links end like this while descriptors are short.
+    pub(super) fn schedule_delayed_reconnect(&mut self, now: Micros, machine: MachineId) {
+        let host = self.hosts.host_mut(machine);
+        let needs_liveness_check =
+            host.filter(|host| host.needs_liveness_check() && !host.is_reconnect_scheduled);
+        if let Some(host) = needs_liveness_check {
+            let reconnect_at = now + DELAYED_RECONNECT_US;
+            host.delayed_reconnect_at = Some(reconnect_at);
+            self.timers.set(reconnect_at, Timer::Reconnect(machine));
+        }
+    }
+
     /// Connects to a host again if a reconnect is due and its tasks still need a liveness check.
     pub(crate) fn reconnect(&mut self, now: Micros, machine: MachineId) {
         let Some(host) = self.hosts.host_mut(machine) else {
             return;
         };
-        if !host.is_reconnect_scheduled && host.evicted_until.is_none_or(|at| now < at) {
+        if !host.is_reconnect_scheduled && host.delayed_reconnect_at.is_none_or(|at| now < at) {
             return;
         }
-        (host.is_reconnect_scheduled, host.evicted_until) = (false, None);
+        (host.is_reconnect_scheduled, host.delayed_reconnect_at) = (false, None);
         if !host.needs_liveness_check() || self.start_liveness_check(now, machine) {
             return;
         }
@@ -106,11 +126,14 @@
         }
     }
 
-    /// Makes a link for a liveness check if there is capacity. Once it is established, it
-    /// or an older one is closed.
+    /// Makes a link for a liveness check if there is capacity. Once it is established, it or an older one is closed, unless
+    /// it takes the place of a link that was lost.
     pub(super) fn start_liveness_check(&mut self, now: Micros, machine: MachineId) -> bool {
+        let host = self.hosts.host(machine);
+        let replaces_lost_link = host.is_some_and(|host| host.lost_input_before.is_some());
         let link = self.link_within_capacity(now, machine, true);
         let link = link.and_then(|link| self.hosts.link_mut(link));
-        link.map(|link| link.is_liveness_check = true).is_some()
+        link.map(|link| link.is_liveness_check = !replaces_lost_link)
+            .is_some()
     }
 }
--- a/crates/platform/src/hosts/link_selection.rs
+++ b/crates/platform/src/hosts/link_selection.rs
@@ -4,11 +4,7 @@
 
 use crate::decide::{self, EvictionCandidate, LinkCandidate, LinkChoice};
 use crate::ids::LinkId;
-use crate::state::{Engine, Link, Timer, connect_timeout_us};
-
-/// A host that runs tasks and whose only link was evicted is connected to again after this time. It fits twice into the
-/// 8 s within which clients must be notified of a task end that the host could not report.
-const RECONNECT_AFTER_EVICTION_US: Micros = 3_500_000;
+use crate::state::{Engine, Link, connect_timeout_us};
 
 impl Engine {
     /// The link for a placement request or a health check, which may be a new one; `None` if no link is usable and no
@@ -119,14 +115,7 @@
             return;
         };
         self.close_link(id);
-        let host = self.hosts.host_mut(machine);
-        let needs_liveness_check =
-            host.filter(|host| host.needs_liveness_check() && !host.is_reconnect_scheduled);
-        if let Some(host) = needs_liveness_check {
-            let reconnect_at = now + RECONNECT_AFTER_EVICTION_US;
-            host.evicted_until = Some(reconnect_at);
-            self.timers.set(reconnect_at, Timer::Reconnect(machine));
-        }
+        self.schedule_delayed_reconnect(now, machine);
     }
 
     /// Closes links until the connection of a client that just connected is within the limit.
--- a/crates/platform/src/hosts/links.rs
+++ b/crates/platform/src/hosts/links.rs
@@ -14,6 +14,10 @@
 /// How often the same attempt is sent again after a link ended before any byte of it was written.
 const MAX_RESENDS: u8 = 3;
 
+/// After a link that was established for this long, the next connection is made without a delay of earlier failures. Shorter
+/// ones do not count: a host that breaks each link at once would be connected to without end.
+const STABLE_LINK_US: Micros = 1_000_000;
+
 /// A link of a host that runs tasks is replaced at the next liveness check if nothing was sent or received on it for this
 /// part of the time after which hosts close idle links.
 const UNPROVEN_IDLE_DIVISOR: Micros = 2;
@@ -142,8 +146,10 @@
             return;
         };
         host.consecutive_refusals = 0;
-        host.backoff.reset();
         host.record_received(now);
+        if host.lost_input_before.is_some_and(|before| id > before) {
+            host.lost_input_before = None;
+        }
         if is_liveness_check {
             self.close_surplus_link(now, id, machine);
         }
@@ -204,15 +210,29 @@
 
     /// Handles the end of a link, or a failure to connect it.
     pub(crate) fn link_down(&mut self, now: Micros, id: LinkId, end: LinkEnd, messages_begun: u64) {
+        let may_have_lost_input = decide::may_have_lost_input(end);
+        if let Some(machine) = self.hosts.remove_closing_link(id) {
+            if may_have_lost_input {
+                self.hosts.record_lost_input(machine);
+                self.schedule_delayed_reconnect(now, machine);
+            }
+            return;
+        }
         let Some(link) = self.hosts.remove_link(id) else {
             return;
         };
+        if may_have_lost_input {
+            self.hosts.record_lost_input(link.machine);
+        }
         if let Some(host) = self.hosts.host_mut(link.machine) {
+            if link.is_up && link.up_since + STABLE_LINK_US <= now {
+                host.backoff.reset();
+            }
             match end {
                 LinkEnd::Refused => host.consecutive_refusals += 1,
                 LinkEnd::ConnectFailed => host.consecutive_connect_failures += 1,
-                LinkEnd::Reset => host.was_reset = true,
-                LinkEnd::Closed | LinkEnd::Unreadable => {}
+                LinkEnd::Reset => host.record_reset(),
+                LinkEnd::Closed | LinkEnd::Incomplete | LinkEnd::Unreadable => {}
             }
         }
         for check in self.health_checks.on_link(id) {
--- a/crates/platform/src/hosts/sweep.rs
+++ b/crates/platform/src/hosts/sweep.rs
@@ -62,8 +62,8 @@
     fn check_silent_hosts(&mut self, now: Micros) {
         let is_silent = |host: &Host| {
             !host.running.is_empty()
-                // A host whose link was evicted is connected to again at `evicted_until`.
-                && host.evicted_until.is_none()
+                // The host is connected to again then.
+                && host.delayed_reconnect_at.is_none()
                 && !host.is_reconnect_scheduled
                 && host.last_received + SILENCE_BEFORE_LIVENESS_CHECK_US <= now
                 && host.last_liveness_check + LIVENESS_CHECK_INTERVAL_US <= now
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -32,8 +32,9 @@
             .map(|entry| entry.placement_request.key);
         let host = self.hosts.host_or_new(machine);
         if host.running.is_empty() {
-            // The silence of a host counts from when it runs a task.
+            // The silence of a host counts from when it runs a task, and what was lost before does not concern the task.
             host.last_received = host.last_received.max(now);
+            host.lost_input_before = None;
         }
         host.running.extend(key.map(|key| (key, request)));
         self.evaluate_host(now, machine);
--- a/crates/platform/src/sockets/host.rs
+++ b/crates/platform/src/sockets/host.rs
@@ -73,7 +73,7 @@
         };
         let connected = tokio::select! {
             connected = timeout(self.timeout, connect(self.address)) => connected,
-            () = wait_until(queue, WriteQueue::is_closed) => return Err(LinkEnd::Closed),
+            () = wait_until(queue, WriteQueue::is_closed) => return Err(LinkEnd::Incomplete),
         };
         match connected {
             Ok(Ok(stream)) => {
@@ -103,13 +103,19 @@
         let _ = stream.set_nodelay(true);
         let mut reader = host::Reader::default();
         let end = self.read_and_write(stream, queue, &mut reader).await;
-        if end != LinkEnd::Unreadable {
-            self.read_rest(stream, &mut reader).await;
+        if end == LinkEnd::Unreadable {
+            return Some(end);
         }
-        Some(end)
+        // After an abort the socket reports an end of stream that is not the host's.
+        let is_read_to_end = self.read_rest(stream, &mut reader).await && !queue.is_closed();
+        Some(match end {
+            LinkEnd::Closed if !is_read_to_end => LinkEnd::Incomplete,
+            end => end,
+        })
     }
 
-    /// Reads and writes until the link ends, and returns how it ended.
+    /// Reads and writes until the link ends, and returns how it ended; [`LinkEnd::Closed`] if there was no error, whoever
+    /// ended it.
     async fn read_and_write(
         &self,
         stream: &TcpStream,
@@ -162,14 +168,17 @@
         }
     }
 
-    /// Reports what the host sent before the link ended and was not read yet.
-    async fn read_rest(&self, stream: &TcpStream, reader: &mut host::Reader) {
+    /// Reports what the host sent before the link ended and was not read yet. Returns whether all input was read up to an
+    /// end of stream that follows a whole message.
+    async fn read_rest(&self, stream: &TcpStream, reader: &mut host::Reader) -> bool {
         for _ in 0..MAX_REST_READS {
-            let read = read_buffered(stream, |bytes| reader.push(bytes));
-            if !matches!(read, Ok(Read::Bytes)) || self.report(reader).await.is_err() {
-                return;
+            match read_buffered(stream, |bytes| reader.push(bytes)) {
+                Ok(Read::Bytes) if self.report(reader).await.is_ok() => {}
+                Ok(Read::EndOfStream) => return !reader.is_partial(),
+                Ok(Read::Bytes | Read::Nothing) | Err(_) => return false,
             }
         }
+        false
     }
 
     /// Reads once and reports all complete messages.
--- a/crates/platform/src/sockets/tests/links.rs
+++ b/crates/platform/src/sockets/tests/links.rs
@@ -141,7 +141,35 @@
             link.writer.abort();
         }
         let end = link.receive_task_end_and_link_end().await;
-        assert!(matches!(end, LinkEnd::Reset | LinkEnd::Closed), "{end:?}");
+        let want = if is_reset {
+            LinkEnd::Reset
+        } else {
+            LinkEnd::Incomplete
+        };
+        assert_eq!(end, want);
+    }
+}
+
+/// A link that its host closes counts as read to its end only if that is after a whole message: the rest may have been the
+/// end of a task.
+#[tokio::test]
+async fn a_link_that_its_host_closes_in_the_middle_of_a_message_is_incomplete() {
+    for (rest, want) in [
+        (TASK_END, LinkEnd::Incomplete),
+        (b"".as_slice(), LinkEnd::Closed),
+    ] {
+        for is_half_closed in [false, true] {
+            let mut link = connect_link().await;
+            let mut host = link.accept().await;
+            assert!(matches!(link.receive().await, Input::LinkUp(LINK)));
+            if is_half_closed {
+                link.writer.half_close();
+            }
+            host.write_all(TASK_END).await.unwrap();
+            host.write_all(&rest[..rest.len() / 2]).await.unwrap();
+            host.shutdown().await.unwrap();
+            assert_eq!(link.receive_task_end_and_link_end().await, want);
+        }
     }
 }
 
--- a/crates/platform/src/state/host.rs
+++ b/crates/platform/src/state/host.rs
@@ -28,9 +28,13 @@
     pub links: BTreeSet<LinkId>,
     /// Whether a link to the host was reset and nothing was received from the host since.
     pub was_reset: bool,
+    /// The newest link, established or not, when messages of the host may last have been lost with a link; `None` once a
+    /// newer link was established. What arrives on the other links does not show what was lost.
+    pub lost_input_before: Option<LinkId>,
     /// The tasks that run there, as pairs of task key and request.
     pub running: BTreeSet<(u64, RequestId)>,
-    /// Refused connections in a row since a link was last established.
+    /// Refused connections in a row since a link was last established, or since a link was first reset while the host
+    /// drained.
     pub consecutive_refusals: u32,
     /// Connections that failed for another reason than a refusal, in a row since something was last received from the
     /// host.
@@ -43,8 +47,8 @@
     pub backoff: Backoff,
     /// Whether a timer for the next connection is set.
     pub is_reconnect_scheduled: bool,
-    /// When the host is connected to again after its last link was evicted; `None` if that is not pending.
-    pub evicted_until: Option<Micros>,
+    /// When the host is connected to again after the placer closed or gave up a link to it; `None` if that is not pending.
+    pub delayed_reconnect_at: Option<Micros>,
 }
 
 impl Host {
@@ -54,6 +58,7 @@
             left_at: None,
             links: BTreeSet::new(),
             was_reset: false,
+            lost_input_before: None,
             running: BTreeSet::new(),
             consecutive_refusals: 0,
             consecutive_connect_failures: 0,
@@ -61,7 +66,7 @@
             last_liveness_check: 0,
             backoff: RECONNECT_BACKOFF,
             is_reconnect_scheduled: false,
-            evicted_until: None,
+            delayed_reconnect_at: None,
         }
     }
 
@@ -74,10 +79,20 @@
         ) = (now, 0, false);
     }
 
-    /// Whether a new link is needed to detect whether the host's tasks still run: it has no link, or one was reset,
-    /// which may be the first sign that they ended.
+    /// Records that a link to the host was reset. A draining host refuses connections all the time, so those that it
+    /// refused before are no sign that its process has ended.
+    pub fn record_reset(&mut self) {
+        if !self.was_reset && self.health() == Some(HostHealth::Draining) {
+            self.consecutive_refusals = 0;
+        }
+        self.was_reset = true;
+    }
+
+    /// Whether a new link is needed to learn whether the host's tasks still run: it has no link, one was reset, which may
+    /// be the first sign that they ended, or the report of their end may have been lost with a link.
     pub fn needs_liveness_check(&self) -> bool {
-        (self.links.is_empty() || self.was_reset) && !self.running.is_empty()
+        (self.links.is_empty() || self.was_reset || self.lost_input_before.is_some())
+            && !self.running.is_empty()
     }
 
     /// The requests whose tasks run at the host.
@@ -253,12 +268,13 @@
         let id = self.last_link;
         self.hosts_with_links += usize::from(host.links.is_empty());
         host.links.insert(id);
-        host.evicted_until = None;
+        host.delayed_reconnect_at = None;
         self.links.insert(id, Link::new(id, machine, address));
         Some(NewLink { id, address })
     }
 
-    /// Removes a link that is closed by the placer; messages may arrive on it until [`Self::remove_link`] is called.
+    /// Removes a link that is closed by the placer; messages may arrive on it until
+    /// [`Self::remove_closing_link`] is called.
     /// Returns whether the link existed.
     pub fn close_link(&mut self, id: LinkId) -> bool {
         let Some(link) = self.remove_link(id) else {
@@ -268,9 +284,23 @@
         true
     }
 
+    /// Removes a link that was closed before and has ended now, and returns its host; `None` if there is no such link.
+    pub fn remove_closing_link(&mut self, id: LinkId) -> Option<MachineId> {
+        self.closing_links.remove(&id)
+    }
+
+    /// Records that messages of a host may have been lost with a link. Only the ends of tasks are repeated, so a host that
+    /// runs none is not affected.
+    pub fn record_lost_input(&mut self, machine: MachineId) {
+        let last_link = self.last_link;
+        let host = self.hosts.get_mut(&machine);
+        if let Some(host) = host.filter(|host| !host.running.is_empty()) {
+            host.lost_input_before = Some(last_link);
+        }
+    }
+
     /// Removes a link that has ended; `None` if it was closed before or is not known.
     pub fn remove_link(&mut self, id: LinkId) -> Option<Link> {
-        self.closing_links.remove(&id);
         let link = self.links.remove(&id)?;
         if let Some(host) = self.hosts.get_mut(&link.machine) {
             let was_last = host.links.remove(&id) && host.links.is_empty();
--- a/crates/platform/tests/hosts.rs
+++ b/crates/platform/tests/hosts.rs
@@ -5,6 +5,7 @@
 use reedring_platform::Input;
 use reedring_platform::decide::LinkEnd;
 use reedring_platform_protocol::client::{FromClient, PlacementRequest, ToClient};
+use reedring_platform_protocol::host::FromHost;
 use reedring_platform_protocol::{FAILED, GIVEN_UP};
 use world::{MS, SECOND, World, host_entry, hosts, placement_request, task_end, watch_response};
 
@@ -90,6 +91,39 @@
     assert_eq!(ends(&world), 2);
 }
 
+/// A draining host refuses connections all the time, so those that were refused before a link was reset prove nothing: the
+/// host still sends messages on another link.
+#[test]
+fn connections_refused_before_a_reset_do_not_end_the_tasks_of_a_draining_host() {
+    let (mut world, links) = two_running_tasks();
+    let (lost, reset) = (links[0], links[1]);
+    world.send_request(1, placement_request(3, "play", 1_000));
+    world.send_request(1, placement_request(4, "play", 1_000));
+    world.run(60 * MS);
+    let kept = *world.open_links().last().expect("a third link");
+    assert!(kept != lost && kept != reset);
+    world.connect_failure = Some(LinkEnd::Refused);
+    world.process_input(Input::DiscoveryUpdate(watch_response(
+        2,
+        false,
+        &[host_entry("h-1", 1, "east", "leaving", 0)],
+    )));
+    let down = |link, end| Input::LinkDown {
+        link,
+        end,
+        messages_begun: 1,
+    };
+    world.process_input(down(lost, LinkEnd::Unreadable));
+    for step in 0..50 {
+        if step == 25 {
+            world.process_input(down(reset, LinkEnd::Reset));
+        }
+        world.process_input(Input::HostMessage(kept, FromHost::Ignored));
+        world.run(100 * MS);
+    }
+    assert_eq!(ends(&world), 0);
+}
+
 /// Guards against tasks that never end for their client: the ends at a draining host could not be received on its open
 /// links.
 #[test]
--- a/crates/platform/tests/link_closes.rs
+++ b/crates/platform/tests/link_closes.rs
@@ -7,6 +7,7 @@
 use reedring_platform::decide::LinkEnd;
 use reedring_platform::{Input, LinkId};
 use reedring_platform_protocol::client::ToClient;
+use reedring_platform_protocol::host::FromHost;
 use world::{MS, SECOND, World, host_entry, hosts, placement_request, task_end, watch_response};
 
 /// Within this time after a task's end its client must be notified if the host could not report the end at once.
@@ -126,7 +127,7 @@
     world.close_delay = 50 * MS;
     let links = world.open_links();
     let closed = run_until_closed(&mut world, &links);
-    let refusal = reedring_platform_protocol::host::FromHost::Release {
+    let refusal = FromHost::Release {
         id: 1,
         cause: reedring_platform_protocol::REFUSED,
         reason: None,
@@ -145,3 +146,169 @@
     world.run(4 * SECOND);
     assert!(!is_end_sent(&world));
 }
+
+/// How a link ends whose host may have sent something on it that was not received.
+const ENDS_WITH_LOST_INPUT: [LinkEnd; 3] =
+    [LinkEnd::Unreadable, LinkEnd::Reset, LinkEnd::Incomplete];
+
+/// Runs the world for `duration` while the host sends something on each established link every 20 ms.
+fn run_busy(world: &mut World, duration: u64) {
+    let until = world.now + duration;
+    while world.now < until {
+        for link in world.open_links() {
+            world.process_input(Input::HostMessage(link, FromHost::Ignored));
+        }
+        world.run(20 * MS);
+    }
+}
+
+/// A world in which the task of request 1 runs at the only host, which has two links.
+fn busy_host(seed: u64) -> World {
+    let mut world = one_running_task(seed);
+    world.send_request(1, placement_request(2, "play", 1_000));
+    world.run(100 * MS);
+    assert_eq!(world.open_links().len(), 2);
+    world
+}
+
+/// Guards against lost ends of tasks: the end was lost with one link of a host whose other link carried messages all the
+/// time, so the placer made no new link, on which the host would have repeated it.
+#[test]
+fn an_end_lost_with_one_link_of_a_busy_host_reaches_the_client() {
+    for end in ENDS_WITH_LOST_INPUT {
+        for index in [0, 1] {
+            let mut world = busy_host(5);
+            let link = world.open_links()[index];
+            world.lose_task_end(1, 1);
+            world.process_input(Input::LinkDown {
+                link,
+                end,
+                messages_begun: 1,
+            });
+            run_busy(&mut world, UNREPORTED_END_LIMIT);
+            assert_eq!(world.outcomes[&1].task_ends, 1, "{end:?}, link {index}");
+        }
+    }
+}
+
+/// A host accepts links in any order, so one that was already being made when input was lost may have been accepted before
+/// the end was sent. The end is repeated on the one after that.
+#[test]
+fn a_link_that_was_being_made_when_input_was_lost_does_not_count_as_the_next_one() {
+    let mut world = busy_host(7);
+    let lost = world.open_links()[0];
+    world.connect_delay = Some(20 * MS);
+    for id in 3..9 {
+        world.send_request(1, placement_request(id, "play", 1_000));
+    }
+    let connecting: Vec<LinkId> = world.all_links();
+    assert!(connecting.len() > 2, "{connecting:?}");
+    world.process_input(Input::LinkDown {
+        link: lost,
+        end: LinkEnd::Unreadable,
+        messages_begun: 1,
+    });
+    run_busy(&mut world, 30 * MS);
+    assert!(
+        connecting[2..]
+            .iter()
+            .all(|link| world.open_links().contains(link)),
+        "the links that were being made are established"
+    );
+    // The host sent the end on the lost link after it had accepted these.
+    world.lose_task_end(1, 1);
+    run_busy(&mut world, UNREPORTED_END_LIMIT);
+    assert_eq!(world.outcomes[&1].task_ends, 1);
+}
+
+/// A link that the placer has closed may carry an end until its host learns of that. If it breaks before, or is given up as
+/// its host does not close it, the host is connected to again.
+#[test]
+fn an_end_lost_with_a_closed_link_of_a_busy_host_reaches_the_client() {
+    for end in ENDS_WITH_LOST_INPUT {
+        let mut world = one_running_task(8);
+        world.close_delay = 60 * SECOND;
+        let links = world.open_links();
+        let closed = run_until_closed(&mut world, &links);
+        world.lose_task_end(1, 1);
+        world.process_input(Input::LinkDown {
+            link: closed,
+            end,
+            messages_begun: u64::MAX,
+        });
+        run_busy(&mut world, UNREPORTED_END_LIMIT);
+        assert_eq!(world.outcomes[&1].task_ends, 1, "{end:?}");
+    }
+}
+
+/// The cost of a lost link: one connection to its host if that runs tasks, and none otherwise.
+#[test]
+fn one_link_is_made_after_input_was_lost_and_none_if_no_task_runs() {
+    for runs_tasks in [true, false] {
+        let mut world = busy_host(9);
+        if !runs_tasks {
+            world.finish_task(1, 1);
+            world.finish_task(2, 1);
+        }
+        let before = world.links_made;
+        let link = world.open_links()[0];
+        world.process_input(Input::LinkDown {
+            link,
+            end: LinkEnd::Unreadable,
+            messages_begun: 1,
+        });
+        run_busy(&mut world, 20 * SECOND);
+        assert_eq!(
+            world.links_made - before,
+            u64::from(runs_tasks),
+            "runs tasks: {runs_tasks}"
+        );
+    }
+}
+
+/// Guards against connections without end to a host that breaks each link as soon as it is established.
+#[test]
+fn a_host_that_breaks_each_new_link_is_connected_to_once_a_second_in_the_end() {
+    const TIME_S: u64 = 20;
+    // The first delays are shorter than a second.
+    const MOST_LINKS: u64 = TIME_S + 6;
+    for end in ENDS_WITH_LOST_INPUT {
+        let mut world = busy_host(10);
+        let kept = world.open_links()[0];
+        let before = world.links_made;
+        for _ in 0..TIME_S * 1_000 {
+            let broken = world.open_links().into_iter().filter(|link| *link != kept);
+            for link in broken.collect::<Vec<LinkId>>() {
+                world.process_input(Input::LinkDown {
+                    link,
+                    end,
+                    messages_begun: 0,
+                });
+            }
+            world.process_input(Input::HostMessage(kept, FromHost::Ignored));
+            world.run(MS);
+        }
+        let made = world.links_made - before;
+        assert!(made <= MOST_LINKS, "{end:?}: {made}");
+    }
+}
+
+/// A message on another link, handled in the same pass as the end of a link, does not show what was lost with that link.
+#[test]
+fn an_end_lost_with_a_link_reaches_the_client_though_another_link_brings_a_message_at_once() {
+    for end in ENDS_WITH_LOST_INPUT {
+        let mut world = busy_host(6);
+        let [lost, other] = world.open_links()[..] else {
+            panic!("two links");
+        };
+        world.lose_task_end(1, 1);
+        let down = Input::LinkDown {
+            link: lost,
+            end,
+            messages_begun: 1,
+        };
+        world.process_inputs([down, Input::HostMessage(other, FromHost::Ignored)]);
+        run_busy(&mut world, UNREPORTED_END_LIMIT);
+        assert_eq!(world.outcomes[&1].task_ends, 1, "{end:?}");
+    }
+}
--- a/crates/platform/tests/links.rs
+++ b/crates/platform/tests/links.rs
@@ -84,10 +84,22 @@
 /// Guards against late ends: with tasks at more hosts than there are descriptors, an end was sent 6 s too late.
 #[test]
 fn ends_at_more_hosts_than_links_are_sent_within_eight_seconds() {
+    // Short of descriptors, the placer gives closed links up before their hosts have closed them.
+    for closed_link_end in [LinkEnd::Closed, LinkEnd::Incomplete] {
+        ends_at_more_hosts_than_links(closed_link_end);
+    }
+}
+
+fn ends_at_more_hosts_than_links(closed_link_end: LinkEnd) {
     let mut world = World::new(24, &hosts(100));
+    world.closed_link_end = closed_link_end;
     let conn = world.connect_client();
     hand_over(&mut world, conn, 1..=100);
+    let made = world.links_made;
     world.run(10 * SECOND);
+    // Each host is connected to every 3.5 s at most.
+    let made = world.links_made - made;
+    assert!(made <= 300, "{closed_link_end:?}: {made} links were made");
     assert!(world.engine.sizes().links <= world.max_links());
     (1..=100).for_each(|n| world.finish_task(u64::from(n), n));
     for id in 200..216 {
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -160,6 +160,10 @@
     closing_links: BTreeSet<LinkId>,
     /// Time after which a host learns that the placer closed a link, in microseconds.
     pub close_delay: u64,
+    /// How a link ends that the placer closed.
+    pub closed_link_end: LinkEnd,
+    /// Number of links made so far.
+    pub links_made: u64,
     /// Links that their hosts have forgotten: they send nothing on them, and reset them when something arrives.
     forgotten_links: BTreeSet<LinkId>,
     next_conn: ConnId,
@@ -221,6 +225,8 @@
             unreported_ends: BTreeMap::new(),
             closing_links: BTreeSet::new(),
             close_delay: 2 * MS,
+            closed_link_end: LinkEnd::Closed,
+            links_made: 0,
             forgotten_links: BTreeSet::new(),
             next_conn: 0,
             digest: Digest::default(),
@@ -268,6 +274,12 @@
         }
     }
 
+    /// Ends a task at a host, whose report is lost with the link that it was sent on. The host reports the end again on the
+    /// next link that it accepts.
+    pub fn lose_task_end(&mut self, id: u64, port: u16) {
+        self.unreported_ends.entry(port).or_default().push(id);
+    }
+
     /// All hosts forget the links that are up, without a word to the placer.
     pub fn forget_links(&mut self) {
         self.forgotten_links.extend(self.open_links());
@@ -344,7 +356,22 @@
 
     /// Passes one input to the engine and executes its outputs. Inputs of links that have ended are dropped.
     pub fn process_input(&mut self, input: Input) {
-        let is_delivered = match &input {
+        self.process_inputs([input]);
+    }
+
+    /// Passes inputs to the engine that it handles in one pass, and executes its outputs.
+    pub fn process_inputs(&mut self, inputs: impl IntoIterator<Item = Input>) {
+        for input in inputs {
+            if self.track_input(&input) {
+                self.engine.handle(self.now, input);
+            }
+        }
+        self.run_engine();
+    }
+
+    /// Updates the simulation for an input. Returns whether the input is delivered: those of links that have ended are not.
+    fn track_input(&mut self, input: &Input) -> bool {
+        match input {
             Input::LinkUp(link) => {
                 let known = self.links.get_mut(link);
                 let port = known.map(|known| {
@@ -382,7 +409,7 @@
                     end: LinkEnd::Reset | LinkEnd::Unreadable,
                     messages_begun: begun,
                     ..
-                } = &input
+                } = input
                 {
                     let begun = *begun;
                     for id in lost {
@@ -394,11 +421,7 @@
                 self.links.remove(&link).is_some() || self.closing_links.remove(&link)
             }
             _ => true,
-        };
-        if is_delivered {
-            self.engine.handle(self.now, input);
         }
-        self.run_engine();
     }
 
     /// Updates the simulated tasks when a message of a host is delivered.
@@ -488,6 +511,7 @@
             }
             Output::Connect(link, address) => {
                 self.links.insert(link, (address.port(), false));
+                self.links_made += 1;
                 let after = self
                     .connect_delay
                     .unwrap_or(u64::from(self.random_below(3)) * MS);
@@ -526,7 +550,7 @@
                     self.close_delay,
                     Input::LinkDown {
                         link,
-                        end: LinkEnd::Closed,
+                        end: self.closed_link_end,
                         messages_begun: u64::MAX,
                     },
                 );
