Platform: nothing is written on a link after its messages were counted

Cause: HostConnector::run counted the messages that were begun and then waited for a place in the input queue. Until the event loop took that input, MessageWriter::flush still wrote on the open socket, so a request written then counted as unsent and was sent again on another link.

Evidence: with a full input queue the new socket test has the host read two messages where one was counted, after noise and after an end of file.

Change: WriteQueue::end_writing counts, discards what is not written and shuts the connection down in one step, so the count is final; what the engine sends later was never begun.

Test: src/sockets/tests/links.rs nothing_is_written_after_the_messages_of_a_link_were_counted, seen to fail before in both forms.

--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -43,7 +43,8 @@
         link: LinkId,
         /// How the link ended.
         end: LinkEnd,
-        /// How many of the link's messages were written to the socket at least in part.
+        /// How many of the link's messages were written to the socket at least in part. None is written after they were
+        /// counted, although the engine may send more on the link until it handles this input.
         messages_begun: u64,
     },
     /// Discovery answered a poll.
--- a/crates/platform/src/sockets/host.rs
+++ b/crates/platform/src/sockets/host.rs
@@ -48,7 +48,7 @@
         let Some(end) = end else {
             return;
         };
-        let messages_begun = queue.messages_begun();
+        let messages_begun = queue.end_writing();
         let down = Input::LinkDown {
             link: self.link,
             end,
--- a/crates/platform/src/sockets/tests/links.rs
+++ b/crates/platform/src/sockets/tests/links.rs
@@ -27,8 +27,13 @@
 
 /// Starts to connect a link.
 async fn connect_link() -> ServedLink {
+    connect_link_with_queue(16).await
+}
+
+/// Starts to connect a link whose task waits while more inputs than this are not taken.
+async fn connect_link_with_queue(inputs: usize) -> ServedLink {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (sender, incoming) = mpsc::channel(16);
+    let (sender, incoming) = mpsc::channel(inputs);
     let WriteBuffer { writer, queue } = WriteBuffer::new(&WriteBudget::default());
     let permits = ConnectionPermits::new(&bounds());
     let connector = HostConnector {
@@ -173,6 +178,46 @@
     }
 }
 
+/// Guards against a second start of a task: its request was written after the link's task had counted the messages that were
+/// begun, while the count waited in a full input queue, so the request passed for unsent and was sent again.
+#[tokio::test]
+async fn nothing_is_written_after_the_messages_of_a_link_were_counted() {
+    const BEFORE: &[u8] = b"written before\n";
+    // The inputs before the end of the link fill the queue: the message, and the log event of what can't be read.
+    for (host_sends, inputs) in [(b"noise\n".as_slice(), 2), (b"", 1)] {
+        let mut link = connect_link_with_queue(inputs).await;
+        let mut host = link.accept().await;
+        assert!(matches!(link.receive().await, Input::LinkUp(LINK)));
+        link.writer.send(BEFORE);
+        assert!(link.writer.flush());
+        host.write_all(TASK_END).await.unwrap();
+        host.write_all(host_sends).await.unwrap();
+        host.shutdown().await.unwrap();
+        while link.incoming.len() < inputs {
+            tokio::task::yield_now().await;
+        }
+        for _ in 0..64 {
+            tokio::task::yield_now().await;
+        }
+        link.writer.send(b"written after\n");
+        link.writer.flush();
+        let begun = loop {
+            match link.incoming.recv().await.expect("the end of the link") {
+                Incoming::Input(Input::LinkDown { messages_begun, .. }) => break messages_begun,
+                _ => continue,
+            }
+        };
+        link.writer.send(b"written after the end\n");
+        link.writer.flush();
+        drop(link.writer);
+        let mut received = Vec::new();
+        // The connection may end with a reset, after what was written.
+        let _ = host.read_to_end(&mut received).await;
+        let messages = received.iter().filter(|byte| **byte == b'\n').count();
+        assert_eq!(messages as u64, begun, "the host sent {host_sends:?}");
+    }
+}
+
 /// A closed link holds its permit until it ends, which an abort does at once.
 #[tokio::test]
 async fn a_closed_link_keeps_its_permit_until_it_ends() {
--- a/crates/platform/src/write_buffer/mod.rs
+++ b/crates/platform/src/write_buffer/mod.rs
@@ -229,7 +229,17 @@
         pending.is_discarded && !pending.is_half_closed || pending.is_finished && pending.len() == 0
     }
 
-    /// Number of messages of which at least one byte was written.
+    /// Ends the connection: the pending bytes and all that is added later are discarded, and both sides are shut down.
+    /// Returns the number of messages of which at least one byte was written, which is final.
+    pub fn end_writing(&self) -> u64 {
+        self.0.discard();
+        // Shut down here for the same reason as in `MessageWriter::abort`: the writer may be dropped much later.
+        self.0.shut_down(Shutdown::Both);
+        self.0.pending().messages_begun()
+    }
+
+    /// Number of messages of which at least one byte was written so far.
+    #[cfg(test)]
     pub fn messages_begun(&self) -> u64 {
         self.0.pending().messages_begun()
     }
