Platform: handed-over tasks over the bound are displaced, not stopped

Cause: limit_unconfirmed_tasks stopped the task that was chosen, which nothing allows for a task that nobody ended; and choose_least_likely took the connection with the most tasks times time, which a few quiet tasks are against a flood of groups of one.

Change: a displaced task gets no message; id, host and connection are kept so that its end and its client's release are passed on. Sources are open connections, and all that ended unconfirmed together; the largest unconfirmed one is chosen, with what was displaced of it. task_stopped, the second way to end a task, is gone; the ordered map of task ends serves the displaced ones too.

--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -16,6 +16,11 @@
 /// An upper bound of the memory of one unconfirmed task in all tables of the engine and the decision module.
 const UNCONFIRMED_TASK_BYTES: usize = 1024;
 
+/// Displaced tasks may hold the configured memory divided by this.
+const DISPLACED_MEMORY_DIVISOR: usize = 32;
+/// An upper bound of the memory of one displaced task.
+const DISPLACED_TASK_BYTES: usize = 128;
+
 /// Limits of the engine on connections and memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -33,6 +38,8 @@
     pub pending_request_bytes: usize,
     /// Maximum number of tasks that clients handed over as running and of which no host has sent anything yet.
     pub unconfirmed_tasks: usize,
+    /// Maximum number of tasks that were displaced by unconfirmed ones, of which just enough is kept to pass on their ends.
+    pub displaced_tasks: usize,
 }
 
 impl Bounds {
@@ -52,6 +59,7 @@
             links_per_host: LINKS_PER_HOST,
             pending_request_bytes: pending.max(MIN_PENDING_BYTES),
             unconfirmed_tasks: unconfirmed / UNCONFIRMED_TASK_BYTES,
+            displaced_tasks: memory / DISPLACED_MEMORY_DIVISOR / DISPLACED_TASK_BYTES,
         }
     }
 
--- a/crates/platform/src/clients/connections.rs
+++ b/crates/platform/src/clients/connections.rs
@@ -145,6 +145,7 @@
         for id in client.open_requests {
             self.handle_departure(now, id, ClientDeparture::Reset);
         }
+        self.requests.connection_ended(now, conn);
         self.resend_task_ends(now, conn);
     }
 
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -95,7 +95,7 @@
             return self.client_owns_tasks(now, conn);
         }
         let Some(found) = self.requests.find(id) else {
-            return;
+            return self.stop_displaced_task(now, id);
         };
         let (phase, requested_on) = (found.request.phase, found.request.conn);
         // An open request may be cancelled only on the connection that it came on; a running task may be stopped on any
--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -2,9 +2,9 @@
 
 use reedring::names::machine_id;
 use reedring::{Event, MachineId, Micros, RequestId, ServiceId, Task, TaskKey};
+use reedring_platform_protocol::FAILED;
 use reedring_platform_protocol::client::{PlacementRequest, ToClient};
 use reedring_platform_protocol::discovery::number_of;
-use reedring_platform_protocol::{CANCELLED, FAILED};
 
 use crate::errors::Rejection;
 use crate::ids::ConnId;
@@ -52,6 +52,7 @@
         if is_in_use || self.is_task_running(machine, request.key) {
             return;
         }
+        self.displaced_tasks.take(request.id);
         let phase = Phase::Running(Placement {
             machine,
             attempt: 0,
@@ -66,8 +67,8 @@
         self.limit_unconfirmed_tasks(now, conn);
     }
 
-    /// Discards the task that is least likely to exist if more tasks were handed over than may be unconfirmed. Its host is
-    /// asked to stop it and its client is notified, so that no attempt of it is left if it does exist.
+    /// Displaces the task that is least likely to exist if more tasks were handed over than may be unconfirmed. As it may
+    /// exist after all, it is neither stopped nor reported as over.
     fn limit_unconfirmed_tasks(&mut self, now: Micros, conn: ConnId) {
         let unconfirmed_tasks = self.requests.unconfirmed_tasks();
         if unconfirmed_tasks <= self.bounds.unconfirmed_tasks {
@@ -80,8 +81,7 @@
             client: conn,
             unconfirmed_tasks,
         });
-        self.stop_task(now, task, CANCELLED);
-        self.task_stopped(now, task, FAILED);
+        self.displace_task(task);
     }
 
     /// Whether a new request can be accepted. If not, the request is answered with a failure or its connection is
--- a/crates/platform/src/decide/hand_overs.rs
+++ b/crates/platform/src/decide/hand_overs.rs
@@ -1,25 +1,26 @@
 //! Which of the tasks that clients handed over as running is least likely to exist.
 
-/// Tasks that were handed over on one connection and that no host has confirmed.
+/// Tasks that came from one source and that no host has confirmed. A source is an open connection, or all connections
+/// together that have ended without a confirmation: a client can use any number of those.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnconfirmedGroup {
-    /// How many tasks there are, with those that were discarded already.
+    /// Whether a host has sent something about a task of this source.
+    pub is_confirmed: bool,
+    /// How many tasks there are, with those that were displaced already.
     pub tasks: usize,
-    /// For how long no host has sent anything about a task of this connection, in microseconds; from the first hand-over
+    /// For how long no host has sent anything about a task of this source, in microseconds; from the first hand-over
     /// on if none ever did.
     pub silent_us: u64,
 }
 
-/// Chooses the group whose tasks are least likely to exist: the one with the most task time without a word from a host.
-/// `None` if there is no group.
+/// Chooses the group whose tasks are least likely to exist: one of which no host has ever sent anything, and of these the
+/// largest. `None` if there is no group.
 ///
-/// Tasks that exist come to their ends, which their hosts report. The more tasks a client has handed over, and the longer
-/// ago, the more reports there should have been. So an owner that hands over hundreds of tasks after a restart is vouched
-/// for by the first that ends, one that hands over a few has long to wait, and a flood of tasks that no host knows is
-/// discarded first.
+/// The number of sources that exist at a time is limited, so while there are too many tasks some group is larger than what
+/// an owner of a few tasks has handed over, however many clients hand over false ones and for however long. An owner of
+/// many is confirmed by the first of its tasks that ends. Time without a report does not count: tasks may be quiet for days.
 pub fn choose_least_likely<T>(groups: impl Iterator<Item = (T, UnconfirmedGroup)>) -> Option<T> {
-    let task_time = |group: &UnconfirmedGroup| group.tasks as u128 * u128::from(group.silent_us);
     groups
-        .max_by_key(|(_, group)| (task_time(group), group.tasks))
+        .max_by_key(|(_, group)| (!group.is_confirmed, group.tasks, group.silent_us))
         .map(|(id, _)| id)
 }
--- a/crates/platform/src/decide/tests.rs
+++ b/crates/platform/src/decide/tests.rs
@@ -179,8 +179,16 @@
 }
 
 #[test]
-fn the_group_with_the_most_task_time_without_a_report_is_least_likely() {
-    let group = |tasks, silent_us| UnconfirmedGroup { tasks, silent_us };
+fn the_largest_group_that_no_host_has_confirmed_is_least_likely() {
+    let group = |tasks, silent_us| UnconfirmedGroup {
+        is_confirmed: false,
+        tasks,
+        silent_us,
+    };
+    let confirmed = |tasks, silent_us| UnconfirmedGroup {
+        is_confirmed: true,
+        ..group(tasks, silent_us)
+    };
     let cases = [
         (vec![], None),
         (vec![group(1, 0)], Some(0)),
@@ -188,11 +196,14 @@
         (vec![group(300, 9), group(300, 10)], Some(1)),
         // As long: the larger one.
         (vec![group(400, 10), group(300, 10)], Some(0)),
-        // An owner with few tasks outlasts a flood by far.
+        // An owner with few tasks outlasts any flood, however long its tasks are quiet.
         (vec![group(3, 1_000), group(400, 10)], Some(1)),
-        (vec![group(3, 1_400), group(400, 10)], Some(0)),
-        // An owner with many tasks of which one has just ended.
-        (vec![group(900, 1), group(400, 10)], Some(1)),
+        (vec![group(3, u64::MAX), group(400, 10)], Some(1)),
+        (vec![group(3, u64::MAX), group(4, 0)], Some(1)),
+        // An owner with many tasks of which one has ended.
+        (vec![confirmed(900, 1), group(400, 10)], Some(1)),
+        (vec![confirmed(900, u64::MAX), group(1, 0)], Some(1)),
+        (vec![confirmed(900, 1), confirmed(400, 10)], Some(0)),
         (vec![group(2, 0), group(3, 0)], Some(1)),
         (vec![group(usize::MAX, u64::MAX), group(1, 1)], Some(0)),
     ];
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -13,7 +13,9 @@
 
 use crate::bounds::Bounds;
 use crate::io::{Input, Output};
-use crate::state::{Engine, HealthChecks, HostTable, RequestTable, Shutdown, TaskEnds, Timer};
+use crate::state::{
+    DisplacedTasks, Engine, HealthChecks, HostTable, RequestTable, Shutdown, TaskEnds, Timer,
+};
 
 /// The interval at which idle connections, silent hosts and expired records are looked for.
 const SWEEP_INTERVAL_US: Micros = 250_000;
@@ -51,6 +53,8 @@
     pub hosts: usize,
     /// Task ends that are not sent yet, or that were sent a moment ago and may have to be sent again.
     pub task_ends: usize,
+    /// Tasks that are no longer tracked, whose ends are still passed on.
+    pub displaced_tasks: usize,
     /// Health checks that wait for their results.
     pub health_checks: usize,
     /// Timers that have not fired.
@@ -72,6 +76,7 @@
             submission_queue: VecDeque::new(),
             health_checks: HealthChecks::default(),
             task_ends: TaskEnds::default(),
+            displaced_tasks: DisplacedTasks::new(parameters.bounds.displaced_tasks),
             discovery_revision: 0,
             is_list_requested: false,
             timers: Timers::default(),
@@ -117,6 +122,7 @@
             closing_links: self.hosts.closing_link_count(),
             hosts: self.hosts.host_count(),
             task_ends: self.task_ends.len(),
+            displaced_tasks: self.displaced_tasks.len(),
             health_checks: self.health_checks.len(),
             timers: self.timers.len(),
             module: self.placer.sizes(),
--- a/crates/platform/src/hosts/failure.rs
+++ b/crates/platform/src/hosts/failure.rs
@@ -21,8 +21,12 @@
             return;
         };
         let loss = decide::detect_host_loss(self.host_observation(now, machine, host));
-        if let Some(reason) = loss.filter(|_| !host.running.is_empty()) {
-            self.end_lost_tasks(now, machine, reason);
+        let runs_tasks = !host.running.is_empty();
+        if let Some(reason) = loss {
+            if runs_tasks {
+                self.end_lost_tasks(now, machine, reason);
+            }
+            self.end_displaced_tasks(now, machine);
         }
         self.schedule_reconnect(now, machine);
         self.hosts.remove_if_unused(machine);
--- a/crates/platform/src/hosts/messages.rs
+++ b/crates/platform/src/hosts/messages.rs
@@ -129,6 +129,8 @@
                 },
             );
             self.evaluate_host(now, machine);
+        } else if ends_running_task(cause) {
+            self.displaced_task_ended(now, machine, wire_id, cause);
         }
     }
 
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -1,13 +1,23 @@
 //! Tasks that run at hosts: accepted, handed over, ended.
 
 use reedring::{AttemptId, Event, MachineId, Micros, Outcome, RequestId};
-use reedring_platform_protocol::GIVEN_UP;
 use reedring_platform_protocol::client::ToClient;
 use reedring_platform_protocol::host::ToHost;
+use reedring_platform_protocol::{CANCELLED, FAILED, GIVEN_UP};
 
 use crate::attempts::AttemptResult;
 use crate::ids::LinkId;
-use crate::state::{Engine, Phase, Placement, TaskEnd};
+use crate::state::{DisplacedTask, Engine, Phase, Placement, TaskEnd};
+
+/// A running task that was just removed from the table of requests.
+struct RemovedTask {
+    /// The request's id on the wire.
+    id: u64,
+    /// Where the task runs, and for whom.
+    task: DisplacedTask,
+    /// Whether the host was asked to stop it.
+    was_stopping: bool,
+}
 
 impl Engine {
     /// The request with this id on the wire, if its task runs at this host.
@@ -89,21 +99,6 @@
         self.add_running_task(now, machine, request);
     }
 
-    /// Ends a task that its host was asked to stop without waiting for the host, and notifies its client.
-    pub(crate) fn task_stopped(&mut self, now: Micros, request: RequestId, cause: u8) {
-        let Some(entry) = self.requests.get(request) else {
-            return;
-        };
-        let end = TaskEnd {
-            at: now,
-            requested_on: entry.conn,
-            id: entry.wire_id(),
-            cause,
-        };
-        self.task_ended(now, request, cause, Outcome::Stopped.into());
-        self.notify_task_end(now, end);
-    }
-
     /// Ends a running task: reports its end to the decision module, and notifies its client unless the task was being
     /// stopped.
     pub(super) fn task_ended(
@@ -113,29 +108,97 @@
         cause: u8,
         result: AttemptResult,
     ) {
-        let Some(entry) = self.requests.get(request) else {
-            return;
-        };
-        let Some(placement) = entry.phase.placement() else {
+        let Some(removed) = self.remove_running_task(request, result) else {
             return;
         };
         // A client that stopped its task, or was notified that the task is moved, is not notified of its end.
-        let is_notified = matches!(entry.phase, Phase::Running(_));
-        let key = entry.placement_request.key;
+        if removed.was_stopping {
+            return;
+        }
         let end = TaskEnd {
             at: now,
-            requested_on: entry.conn,
-            id: entry.wire_id(),
+            requested_on: removed.task.requested_on,
+            id: removed.id,
             cause,
         };
+        self.notify_task_end(now, end);
+    }
+
+    /// Stops tracking a running task that may not exist. Its end is still passed on if its host reports it or is lost.
+    pub(crate) fn displace_task(&mut self, request: RequestId) {
+        let Some(removed) = self.remove_running_task(request, Outcome::Stopped.into()) else {
+            return;
+        };
+        if !removed.was_stopping {
+            self.displaced_tasks.add(removed.id, removed.task);
+        }
+    }
+
+    /// Removes a running task and reports to the decision module that its attempt ended.
+    fn remove_running_task(
+        &mut self,
+        request: RequestId,
+        result: AttemptResult,
+    ) -> Option<RemovedTask> {
+        let entry = self.requests.get(request)?;
+        let placement = entry.phase.placement()?;
+        let key = entry.placement_request.key;
+        let removed = RemovedTask {
+            id: entry.wire_id(),
+            task: DisplacedTask {
+                machine: placement.machine,
+                requested_on: entry.conn,
+            },
+            was_stopping: matches!(entry.phase, Phase::Stopping(_)),
+        };
         if let Some(host) = self.hosts.host_mut(placement.machine) {
             host.running.remove(&(key, request));
         }
         self.report_attempt_end(request, placement.attempt, placement.machine, result);
         self.requests.remove(request);
         self.hosts.remove_if_unused(placement.machine);
-        if is_notified {
-            self.notify_task_end(now, end);
+        Some(removed)
+    }
+
+    /// Notifies the client of a displaced task whose host reports its end.
+    pub(super) fn displaced_task_ended(
+        &mut self,
+        now: Micros,
+        machine: MachineId,
+        id: u64,
+        cause: u8,
+    ) {
+        if let Some(task) = self.displaced_tasks.take_at(machine, id) {
+            self.requests.confirm_connection(now, task.requested_on);
+            self.notify_displaced_end(now, id, task, cause);
+        }
+    }
+
+    /// Notifies the clients of all displaced tasks of a host that is lost.
+    pub(super) fn end_displaced_tasks(&mut self, now: Micros, machine: MachineId) {
+        for (id, task) in self.displaced_tasks.take_all_at(machine) {
+            self.notify_displaced_end(now, id, task, FAILED);
+        }
+    }
+
+    fn notify_displaced_end(&mut self, now: Micros, id: u64, task: DisplacedTask, cause: u8) {
+        let end = TaskEnd {
+            at: now,
+            requested_on: task.requested_on,
+            id,
+            cause,
+        };
+        self.notify_task_end(now, end);
+    }
+
+    /// Asks the host of a displaced task to stop it, as its client released it.
+    pub(crate) fn stop_displaced_task(&mut self, now: Micros, id: u64) {
+        let Some(task) = self.displaced_tasks.take(id) else {
+            return;
+        };
+        if let Some(link) = self.any_link(now, task.machine) {
+            let cause = CANCELLED;
+            self.send_to_host(link, ToHost::Release { id, cause });
         }
     }
 }
--- a/crates/platform/src/log_event.rs
+++ b/crates/platform/src/log_event.rs
@@ -40,7 +40,7 @@
         /// Bytes that pending requests hold.
         pending_bytes: usize,
     },
-    /// A task that a client handed over is discarded, as hosts have confirmed none of too many such tasks.
+    /// A task that a client handed over is no longer tracked, as hosts have confirmed none of too many such tasks.
     UnconfirmedTasksFull {
         /// The connection on which the last task was handed over.
         client: ConnId,
--- a/crates/platform/src/run/log.rs
+++ b/crates/platform/src/run/log.rs
@@ -120,7 +120,7 @@
                 event = "unconfirmed_tasks_full",
                 client,
                 unconfirmed_tasks,
-                "a task that a client handed over is discarded: hosts have confirmed none of {unconfirmed_tasks} such tasks"
+                "a task that a client handed over is no longer tracked: hosts have confirmed none of {unconfirmed_tasks} such tasks"
             );
         }
         _ => {}
--- a/crates/platform/src/state/mod.rs
+++ b/crates/platform/src/state/mod.rs
@@ -1,9 +1,11 @@
 //! The state of the engine, shared by the modules for clients, hosts and attempts. The tables of hosts and links,
-//! requests, health checks and task ends have private fields and maintain their own counts. Their records and the
+//! requests, health checks, task ends and displaced tasks have private fields and maintain their own counts. Their records and the
 //! fields of [`Engine`], including the map of clients, are visible in the whole crate. This module decides and sends
 //! nothing.
 
+mod bounded_map;
 mod client;
+mod displaced;
 mod health_check;
 mod host;
 mod request;
@@ -17,6 +19,7 @@
 use reedring::{AttemptId, Event, MachineId, Micros, Placer, RequestId};
 
 pub(crate) use self::client::ClientConnection;
+pub(crate) use self::displaced::{DisplacedTask, DisplacedTasks};
 pub(crate) use self::health_check::{HealthCheck, HealthChecks};
 pub(crate) use self::host::{FIRST_RECONNECT_DELAY, Host, HostTable, Link};
 pub(crate) use self::request::{InFlightAttempt, Phase, Placement, Request, RequestTable};
@@ -77,6 +80,7 @@
     pub(crate) submission_queue: VecDeque<ConnId>,
     pub(crate) health_checks: HealthChecks,
     pub(crate) task_ends: TaskEnds,
+    pub(crate) displaced_tasks: DisplacedTasks,
     /// The number of the last discovery event that was applied.
     pub(crate) discovery_revision: u64,
     /// Whether the decision module waits for the next update of the endpoint list, even one without changes.
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -166,12 +166,22 @@
         self.unconfirmed.len()
     }
 
-    /// The unconfirmed task that is least likely to exist, which is to be discarded and counts as unconfirmed no more;
+    /// The unconfirmed task that is least likely to exist, which is to be displaced and counts as unconfirmed no more;
     /// `None` if there is none.
     pub fn take_least_likely_task(&mut self, now: Micros) -> Option<RequestId> {
         self.unconfirmed.take_least_likely(now)
     }
 
+    /// Records that a connection of a client has ended.
+    pub fn connection_ended(&mut self, now: Micros, conn: ConnId) {
+        self.unconfirmed.connection_ended(now, conn);
+    }
+
+    /// Records that a host sent something about a displaced task, which was handed over on this connection.
+    pub fn confirm_connection(&mut self, now: Micros, conn: ConnId) {
+        self.unconfirmed.confirm_connection(now, conn);
+    }
+
     /// Records that a host sent something about a running task.
     pub fn confirm_task(&mut self, now: Micros, id: RequestId) {
         if let Some(request) = self.requests.get(&id) {
--- a/crates/platform/src/state/task_end.rs
+++ b/crates/platform/src/state/task_end.rs
@@ -4,6 +4,7 @@
 
 use reedring::Micros;
 
+use super::bounded_map::BoundedMap;
 use crate::ids::ConnId;
 
 /// A task end is sent again if the connection that it was sent on ends within this time.
@@ -26,49 +27,6 @@
     pub cause: u8,
 }
 
-/// Ends for which there is no connection yet, in the order in which they were added.
-#[derive(Debug, Default)]
-struct UnsentEnds {
-    by_order: BTreeMap<u64, TaskEnd>,
-    /// The place of each end in the order, by the request's id on the wire.
-    order_of: BTreeMap<u64, u64>,
-    added: u64,
-}
-
-impl UnsentEnds {
-    fn len(&self) -> usize {
-        self.by_order.len()
-    }
-
-    fn add(&mut self, end: TaskEnd) {
-        self.remove(end.id);
-        if self.len() >= MAX_ENDS
-            && let Some((_, oldest)) = self.by_order.pop_first()
-        {
-            self.order_of.remove(&oldest.id);
-        }
-        self.added += 1;
-        self.by_order.insert(self.added, end);
-        self.order_of.insert(end.id, self.added);
-    }
-
-    fn remove(&mut self, id: u64) -> bool {
-        let removed = self.order_of.remove(&id);
-        removed.is_some_and(|order| self.by_order.remove(&order).is_some())
-    }
-
-    fn drop_expired(&mut self, now: Micros) {
-        let order_of = &mut self.order_of;
-        self.by_order.retain(|_, end| {
-            let is_kept = now < end.at + UNSENT_END_EXPIRY_US;
-            if !is_kept {
-                order_of.remove(&end.id);
-            }
-            is_kept
-        });
-    }
-}
-
 #[derive(Debug)]
 struct SentEnd {
     conn: ConnId,
@@ -77,12 +35,21 @@
 
 /// Task ends that could not be sent yet, and those that were sent a moment ago, which the client may not have received
 /// if its connection ends.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct TaskEnds {
-    unsent: UnsentEnds,
+    unsent: BoundedMap<TaskEnd>,
     sent: BTreeMap<u64, SentEnd>,
 }
 
+impl Default for TaskEnds {
+    fn default() -> Self {
+        Self {
+            unsent: BoundedMap::new(MAX_ENDS),
+            sent: BTreeMap::new(),
+        }
+    }
+}
+
 impl TaskEnds {
     /// How many ends are held.
     pub fn len(&self) -> usize {
@@ -91,7 +58,7 @@
 
     /// Records an end for which there is no connection. At the limit, the oldest one is dropped.
     pub fn add_unsent(&mut self, end: TaskEnd) {
-        self.unsent.add(end);
+        self.unsent.add(end.id, end);
     }
 
     /// Records an end that was sent on a connection at `now`. At the limit it is not recorded, and so not sent again.
@@ -107,13 +74,13 @@
     /// whether the end was held.
     pub fn confirm(&mut self, id: u64) -> bool {
         let was_sent = self.sent.remove(&id).is_some();
-        self.unsent.remove(id) || was_sent
+        self.unsent.remove(id).is_some() || was_sent
     }
 
     /// Takes all ends for which there was no connection, the oldest first.
     pub fn take_unsent(&mut self) -> Vec<TaskEnd> {
-        let unsent = std::mem::take(&mut self.unsent);
-        unsent.by_order.into_values().collect()
+        let unsent = self.unsent.remove_where(|_| true);
+        unsent.into_iter().map(|(_, end)| end).collect()
     }
 
     /// Takes the ends that were sent on this connection a moment ago, in the order of their ids.
@@ -124,7 +91,8 @@
 
     /// Drops the sent ends that need not be sent again, and the unsent ends that are too old.
     pub fn drop_expired(&mut self, now: Micros) {
-        self.unsent.drop_expired(now);
+        self.unsent
+            .remove_where(|end| end.at + UNSENT_END_EXPIRY_US <= now);
         self.sent
             .retain(|_, sent| now < sent.end.at + RESEND_WINDOW_US);
     }
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -24,6 +24,9 @@
 /// Maximum number of tasks that were handed over and not confirmed.
 pub const UNCONFIRMED_TASKS: usize = 1_000;
 
+/// Maximum number of tasks that were displaced by unconfirmed ones.
+pub const DISPLACED_TASKS: usize = 500;
+
 /// Class `play` is safe to repeat, `take` is deduplicated by zone, `print` is unsafe to repeat.
 const SETTINGS: &str = include_str!("../simulated_peers/settings.json");
 
@@ -192,6 +195,7 @@
             links_per_host: 4,
             pending_request_bytes: 1 << 20,
             unconfirmed_tasks: UNCONFIRMED_TASKS,
+            displaced_tasks: DISPLACED_TASKS,
         };
         let now = 1_700_000_000 * SECOND;
         let known = watch_response(1, true, hosts);
