Module: load changes of a machine are bounded, and untracked tasks free nothing

Cause: MachineState kept each change of a machine's load for 5 s without a limit and read all of them for each new one; remove_attempt read all services of the machine.

Change: LoadChanges, a file of its own, holds at most 1,024 changes a machine; expired ones go from the front. Displaced tasks leave by the new Event::Untracked, as an end would deduct a load that no report contains.

Tests: two in tests/machine_view.rs, which fail with the new rules taken out.

--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -13,6 +13,7 @@
 struct RemovedTask {
     /// The request's id on the wire.
     id: u64,
+    attempt: AttemptId,
     /// Where the task runs, and for whom.
     task: DisplacedTask,
     /// Whether the host was asked to stop it.
@@ -108,9 +109,11 @@
         cause: u8,
         result: AttemptResult,
     ) {
-        let Some(removed) = self.remove_running_task(request, result) else {
+        let Some(removed) = self.remove_running_task(request) else {
             return;
         };
+        let AttemptId { request, number } = removed.attempt;
+        self.report_attempt_end(request, number, removed.task.machine, result);
         // A client that stopped its task, or was notified that the task is moved, is not notified of its end.
         if removed.was_stopping {
             return;
@@ -126,25 +129,27 @@
 
     /// Stops tracking a running task that may not exist. Its end is still passed on if its host reports it or is lost.
     pub(crate) fn displace_task(&mut self, request: RequestId) {
-        let Some(removed) = self.remove_running_task(request, Outcome::Stopped.into()) else {
+        let Some(removed) = self.remove_running_task(request) else {
             return;
         };
+        let attempt = removed.attempt;
+        self.events.push(Event::Untracked { attempt });
         if !removed.was_stopping {
             self.displaced_tasks.add(removed.id, removed.task);
         }
     }
 
-    /// Removes a running task and reports to the decision module that its attempt ended.
-    fn remove_running_task(
-        &mut self,
-        request: RequestId,
-        result: AttemptResult,
-    ) -> Option<RemovedTask> {
+    /// Removes a running task.
+    fn remove_running_task(&mut self, request: RequestId) -> Option<RemovedTask> {
         let entry = self.requests.get(request)?;
         let placement = entry.phase.placement()?;
         let key = entry.placement_request.key;
         let removed = RemovedTask {
             id: entry.wire_id(),
+            attempt: AttemptId {
+                request,
+                number: placement.attempt,
+            },
             task: DisplacedTask {
                 machine: placement.machine,
                 requested_on: entry.conn,
@@ -154,7 +159,6 @@
         if let Some(host) = self.hosts.host_mut(placement.machine) {
             host.running.remove(&(key, request));
         }
-        self.report_attempt_end(request, placement.attempt, placement.machine, result);
         self.requests.remove(request);
         self.hosts.remove_if_unused(placement.machine);
         Some(removed)
--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -41,6 +41,12 @@
         /// The machine that runs it.
         machine: MachineId,
     },
+    /// A task that became one of this scheduler by [`Event::Adopted`] is not known to run, and no
+    /// longer counts. It may end later without a further event.
+    Untracked {
+        /// The attempt that the task became.
+        attempt: AttemptId,
+    },
     /// A machine accepted a task, which is the final answer to its request.
     Placed {
         /// The attempt that was accepted.
--- a/src/logic/machine_state.rs
+++ b/src/logic/machine_state.rs
@@ -1,8 +1,9 @@
 //! What this scheduler knows about one machine: its list entry, load, own attempts and health, and
 //! how long each of these stays valid.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
+use super::load_changes::{DatedLoad, LoadChanges};
 use super::machine_view::MachineView;
 use super::requests::{ActiveAttempt, TenantClass};
 use super::slow_start::SchedulerIdentity;
@@ -41,13 +42,6 @@
     }
 }
 
-/// A load, and when it was learned or changed, on the caller's clock.
-#[derive(Clone, Copy)]
-pub struct DatedLoad {
-    pub at: Micros,
-    pub load: Load,
-}
-
 /// What this scheduler knows about one machine. "Own" offers, attempts and tasks are those of this
 /// scheduler.
 #[derive(Default)]
@@ -67,7 +61,7 @@
     /// What the tasks of all schedulers use there, as last reported.
     pub used: Option<DatedLoad>,
     /// Own offers, and ended attempts as negative loads, that reports may not include yet.
-    recent_changes: VecDeque<DatedLoad>,
+    recent_changes: LoadChanges,
     /// What own attempts request, from the offer until the end.
     own_load: Load,
     /// The last rejection for lack of capacity, and the least load that it rules out.
@@ -214,26 +208,18 @@
 
     /// Records an own offer, or an ended attempt as a negative load, until reports include it.
     fn record_change(&mut self, now: Micros, load: Load) {
-        self.recent_changes
-            .retain(|change| now < change.at + 2 * LIST_LAG_US);
-        self.recent_changes.push_back(DatedLoad { at: now, load });
+        self.recent_changes.record(now, load, 2 * LIST_LAG_US);
     }
 
-    /// The load of a report that lags by `lag`, plus the own changes that it may not include yet,
-    /// each times `factors`.
-    fn with_recent_changes(&self, report: DatedLoad, lag: Micros, factors: Load) -> Load {
-        self.recent_changes
-            .iter()
-            .filter(|change| change.at + lag > report.at)
-            .fold(report.load, |sum, change| {
-                sum.plus(change.load.times(factors))
-            })
+    /// The number of load changes in memory.
+    pub fn recent_change_count(&self) -> usize {
+        self.recent_changes.len()
     }
 
     /// What tasks of all schedulers request there; at least what own attempts request.
     pub fn requested_now(&self) -> Load {
         let requested = self.requested.map_or(self.own_load, |report| {
-            self.with_recent_changes(report, LIST_LAG_US, UNSCALED)
+            self.recent_changes.added_to(report, LIST_LAG_US, UNSCALED)
         });
         Load::sanitized(
             requested.cores.max(self.own_load.cores),
@@ -244,8 +230,10 @@
     /// What tasks of all schedulers use there; `None` without a report. Own tasks that the last
     /// report may not include yet count by `use_ratio`, the expected ratio of use to request.
     pub fn used_now(&self, use_ratio: Load) -> Option<Load> {
-        self.used
-            .map(|report| self.with_recent_changes(report, REPORT_LAG_US, use_ratio))
+        self.used.map(|report| {
+            self.recent_changes
+                .added_to(report, REPORT_LAG_US, use_ratio)
+        })
     }
 
     /// The view of this machine for the draws of one step. The rank is left at 0, for the caller to
@@ -296,13 +284,21 @@
 
     /// Removes an own attempt that ended from the load and the counts.
     pub fn remove_attempt(&mut self, now: Micros, id: AttemptId, attempt: &ActiveAttempt) {
-        let released = attempt.load.times(Load::uniform(-1.0));
-        self.own_load = self.own_load.plus(released);
-        self.record_change(now, released);
+        self.record_change(now, attempt.load.times(Load::uniform(-1.0)));
+        self.untrack_attempt(id, attempt);
+    }
+
+    /// Removes an attempt that is not known to exist from the load and the counts. That frees
+    /// nothing at the machine.
+    pub fn untrack_attempt(&mut self, id: AttemptId, attempt: &ActiveAttempt) {
+        self.own_load = self.own_load.plus(attempt.load.times(Load::uniform(-1.0)));
         self.starting.remove(&id);
-        let tasks = self.own_tasks.entry(attempt.service).or_default();
-        *tasks = tasks.saturating_sub(1);
-        self.own_tasks.retain(|_, tasks| *tasks > 0);
+        if let Some(tasks) = self.own_tasks.get_mut(&attempt.service) {
+            *tasks -= 1;
+            if *tasks == 0 {
+                self.own_tasks.remove(&attempt.service);
+            }
+        }
     }
 
     /// Records an offer that is sent now; it counts against the slow start budget of a machine that
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -5,6 +5,7 @@
 //! equal events give equal actions. The interface is in `src/api/`; `docs/design.md` states the
 //! algorithm and each exception to these rules.
 
+mod load_changes;
 mod machine_state;
 mod machine_view;
 mod placer;
--- a/src/logic/placer/beliefs.rs
+++ b/src/logic/placer/beliefs.rs
@@ -5,9 +5,8 @@
 use super::{Placer, REJECTING_US};
 use crate::api::{Belief, Beliefs, Micros, Rules};
 use crate::load::Load;
-use crate::logic::machine_state::{
-    DatedLoad, MAX_BACKOFF_DOUBLINGS, MachineState, initial_backoff_us,
-};
+use crate::logic::load_changes::DatedLoad;
+use crate::logic::machine_state::{MAX_BACKOFF_DOUBLINGS, MachineState, initial_backoff_us};
 use crate::logic::requests::TenantClass;
 
 impl Placer {
--- a/src/logic/placer/events.rs
+++ b/src/logic/placer/events.rs
@@ -20,6 +20,7 @@
                 self.restrict_request(*request, machines);
             }
             Event::Adopted { task, machine } => self.adopt_attempt(task, *machine),
+            Event::Untracked { attempt } => self.untrack_attempt(*attempt),
             Event::Placed {
                 attempt,
                 machine,
@@ -91,6 +92,16 @@
         self.add_active_attempt(id, attempt);
     }
 
+    /// Stops counting an adopted attempt.
+    fn untrack_attempt(&mut self, id: AttemptId) {
+        let Some(attempt) = self.active_attempts.remove(&id) else {
+            return;
+        };
+        if let Some(state) = self.machines.get_mut(&attempt.machine) {
+            state.untrack_attempt(id, &attempt);
+        }
+    }
+
     /// Drops a request that its client has withdrawn, and stops its attempts, which would take
     /// capacity from other tasks.
     fn withdraw_request(&mut self, id: RequestId, actions: &mut Vec<Action>) {
--- a/src/logic/placer/mod.rs
+++ b/src/logic/placer/mod.rs
@@ -146,6 +146,12 @@
         ]
     }
 
+    /// The number of load changes of all machines in memory.
+    pub fn recent_change_count(&self) -> usize {
+        let machines = self.machines.values();
+        machines.map(MachineState::recent_change_count).sum()
+    }
+
     /// Requests the watch on the machine list in the first step, in deployments where the list comes
     /// only on request.
     fn start_list_watch(&mut self, now: Micros, actions: &mut Vec<Action>) {
--- a/src/logic/placer/outcomes.rs
+++ b/src/logic/placer/outcomes.rs
@@ -5,7 +5,8 @@
 use super::{Placer, REJECTING_US};
 use crate::api::{AttemptId, Effect, Ended, MachineId, Micros, Outcome, Reason, Settings};
 use crate::load::Load;
-use crate::logic::machine_state::{DatedLoad, MachineState};
+use crate::logic::load_changes::DatedLoad;
+use crate::logic::machine_state::MachineState;
 use crate::logic::requests::{ActiveAttempt, AttemptState, PendingRequest};
 
 impl Placer {
--- a/src/logic/placer/reports.rs
+++ b/src/logic/placer/reports.rs
@@ -4,7 +4,7 @@
 use super::Placer;
 use crate::api::{AttemptId, MachineId, Micros, Note, ReportField};
 use crate::load::Load;
-use crate::logic::machine_state::DatedLoad;
+use crate::logic::load_changes::DatedLoad;
 
 /// Weight of one signal in the learned ratio of use to request: the ratio is a mean over about the
 /// last fifty signals.
--- a/tests/machine_view.rs
+++ b/tests/machine_view.rs
@@ -403,6 +403,60 @@
     assert_eq!(offers(&harness.step_after(SECOND / 10, &batch)).len(), 4);
 }
 
+/// Guards against machines that are taken to be empty: tasks that were handed over and may not exist were reported as ended,
+/// and the load of each was deducted from what the list said.
+#[test]
+fn an_adopted_task_that_is_no_longer_tracked_frees_nothing() {
+    let entry = Machine {
+        free_cores: Some(4.0),
+        free_memory: Some(16.0),
+        ..machine(1, 0)
+    };
+    let mut harness = Harness::new(settings(), vec![entry]);
+    for n in 0..6 {
+        let adopted = Event::Adopted {
+            task: task(n, 0),
+            machine: MachineId(1),
+        };
+        let attempt = attempt(n, 0);
+        harness.step_after(SECOND / 100, &[adopted, Event::Untracked { attempt }]);
+    }
+    assert_eq!(harness.placer.sizes()[2], 0);
+    let batch: Vec<Event> = (10..20).map(|request| arrived(request, 0)).collect();
+    assert_eq!(offers(&harness.step_after(SECOND / 10, &batch)).len(), 4);
+}
+
+/// Guards against memory and time that grow with a flood: each task that was adopted and ended within seconds left a record
+/// at its machine, and all of them were read for each new one.
+#[test]
+fn tasks_that_end_at_once_leave_a_bounded_number_of_load_changes() {
+    const MOST_CHANGES: usize = 1_024;
+    let mut harness = Harness::new(settings(), vec![machine(1, 0)]);
+    for step in 0..40 {
+        let ids = step * 100..(step + 1) * 100;
+        let events = ids.flat_map(|id| {
+            let adopted = Event::Adopted {
+                task: task(id, 0),
+                machine: MachineId(1),
+            };
+            [adopted, ended(id, 0, MachineId(1), Outcome::Stopped)]
+        });
+        harness.step_after(SECOND / 100, &events.collect::<Vec<_>>());
+        let changes = harness.placer.recent_change_count();
+        assert!(changes <= MOST_CHANGES, "{changes} after step {step}");
+    }
+    // They expire, and the sum of them is still right: the machine accepts as much as when it was empty.
+    let entry = Machine {
+        free_cores: Some(10.0),
+        free_memory: Some(40.0),
+        ..machine(1, 0)
+    };
+    harness.step_after(6 * SECOND, &[Event::Listed(Listing::Changes(vec![entry]))]);
+    let batch: Vec<Event> = (10_000..10_020).map(|id| arrived(id, 0)).collect();
+    assert_eq!(offers(&harness.step_after(SECOND / 10, &batch)).len(), 10);
+    assert!(harness.placer.recent_change_count() <= 10);
+}
+
 /// Attempt `number` of request 1 gets no answer: request `other`, of class `class`, arrives after it
 /// and is placed, and then the attempt times out. Returns the actions after the time-out.
 fn pass_over(harness: &mut Harness, number: u16, other: u64, class: u16) -> Vec<Action> {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -193,6 +193,7 @@
             }
             Event::Listed(_) => unreachable!("lists are sent as updates"),
             Event::EligibilityChanged { .. }
+            | Event::Untracked { .. }
             | Event::BeliefsRestored(_)
             | Event::SettingsChanged(_)
             | Event::NoFurtherAttempts(_) => {
