Platform: clients' input that waits for the event loop is bounded in bytes

Cause: each client's task decoded up to 256 messages before it waited for a place in the queue of 128 items, so some 33,000 messages lay before everything else, and one more item in each task.

A client's task reserves the most that one read yields before it reads, and gives the rest back.

--- a/crates/platform/src/run/event_loop.rs
+++ b/crates/platform/src/run/event_loop.rs
@@ -22,7 +22,7 @@
 
 /// Maximum number of items taken from the input channel at once.
 const BATCH: usize = 64;
-/// Capacity of the input channel; senders wait while it is full. One item of a client may hold 256 messages of 32 KiB in all.
+/// Capacity of the input channel; senders wait while it is full. `InputBudget` limits the memory of clients' items.
 pub(super) const INPUT_QUEUE: usize = 128;
 /// If this many inputs were handled since the decision module last ran, or if requests wait to be submitted, more input
 /// is received before it runs again, up to [`MAX_PASSES`] passes and until [`MAX_INPUTS`] inputs are handled.
@@ -105,13 +105,15 @@
         tokio::spawn(control);
         let (budget, permits) = (WriteBudget::default(), ConnectionPermits::new(&bounds));
         let (stop, stopped) = oneshot::channel();
+        let memory_bytes = config.limits.memory_mb as usize * 1024 * 1024;
         let acceptor = sockets::Acceptor {
             permits: permits.clone(),
             budget: budget.clone(),
+            input_budget: sockets::InputBudget::new(memory_bytes),
             incoming: sender.clone(),
         };
         tokio::spawn(acceptor.run(listener, stopped));
-        let write_bytes = config.limits.memory_mb as usize * 1024 * 1024 / WRITE_MEMORY_DIVISOR;
+        let write_bytes = memory_bytes / WRITE_MEMORY_DIVISOR;
         let shell = Shell::new(ShellSettings {
             connect_timeout: Duration::from_micros(connect_timeout_us(&config.settings)),
             permits,
--- a/crates/platform/src/run/shell.rs
+++ b/crates/platform/src/run/shell.rs
@@ -92,13 +92,7 @@
                 self.handle(engine, now, input);
                 1
             }
-            Incoming::Inputs(inputs) => {
-                let count = inputs.len();
-                for input in inputs {
-                    self.handle(engine, now, input);
-                }
-                count
-            }
+            Incoming::Inputs(inputs) => inputs.handle_all(|input| self.handle(engine, now, input)),
             Incoming::Log(event) => {
                 self.log.write(now, &event);
                 0
--- a/crates/platform/src/sockets/client.rs
+++ b/crates/platform/src/sockets/client.rs
@@ -8,8 +8,10 @@
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::input_budget::Reservation;
 use super::{
-    ConnectionPermits, Incoming, Read, WRITE_STALL_LIMIT, deadline, read, read_buffered, write,
+    ConnectionPermits, Incoming, InputBudget, Read, WRITE_STALL_LIMIT, deadline, read,
+    read_buffered, write,
 };
 use crate::errors::ClientReadError;
 use crate::ids::ConnId;
@@ -19,16 +21,17 @@
 /// Maximum time for which a message may be incomplete.
 const MESSAGE_LIMIT: Duration = Duration::from_millis(2_400);
 /// Maximum number of buffers read from a client before its inputs are reported.
-const MAX_READS: usize = 2;
+pub(super) const MAX_READS: usize = 2;
 
 /// Maximum number of messages reported at once. A decoded message is much larger than the shortest one that a client may
 /// send, so the bytes that were read do not bound the memory of their inputs.
-const MAX_REPORTED_MESSAGES: usize = 256;
+pub(super) const MAX_REPORTED_MESSAGES: usize = 256;
 
 /// Accepts client connections.
 pub(crate) struct Acceptor {
     pub permits: ConnectionPermits,
     pub budget: WriteBudget,
+    pub input_budget: InputBudget,
     pub incoming: mpsc::Sender<Incoming>,
 }
 
@@ -75,9 +78,9 @@
         {
             return false;
         }
-        let incoming = self.incoming.clone();
+        let (incoming, budget) = (self.incoming.clone(), self.input_budget.clone());
         tokio::spawn(async move {
-            ClientTask::new(conn, &stream, buffer.queue, &incoming)
+            ClientTask::new(conn, &stream, buffer.queue, &incoming, &budget)
                 .run()
                 .await;
             drop(stream);
@@ -127,6 +130,7 @@
     stream: &'a TcpStream,
     queue: WriteQueue,
     incoming: &'a mpsc::Sender<Incoming>,
+    input_budget: &'a InputBudget,
     reader: client::Reader,
     /// Time since which the current message has been incomplete.
     message_since: Option<Instant>,
@@ -144,12 +148,14 @@
         stream: &'a TcpStream,
         queue: WriteQueue,
         incoming: &'a mpsc::Sender<Incoming>,
+        input_budget: &'a InputBudget,
     ) -> Self {
         Self {
             conn,
             stream,
             queue,
             incoming,
+            input_budget,
             reader: client::Reader::default(),
             message_since: None,
             stalled_since: None,
@@ -176,8 +182,8 @@
                 Wake::MessageOverdue => {
                     (self.is_reading, self.message_since) = (false, None);
                     let error = ClientReadError::Incomplete;
-                    self.report(vec![Input::ClientUnreadable(self.conn, error)])
-                        .await
+                    let input = Input::ClientUnreadable(self.conn, error);
+                    self.incoming.send(Incoming::Input(input)).await.is_ok()
                 }
             };
             if !stays_open {
@@ -213,10 +219,13 @@
 
     /// Reads the available input and reports it. Returns `false` if the connection is to be closed.
     async fn read_and_report(&mut self) -> bool {
+        let Some(reservation) = self.input_budget.reserve().await else {
+            return false;
+        };
         let (inputs, is_last) = match self.read() {
             ReadOutcome::Read { inputs, is_last } => (inputs, is_last),
             ReadOutcome::Broken { inputs } => {
-                self.report_outlasting(inputs).await;
+                self.report_outlasting(reservation, inputs).await;
                 return false;
             }
         };
@@ -232,7 +241,7 @@
             }
             self.queue.keep_open();
         }
-        !has_input || self.report(inputs).await
+        !has_input || self.report(reservation, inputs).await
     }
 
     /// Reads up to [`MAX_READS`] buffers, so that requests, their cancellations and an end of stream that a client
@@ -286,10 +295,10 @@
                 break;
             }
         }
-        loop {
+        while let Some(reservation) = self.input_budget.reserve().await {
             let mut inputs = Vec::new();
             let decoded = self.decode(&mut inputs);
-            self.report_outlasting(inputs).await;
+            self.report_outlasting(reservation, inputs).await;
             if decoded.is_err() || !self.has_undecoded {
                 return;
             }
@@ -297,10 +306,10 @@
     }
 
     /// Reports the inputs that still count when the connection has ended.
-    async fn report_outlasting(&self, mut inputs: Vec<Input>) {
+    async fn report_outlasting(&self, reservation: Reservation, mut inputs: Vec<Input>) {
         inputs.retain(outlasts_connection);
         if !inputs.is_empty() {
-            self.report(inputs).await;
+            self.report(reservation, inputs).await;
         }
     }
 
@@ -326,7 +335,8 @@
     }
 
     /// Sends inputs to the event loop. Returns `false` if the loop has ended.
-    async fn report(&self, inputs: Vec<Input>) -> bool {
-        self.incoming.send(Incoming::Inputs(inputs)).await.is_ok()
+    async fn report(&self, reservation: Reservation, inputs: Vec<Input>) -> bool {
+        let inputs = Incoming::Inputs(reservation.assign(inputs));
+        self.incoming.send(inputs).await.is_ok()
     }
 }
--- a/crates/platform/src/sockets/mod.rs
+++ b/crates/platform/src/sockets/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod host;
+mod input_budget;
 mod permits;
 #[cfg(test)]
 mod tests;
@@ -22,6 +23,7 @@
 
 pub(crate) use client::Acceptor;
 pub(crate) use host::HostConnector;
+pub(crate) use input_budget::{ClientInputs, InputBudget};
 pub(crate) use permits::ConnectionPermits;
 
 /// A connection on which nothing could be written for this long is closed, as its peer does not read.
@@ -36,7 +38,7 @@
     /// An input for the engine.
     Input(Input),
     /// Inputs of a client that were read together.
-    Inputs(Vec<Input>),
+    Inputs(ClientInputs),
     /// An event for the operators' log.
     Log(LogEvent),
 }
--- a/crates/platform/src/sockets/tests/mod.rs
+++ b/crates/platform/src/sockets/tests/mod.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::client::ClientTask;
+use super::input_budget::{INPUT_BYTES, MIN_BYTES};
 use super::permits::EXCESS_CLIENTS;
 use super::*;
 use crate::bounds::Bounds;
@@ -28,6 +29,7 @@
     Acceptor {
         permits: ConnectionPermits::new(&bounds()),
         budget: WriteBudget::default(),
+        input_budget: InputBudget::new(32 << 20),
         incoming,
     }
 }
@@ -71,7 +73,12 @@
     let WriteBuffer { writer, queue } = WriteBuffer::new(&WriteBudget::default());
     queue.attach(&stream, Vec::new());
     let (sender, incoming) = mpsc::channel(16);
-    let task = tokio::spawn(async move { ClientTask::new(1, &stream, queue, &sender).run().await });
+    let task = tokio::spawn(async move {
+        let budget = InputBudget::new(32 << 20);
+        ClientTask::new(1, &stream, queue, &sender, &budget)
+            .run()
+            .await
+    });
     ServedClient {
         client,
         writer,
@@ -196,6 +203,59 @@
     assert_eq!(messages, MESSAGES);
 }
 
+/// Guards against input that is held in memory while the event loop is busy: each client's messages were decoded whenever
+/// the input queue had a place. What exceeds the budget stays in the sockets, and is read once earlier input was handled.
+#[tokio::test]
+async fn input_that_waits_for_the_event_loop_is_bounded() {
+    const CLIENTS: usize = 24;
+    const MESSAGES: usize = 3_000;
+    const MOST_WAITING: usize = MIN_BYTES / INPUT_BYTES;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let ((_stop, stopped), (sender, mut incoming)) = (oneshot::channel(), mpsc::channel(512));
+    let acceptor = Acceptor {
+        input_budget: InputBudget::new(0),
+        ..acceptor(sender)
+    };
+    tokio::spawn(acceptor.run(listener, stopped));
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        let client = TcpStream::connect(address).await.unwrap();
+        client.writable().await.unwrap();
+        let flood = HEALTH_CHECK.repeat(MESSAGES);
+        assert_eq!(client.try_write(&flood).unwrap(), flood.len());
+        clients.push(client);
+    }
+    let (mut messages, mut writers) = (0, Vec::new());
+    while messages < CLIENTS * MESSAGES {
+        for _ in 0..1_000 {
+            tokio::task::yield_now().await;
+        }
+        let mut waiting = 0;
+        let first = tokio::time::timeout(Duration::from_secs(20), incoming.recv()).await;
+        let first = first.expect("input must be read once there is budget for it");
+        let mut held = Vec::new();
+        for received in first
+            .into_iter()
+            .chain(std::iter::from_fn(|| incoming.try_recv().ok()))
+        {
+            match received {
+                Incoming::Client(_, writer) => writers.push(writer),
+                Incoming::Inputs(inputs) => {
+                    waiting += inputs.len();
+                    let is_message =
+                        |input: &&Input| matches!(input, Input::ClientMessage(_, Ok(_)));
+                    messages += inputs.iter().filter(is_message).count();
+                    held.push(inputs);
+                }
+                _ => panic!("only messages were sent"),
+            }
+        }
+        assert!(waiting <= MOST_WAITING, "{waiting} inputs wait");
+    }
+    assert_eq!(messages, CLIENTS * MESSAGES);
+}
+
 /// If part of a message has arrived when the connection is closed as idle, the connection stays open for the rest.
 #[tokio::test]
 async fn a_partial_message_that_crosses_an_idle_close_may_be_completed() {
