Platform: a client's end is known before its unread input; its requests don't begin

Cause: a client's end of stream or reset was reported only after all input before it, and requests waited for that input for 50 ms at most.

Change: ClientTask::has_ended asks the system while there is more to read; Input::ClientEnding counts the grace from then, also for requests read later; a reset is noticed before the next read; requests wait 1 s at most for the input behind them. The end of a burst is reported when a read finds nothing more, and up to 8 MiB are searched for releases after a reset (32 KiB before).

--- a/crates/platform/src/clients/connections.rs
+++ b/crates/platform/src/clients/connections.rs
@@ -20,6 +20,15 @@
 /// for a client that departed, as transfer delays count too.
 const DEPARTURE_GRACE_US: Micros = 25_000;
 
+/// How a client departs whose end of stream became known at `ended_at`.
+fn end_of_stream_departure(now: Micros, ended_at: Micros) -> ClientDeparture {
+    if now < ended_at + DEPARTURE_GRACE_US {
+        ClientDeparture::EndOfStream
+    } else {
+        ClientDeparture::GraceExpired
+    }
+}
+
 impl Engine {
     /// Admits a new connection. At the limit, the longest idle connection is closed for it.
     pub(crate) fn client_connected(&mut self, now: Micros, conn: ConnId) {
@@ -67,23 +76,58 @@
         }
     }
 
+    /// Handles that a client has closed its sending side although more of its input is to be read. The requests in that
+    /// input come from a client that departed now, however long it takes to read them.
+    pub(crate) fn client_ending(&mut self, now: Micros, conn: ConnId) {
+        let Some(client) = self.clients.get_mut(&conn) else {
+            return;
+        };
+        client.ended_at.get_or_insert(now);
+        self.depart_open_requests(now, conn);
+        // Also for requests that are read until then.
+        self.timers
+            .set(now + DEPARTURE_GRACE_US, Timer::DepartureGrace(conn));
+    }
+
     /// Handles a client's end of stream: the client either is gone or still reads its answers.
     pub(crate) fn client_end_of_stream(&mut self, now: Micros, conn: ConnId) {
         let Some(client) = self.clients.get_mut(&conn) else {
             return;
         };
         (client.end_of_stream, client.has_unread_input) = (true, false);
+        let was_known = client.ended_at.is_some();
+        let has_grace = self.depart_open_requests(now, conn);
+        if has_grace && !was_known {
+            self.timers
+                .set(now + DEPARTURE_GRACE_US, Timer::DepartureGrace(conn));
+        }
+        self.close_if_no_open_request(conn);
+    }
+
+    /// Applies the end of stream of a client to its open requests. Returns whether one of them has a grace period.
+    fn depart_open_requests(&mut self, now: Micros, conn: ConnId) -> bool {
+        let Some(client) = self.clients.get(&conn) else {
+            return false;
+        };
+        let departure = end_of_stream_departure(now, client.ended_at.unwrap_or(now));
         let open: Vec<u64> = client.open_requests.iter().copied().collect();
         let mut has_grace = false;
         for id in open {
-            let action = self.handle_departure(now, id, ClientDeparture::EndOfStream);
+            let action = self.handle_departure(now, id, departure);
             has_grace |= action == DepartureAction::AllowGrace;
         }
-        if has_grace {
-            self.timers
-                .set(now + DEPARTURE_GRACE_US, Timer::DepartureGrace(conn));
+        has_grace
+    }
+
+    /// Applies the end of stream of a client to a request that was read after the end became known.
+    pub(super) fn depart_late_request(&mut self, now: Micros, conn: ConnId, id: u64) {
+        let client = self.clients.get(&conn);
+        let ended_at = client.and_then(|client| client.ended_at);
+        let departure = ended_at.map(|at| end_of_stream_departure(now, at));
+        // Within the grace period its timer, which is set, applies to this request too.
+        if departure == Some(ClientDeparture::GraceExpired) {
+            self.handle_departure(now, id, ClientDeparture::GraceExpired);
         }
-        self.close_if_no_open_request(conn);
     }
 
     pub(crate) fn departure_grace_expired(&mut self, now: Micros, conn: ConnId) {
--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -136,6 +136,7 @@
             }
             client.unsubmitted.push_back(request);
         }
+        self.depart_late_request(now, conn, id);
     }
 
     /// Validates a placement request and converts it to a task of the decision module. The task's request number is not
--- a/crates/platform/src/clients/submission.rs
+++ b/crates/platform/src/clients/submission.rs
@@ -6,8 +6,8 @@
 use crate::state::{Engine, Request};
 
 /// How long a request may wait until the input that its client sent after it is read, as that input may cancel the
-/// request.
-const READ_AHEAD_US: Micros = 50_000;
+/// request or end the stream: longer than it takes to read what sockets hold.
+const READ_AHEAD_US: Micros = 1_000_000;
 
 impl Engine {
     /// Submits a request whose deadline passed while it waited behind others as one without attempts, so that it is
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -136,6 +136,7 @@
             Input::ClientConnected(conn) => self.client_connected(now, conn),
             Input::ClientMessage(conn, message) => self.client_message(now, conn, message),
             Input::ClientInputRead { conn, has_more } => self.client_input_read(conn, has_more),
+            Input::ClientEnding(conn) => self.client_ending(now, conn),
             Input::ClientEndOfStream(conn) => self.client_end_of_stream(now, conn),
             Input::ClientUnreadable(conn, error) => self.client_unreadable(now, conn, error),
             Input::ClientDisconnected(conn) => self.client_disconnected(now, conn),
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -27,7 +27,9 @@
         /// Whether more input waits to be read.
         has_more: bool,
     },
-    /// A client closed its sending side; it may still read.
+    /// A client closed its sending side, although more of its input is to be read; it may still read.
+    ClientEnding(ConnId),
+    /// A client closed its sending side, and all of its input was read; it may still read.
     ClientEndOfStream(ConnId),
     /// A client's input can't be split into messages; nothing more is read from it.
     ClientUnreadable(ConnId, ClientReadError),
--- a/crates/platform/src/message_log.rs
+++ b/crates/platform/src/message_log.rs
@@ -24,6 +24,7 @@
     Some(match input {
         Input::ClientConnected(conn) => format!("client {conn} connected"),
         Input::ClientInputRead { .. } => return None,
+        Input::ClientEnding(conn) => format!("client {conn}: end of stream, with unread input"),
         Input::ClientEndOfStream(conn) => format!("client {conn}: end of stream"),
         Input::ClientUnreadable(conn, error) => format!("client {conn} can't be read: {error}"),
         Input::ClientDisconnected(conn) => format!("client {conn} disconnected"),
--- a/crates/platform/src/sockets/client.rs
+++ b/crates/platform/src/sockets/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use reedring_platform_protocol::client::{self, FromClient};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::Instant;
@@ -23,9 +24,13 @@
 /// Maximum number of buffers read from a client before its inputs are reported.
 pub(super) const MAX_READS: usize = 2;
 
+/// Maximum number of buffers read from a client after its connection broke: more than sockets hold. What it sent before may
+/// end tasks.
+const MAX_REST_READS: usize = 512;
+
 /// Maximum number of messages reported at once. A decoded message is much larger than the shortest one that a client may
 /// send, so the bytes that were read do not bound the memory of their inputs.
-pub(super) const MAX_REPORTED_MESSAGES: usize = 256;
+pub(super) const MAX_REPORTED_MESSAGES: usize = 255;
 
 /// Accepts client connections.
 pub(crate) struct Acceptor {
@@ -138,6 +143,10 @@
     stalled_since: Option<Instant>,
     /// Whether input of the client is still read.
     is_reading: bool,
+    /// Whether it was reported that more input is to be read, and not yet that all was read.
+    has_reported_more: bool,
+    /// Whether it was reported that the client has closed its sending side.
+    has_reported_ending: bool,
     /// Whether messages that were read may wait to be decoded, as the last report was full.
     has_undecoded: bool,
 }
@@ -160,6 +169,8 @@
             message_since: None,
             stalled_since: None,
             is_reading: true,
+            has_reported_more: false,
+            has_reported_ending: false,
             has_undecoded: false,
         }
     }
@@ -222,6 +233,10 @@
         let Some(reservation) = self.input_budget.reserve().await else {
             return false;
         };
+        // Requests of a client whose connection was reset are not begun, so they are not read one after the other.
+        if !matches!(self.stream.take_error(), Ok(None)) {
+            return false;
+        }
         let (inputs, is_last) = match self.read() {
             ReadOutcome::Read { inputs, is_last } => (inputs, is_last),
             ReadOutcome::Broken { inputs } => {
@@ -229,7 +244,8 @@
                 return false;
             }
         };
-        let has_input = !inputs.is_empty();
+        let is_read = |input: &Input| matches!(input, Input::ClientInputRead { .. });
+        let has_input = inputs.first().is_some_and(|first| !is_read(first));
         // Answers are still written after the client's end of stream.
         self.is_reading &= !is_last;
         let is_partial = self.is_reading && self.reader.is_partial();
@@ -241,7 +257,7 @@
             }
             self.queue.keep_open();
         }
-        !has_input || self.report(reservation, inputs).await
+        inputs.is_empty() || self.report(reservation, inputs).await
     }
 
     /// Reads up to [`MAX_READS`] buffers, so that requests, their cancellations and an end of stream that a client
@@ -275,7 +291,13 @@
                 return self.unreadable(inputs, error);
             }
         }
-        if !inputs.is_empty() {
+        let is_drained = self.has_reported_more && !has_more;
+        if !inputs.is_empty() || is_drained {
+            self.has_reported_more = has_more;
+            if has_more && !self.has_reported_ending && self.has_ended() {
+                self.has_reported_ending = true;
+                inputs.push(Input::ClientEnding(self.conn));
+            }
             inputs.push(Input::ClientInputRead {
                 conn: self.conn,
                 has_more,
@@ -287,19 +309,36 @@
         }
     }
 
+    /// Whether the client has closed its sending side, even if there is input to read before that. The system is asked,
+    /// as the runtime learns of it only after the tasks that are ready now.
+    fn has_ended(&self) -> bool {
+        let mut polled = [PollFd::new(self.stream, PollFlags::RDHUP)];
+        let now = Timespec::default();
+        poll(&mut polled, Some(&now)).is_ok_and(|ready| ready > 0)
+    }
+
     /// Reports what was not read yet when the connection ended.
     async fn report_rest(&mut self) {
-        for _ in 0..MAX_READS {
-            let read = read_buffered(self.stream, |bytes| self.reader.push(bytes));
-            if !matches!(read, Ok(Read::Bytes)) {
-                break;
+        let mut reads_left = MAX_REST_READS;
+        loop {
+            let Some(reservation) = self.input_budget.reserve().await else {
+                return;
+            };
+            for _ in 0..MAX_READS.min(reads_left) {
+                if self.has_undecoded {
+                    break;
+                }
+                reads_left -= 1;
+                let read = read_buffered(self.stream, |bytes| self.reader.push(bytes));
+                if !matches!(read, Ok(Read::Bytes)) {
+                    reads_left = 0;
+                    break;
+                }
             }
-        }
-        while let Some(reservation) = self.input_budget.reserve().await {
             let mut inputs = Vec::new();
             let decoded = self.decode(&mut inputs);
             self.report_outlasting(reservation, inputs).await;
-            if decoded.is_err() || !self.has_undecoded {
+            if decoded.is_err() || reads_left == 0 && !self.has_undecoded {
                 return;
             }
         }
--- a/crates/platform/src/sockets/input_budget.rs
+++ b/crates/platform/src/sockets/input_budget.rs
@@ -19,7 +19,7 @@
 pub(super) const INPUT_BYTES: usize = size_of::<Input>() + size_of::<PlacementRequest>() + 64;
 /// An upper bound of the memory of what one read of a client yields.
 const RESERVATION_BYTES: usize =
-    (MAX_READS + 1) * READ_BUFFER_BYTES + (MAX_REPORTED_MESSAGES + 1) * INPUT_BYTES;
+    (MAX_READS + 1) * READ_BUFFER_BYTES + (MAX_REPORTED_MESSAGES + 2) * INPUT_BYTES;
 
 /// Limits the memory of all clients' inputs that were read and not handled yet.
 #[derive(Clone, Debug)]
--- a/crates/platform/src/sockets/tests/mod.rs
+++ b/crates/platform/src/sockets/tests/mod.rs
@@ -307,6 +307,120 @@
     drop(tokio::io::AsyncWriteExt::shutdown(&mut client).await);
 }
 
+/// Guards against requests that are begun for a client that has gone: its end was noticed only once all of its input was read.
+#[tokio::test]
+async fn the_end_of_a_client_is_reported_before_its_input_is_read_to_the_end() {
+    // The end follows the messages, so they must fit into the receive buffer.
+    const MESSAGES: usize = 3_000;
+    let ServedClient {
+        client,
+        writer: _writer,
+        mut incoming,
+        task: _task,
+    } = serve_client().await;
+    client.writable().await.unwrap();
+    let flood = HEALTH_CHECK.repeat(MESSAGES);
+    assert_eq!(client.try_write(&flood).unwrap(), flood.len());
+    SockRef::from(&client)
+        .shutdown(std::net::Shutdown::Write)
+        .unwrap();
+    let Some(Incoming::Inputs(inputs)) = incoming.recv().await else {
+        panic!("nothing was reported")
+    };
+    let [.., ending, last] = &inputs[..] else {
+        panic!("{} inputs", inputs.len())
+    };
+    assert!(matches!(ending, Input::ClientEnding(1)), "{ending:?}");
+    let has_more = matches!(last, Input::ClientInputRead { has_more: true, .. });
+    assert!(has_more, "{last:?}");
+    // It is reported once, and all messages follow.
+    let is_message = |input: &&Input| matches!(input, Input::ClientMessage(..));
+    let mut messages = inputs.iter().filter(is_message).count();
+    drop(inputs);
+    while messages < MESSAGES {
+        let Some(Incoming::Inputs(inputs)) = incoming.recv().await else {
+            panic!("{messages} messages were reported")
+        };
+        messages += inputs.iter().filter(is_message).count();
+        assert!(
+            !inputs
+                .iter()
+                .any(|input| matches!(input, Input::ClientEnding(_)))
+        );
+    }
+    assert_eq!(messages, MESSAGES);
+}
+
+/// Guards against requests that wait for input which does not come: the read that took all of a client's input could not know
+/// that, and the next one, which found nothing, was not reported.
+#[tokio::test]
+async fn it_is_reported_once_all_input_of_a_client_was_read() {
+    // Two buffers are read at once; the messages fill one of them and a part of the other.
+    const MESSAGES: usize = 20;
+    const DESCRIPTION_BYTES: u16 = 1_000;
+    let mut message = HEALTH_CHECK.to_vec();
+    message.push(195);
+    message.extend(DESCRIPTION_BYTES.to_be_bytes());
+    message.extend(vec![b'x'; usize::from(DESCRIPTION_BYTES)]);
+    let length = message.len() as u16 - 2;
+    message[..2].copy_from_slice(&length.to_be_bytes());
+    let ServedClient {
+        client,
+        writer: _writer,
+        mut incoming,
+        task: _task,
+    } = serve_client().await;
+    client.writable().await.unwrap();
+    let flood = message.repeat(MESSAGES);
+    assert_eq!(client.try_write(&flood).unwrap(), flood.len());
+    loop {
+        let received = tokio::time::timeout(Duration::from_secs(20), incoming.recv()).await;
+        let Ok(Some(Incoming::Inputs(inputs))) = received else {
+            panic!("it was not reported that all input was read")
+        };
+        if let Some(Input::ClientInputRead {
+            has_more: false, ..
+        }) = inputs.last()
+        {
+            break;
+        }
+    }
+}
+
+/// Guards against tasks that run on without an owner: of what a client sent before its connection was reset, only the first
+/// buffers were read.
+#[tokio::test]
+async fn all_releases_sent_before_a_reset_are_reported() {
+    const RELEASES: usize = 8_000;
+    let ServedClient {
+        client,
+        writer: _writer,
+        mut incoming,
+        task: _task,
+    } = serve_client().await;
+    client.writable().await.unwrap();
+    let flood = RELEASE.repeat(RELEASES);
+    assert_eq!(client.try_write(&flood).unwrap(), flood.len());
+    SockRef::from(&client)
+        .set_linger(Some(Duration::ZERO))
+        .unwrap();
+    drop(client);
+    let mut releases = 0;
+    while releases < RELEASES {
+        let received = tokio::time::timeout(Duration::from_secs(20), incoming.recv()).await;
+        let Ok(Some(Incoming::Inputs(inputs))) = received else {
+            panic!("{releases} releases were reported")
+        };
+        let is_release = |input: &&Input| {
+            matches!(
+                input,
+                Input::ClientMessage(1, Ok(FromClient::Release { .. }))
+            )
+        };
+        releases += inputs.iter().filter(is_release).count();
+    }
+}
+
 /// Once all permits are taken, client connections wait in the accept queue and use no descriptors.
 #[tokio::test]
 async fn no_more_connections_are_accepted_than_there_are_permits() {
--- a/crates/platform/src/state/client.rs
+++ b/crates/platform/src/state/client.rs
@@ -19,7 +19,10 @@
     pub sent_valid_request: bool,
     /// How many messages were rejected since the last valid request.
     pub rejected_messages: u32,
-    /// Whether the client closed its sending side; the connection is closed once none of its requests is open.
+    /// When it became known that the client had closed its sending side, if more of its input was to be read then.
+    pub ended_at: Option<Micros>,
+    /// Whether all input was read of a client that closed its sending side; the connection is closed once none of its
+    /// requests is open.
     pub end_of_stream: bool,
     /// Whether the shell was asked to close the connection.
     pub is_closing: bool,
--- a/crates/platform/tests/client_departure.rs
+++ b/crates/platform/tests/client_departure.rs
@@ -337,6 +337,43 @@
     assert_eq!(world.engine.sizes().requests, 1);
 }
 
+/// Guards against requests that are sent for a client that has gone: it closed its connection behind much unread input, and the
+/// requests in it were sent to hosts for as long as it took to read them. `World` checks each sending.
+#[test]
+fn requests_read_after_the_end_of_their_client_is_known_are_answered_without_an_attempt() {
+    let mut world = world("active");
+    let conn = world.connect_client();
+    for id in 1..=2 {
+        world.send_request(conn, placement_request(id, "play", 5_000));
+    }
+    world.mark_departed(conn);
+    world.process_input(Input::ClientEnding(conn));
+    for batch in 0..20_u64 {
+        for id in 100 * (batch + 1)..100 * (batch + 1) + 50 {
+            world.send_request(conn, placement_request(id, "play", 5_000));
+            world.mark_departed(conn);
+        }
+        world.process_input(Input::ClientInputRead {
+            conn,
+            has_more: true,
+        });
+        world.run(30 * MS);
+    }
+    assert!(requests_sent(&world) >= 2, "the first two are in time");
+    assert!(
+        requests_sent(&world) <= 52,
+        "nothing read after the grace period is sent"
+    );
+    assert!(world.clients.contains(&conn), "more input is to be read");
+    world.end_stream(conn);
+    world.run(SECOND);
+    assert!(!world.clients.contains(&conn));
+    for (id, outcome) in &world.outcomes {
+        assert_eq!(outcome.final_answers(), 1, "{id}: {outcome:?}");
+    }
+    assert_eq!(world.engine.sizes().clients, 0);
+}
+
 /// A flood that is not cancelled: other clients get their turns, and the pending requests are bounded in bytes.
 #[test]
 fn a_flood_takes_turns_with_other_clients_and_its_pending_requests_are_bounded() {
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -316,7 +316,7 @@
     }
 
     /// Records that the client of all requests on this connection has departed.
-    fn mark_departed(&mut self, conn: ConnId) {
+    pub fn mark_departed(&mut self, conn: ConnId) {
         for outcome in self
             .outcomes
             .values_mut()
