Platform: pending requests count all their memory and leave room for other clients

Cause: a pending request counted 296 bytes beside its texts, the size of one record, and held some 2 KB in all tables; and the bound of an eighth of the memory was one for all clients.

Change: 2,560 bytes each, and a connection may use as much as all together leave free.

--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -9,7 +9,7 @@
 use crate::errors::Rejection;
 use crate::ids::ConnId;
 use crate::log_event::LogEvent;
-use crate::state::{Engine, Phase, Placement, Timer};
+use crate::state::{Engine, Phase, Placement, Request, Timer};
 
 impl Engine {
     pub(super) fn placement_request(
@@ -107,7 +107,13 @@
             return false;
         }
         let pending_bytes = self.requests.pending_bytes();
-        if pending_bytes + request.text_bytes() > self.bounds.pending_request_bytes {
+        let free_bytes = self
+            .bounds
+            .pending_request_bytes
+            .saturating_sub(pending_bytes);
+        // A connection may use as much as it leaves free, so that one client's requests never keep those of others out.
+        let own_bytes = self.requests.pending_bytes_of(conn) + Request::pending_bytes_of(request);
+        if own_bytes > free_bytes {
             self.log(LogEvent::PendingRequestsFull {
                 client: conn,
                 pending_bytes,
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -11,9 +11,9 @@
 
 /// Subtracted from the time for which a client waits, to leave time for the transfer of the answer.
 const ANSWER_RESERVE_US: Micros = 10_000;
-/// The memory that an unanswered request counts for, beside its texts, against the limit on pending requests. It
-/// is close to the size of a [`Request`], but constant, so that the limit does not change with the layout of that type.
-const REQUEST_RECORD_BYTES: usize = 296;
+/// An upper bound of the memory of an unanswered request, beside its texts: in all tables of the engine and the decision
+/// module, with its timers and the attempt in flight.
+const REQUEST_RECORD_BYTES: usize = 2_560;
 
 /// An attempt that waits for its host's answer.
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +95,11 @@
         self.phase == Phase::Open && !self.is_submitted
     }
 
+    /// The memory that a request counts for until it is answered, in bytes.
+    pub fn pending_bytes_of(request: &PlacementRequest) -> usize {
+        request.text_bytes() + REQUEST_RECORD_BYTES
+    }
+
     /// The id that the client chose. It is used in the protocols of clients and hosts; the decision module identifies
     /// the request by its [`RequestId`].
     pub fn wire_id(&self) -> u64 {
@@ -124,6 +129,8 @@
     by_wire_id: BTreeMap<u64, RequestId>,
     /// The memory that unanswered requests count for, in bytes.
     pending_bytes: usize,
+    /// The same, by the connection of the request.
+    pending_bytes_of: BTreeMap<ConnId, usize>,
     unconfirmed: UnconfirmedTasks,
     last_id: u64,
 }
@@ -139,6 +146,28 @@
         self.pending_bytes
     }
 
+    /// The memory that the unanswered requests of a connection count for, in bytes.
+    pub fn pending_bytes_of(&self, conn: ConnId) -> usize {
+        self.pending_bytes_of.get(&conn).copied().unwrap_or(0)
+    }
+
+    fn add_pending_bytes(&mut self, conn: ConnId, bytes: usize) {
+        if bytes > 0 {
+            self.pending_bytes += bytes;
+            *self.pending_bytes_of.entry(conn).or_default() += bytes;
+        }
+    }
+
+    fn subtract_pending_bytes(&mut self, conn: ConnId, bytes: usize) {
+        self.pending_bytes -= bytes;
+        if let Some(of_conn) = self.pending_bytes_of.get_mut(&conn) {
+            *of_conn -= bytes;
+            if *of_conn == 0 {
+                self.pending_bytes_of.remove(&conn);
+            }
+        }
+    }
+
     pub fn get(&self, request: RequestId) -> Option<&Request> {
         self.requests.get(&request)
     }
@@ -202,12 +231,12 @@
         let is_open = phase == Phase::Open;
         let mut pending_bytes = 0;
         if is_open {
-            pending_bytes = placement_request.text_bytes() + REQUEST_RECORD_BYTES;
+            pending_bytes = Request::pending_bytes_of(&placement_request);
         } else {
             placement_request.discard_texts();
             self.unconfirmed.add(now, conn, id);
         }
-        self.pending_bytes += pending_bytes;
+        self.add_pending_bytes(conn, pending_bytes);
         self.by_wire_id.insert(placement_request.id, id);
         let request = Request {
             deadline: now + (placement_request.left_ms * 1_000).saturating_sub(ANSWER_RESERVE_US),
@@ -231,7 +260,7 @@
         let Some(removed) = self.requests.remove(&id) else {
             return;
         };
-        self.pending_bytes -= removed.pending_bytes;
+        self.subtract_pending_bytes(removed.conn, removed.pending_bytes);
         self.unconfirmed.remove(removed.conn, id);
         if self.by_wire_id.get(&removed.wire_id()) == Some(&id) {
             self.by_wire_id.remove(&removed.wire_id());
@@ -263,6 +292,7 @@
         request.in_flight = None;
         request.phase = Phase::Running(placement);
         request.placement_request.discard_texts();
-        self.pending_bytes -= std::mem::take(&mut request.pending_bytes);
+        let (conn, bytes) = (request.conn, std::mem::take(&mut request.pending_bytes));
+        self.subtract_pending_bytes(conn, bytes);
     }
 }
