Platform: a task accepted by the process that took over an address stays with its host

A task that a new host's process accepted at the address of a host that had gone was reported as over once the list told that the old host left, so an unsafe one may run twice.

Cause: links and running tasks belong to the host whose address was used, and all tasks of a host that left end.

Change: take_over_address gives a newly listed host the links to its address that were established since its stated start, and the tasks accepted on them, before others are taken to have left.

Tests: tests/hosts.rs a_task_placed_at_the_process_that_took_over_an_address_stays_with_it, in three orders of answer and events, failed before; tasks_that_a_successor_can_not_have_accepted_end_with_their_host holds the other side.

Not played with whole programs.

--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -57,6 +57,7 @@
             machine,
             attempt: 0,
             since: now,
+            connected_at: None,
         });
         let request = self.requests.add(now, request, conn, phase);
         self.events.push(Event::Adopted {
--- a/crates/platform/src/hosts/endpoints.rs
+++ b/crates/platform/src/hosts/endpoints.rs
@@ -78,6 +78,9 @@
             .iter()
             .filter_map(|entry| self.machine(entry))
             .collect();
+        for entry in &hosts {
+            self.take_over_address(entry);
+        }
         if is_snapshot {
             self.remove_unlisted(now, &machines);
         }
--- a/crates/platform/src/hosts/links.rs
+++ b/crates/platform/src/hosts/links.rs
@@ -12,7 +12,7 @@
 use crate::state::{Engine, Host, Link, Phase};
 
 /// How often the same attempt is sent again after a link ended before any byte of it was written.
-const MAX_RESENDS: u8 = 3;
+pub(super) const MAX_RESENDS: u8 = 3;
 
 /// After a link that was established for this long, the next connection is made without a delay of earlier failures. Shorter
 /// ones do not count: a host that breaks each link at once would be connected to without end.
--- a/crates/platform/src/hosts/mod.rs
+++ b/crates/platform/src/hosts/mod.rs
@@ -5,5 +5,6 @@
 mod link_selection;
 mod links;
 mod messages;
+mod successors;
 mod sweep;
 mod tasks;
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -83,6 +83,7 @@
             machine,
             attempt: attempt.number,
             since: now,
+            connected_at: self.hosts.link(link).map(|link| link.up_since),
         };
         self.timers.cancel(in_flight.timeout);
         self.requests.start_running(request, placement);
--- a/crates/platform/src/state/host.rs
+++ b/crates/platform/src/state/host.rs
@@ -22,6 +22,8 @@
     /// The host's entry in the endpoint list; `None` if the host is known only from a running task that a client handed
     /// over.
     pub entry: Option<HostEntry>,
+    /// When the host was first listed at its address.
+    pub address_since: Micros,
     /// When the host left the endpoint list; `None` unless it did.
     pub left_at: Option<Micros>,
     /// The host's links, established or being made.
@@ -55,6 +57,7 @@
     pub fn new() -> Self {
         Self {
             entry: None,
+            address_since: 0,
             left_at: None,
             links: BTreeSet::new(),
             was_reset: false,
@@ -254,6 +257,33 @@
         links.filter_map(|id| Some((*id, self.links.get(id)?)))
     }
 
+    /// Hosts that were listed at an address before `before`, and have links or run tasks of this placer.
+    pub fn listed_at(&self, address: SocketAddr, before: Micros) -> Vec<MachineId> {
+        let is_there = |host: &Host| {
+            let has_work = !host.links.is_empty() || !host.running.is_empty();
+            let entry = host.entry.as_ref();
+            let is_at_address = entry.is_some_and(|entry| entry.address == address);
+            has_work && is_at_address && host.address_since < before
+        };
+        let hosts = self.hosts().filter(|(_, host)| is_there(host));
+        hosts.map(|(machine, _)| machine).collect()
+    }
+
+    /// Makes a link one to another host, whose process it reaches.
+    pub fn move_link(&mut self, id: LinkId, machine: MachineId) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        let former = std::mem::replace(&mut link.machine, machine);
+        if let Some(host) = self.hosts.get_mut(&former) {
+            let was_last = host.links.remove(&id) && host.links.is_empty();
+            self.hosts_with_links -= usize::from(was_last);
+        }
+        let host = self.hosts.entry(machine).or_insert_with(Host::new);
+        self.hosts_with_links += usize::from(host.links.is_empty());
+        host.links.insert(id);
+    }
+
     /// Whether a link other than `id` to the same host is established.
     pub fn has_other_established_link(&self, id: LinkId, machine: MachineId) -> bool {
         self.links_of(machine)
@@ -320,6 +350,11 @@
         self.listed_hosts -= usize::from(host.is_listed());
         host.left_at = (entry.health == HostHealth::Left).then(|| host.left_at.unwrap_or(now));
         let former = host.entry.replace(entry);
+        if former.as_ref().map(|former| former.address)
+            != host.entry.as_ref().map(|entry| entry.address)
+        {
+            host.address_since = now;
+        }
         self.listed_hosts += usize::from(host.is_listed());
         former
     }
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -41,6 +41,8 @@
     pub attempt: u16,
     /// When the task was accepted or handed over; when its stop was requested if it is being stopped.
     pub since: Micros,
+    /// When the link was established on which the task was accepted; `None` if it was handed over.
+    pub connected_at: Option<Micros>,
 }
 
 /// The state of a request.
@@ -267,6 +269,16 @@
         }
     }
 
+    /// Records that a task was accepted by the process of another host than the one that the request was sent to.
+    pub fn move_placement(&mut self, id: RequestId, machine: MachineId) {
+        let request = self.requests.get_mut(&id);
+        if let Some(Phase::Running(placement) | Phase::Stopping(placement)) =
+            request.map(|request| &mut request.phase)
+        {
+            placement.machine = machine;
+        }
+    }
+
     /// Closes an open request: its client gets the final answer and nothing more. `None` if it is not open.
     pub fn close(&mut self, id: RequestId) -> Option<ClosedRequest> {
         let request = self.requests.get_mut(&id)?;
--- a/crates/platform/tests/hosts.rs
+++ b/crates/platform/tests/hosts.rs
@@ -5,7 +5,7 @@
 use reedring_platform::Input;
 use reedring_platform::decide::LinkEnd;
 use reedring_platform_protocol::client::{FromClient, PlacementRequest, ToClient};
-use reedring_platform_protocol::host::FromHost;
+use reedring_platform_protocol::host::{FromHost, ToHost};
 use reedring_platform_protocol::{FAILED, GIVEN_UP};
 use world::{MS, SECOND, World, host_entry, hosts, placement_request, task_end, watch_response};
 
@@ -283,3 +283,105 @@
     world.run(40 * SECOND);
     assert_eq!((world.engine.sizes().links, ends(&world)), (0, 2));
 }
+
+/// A world in which the process of h-1 has ended with its tasks 1 and 2, and that of h-9 listens at its address, which the list
+/// does not tell yet. Returns the time of the new process's start, in milliseconds.
+fn taken_over_address() -> (World, u64) {
+    let (mut world, links) = two_running_tasks();
+    let took_over_ms = world.now / 1_000;
+    for link in links {
+        world.process_input(Input::LinkDown {
+            link,
+            end: LinkEnd::Reset,
+            messages_begun: u64::MAX,
+        });
+    }
+    world.run(SECOND);
+    (world, took_over_ms)
+}
+
+/// The list tells that hosts at the address of h-1 changed.
+fn list_change(world: &mut World, revision: u64, hosts: &[String]) {
+    let update = watch_response(revision, false, hosts);
+    world.process_input(Input::DiscoveryUpdate(update));
+    world.run(100 * MS);
+}
+
+/// The host at port 1 answers request 3 on the link that it came on.
+fn answer_request_3(world: &mut World) {
+    let is_request = |message: &ToHost| matches!(message, ToHost::PlacementRequest { id: 3, .. });
+    let mut sent = world.to_hosts.iter();
+    let sent = sent.find(|(_, message)| is_request(message));
+    let link = sent.expect("the request was sent").0;
+    let answer = FromHost::Answer {
+        id: 3,
+        description: "host's for 3".to_owned(),
+    };
+    world.process_input(Input::HostMessage(link, answer));
+}
+
+/// When the process that took over an address answers a request that was sent to its former host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Answered {
+    BeforeOneEvent,
+    BeforeTwoEvents,
+    BetweenTwoEvents,
+}
+
+/// Guards against work that is taken for that of a process which has gone: another host takes its address before the list tells
+/// of either, so a task that is placed meanwhile runs at the new process, and the end of the old host does not concern it.
+#[test]
+fn a_task_placed_at_the_process_that_took_over_an_address_stays_with_it() {
+    for answered in [
+        Answered::BeforeOneEvent,
+        Answered::BeforeTwoEvents,
+        Answered::BetweenTwoEvents,
+    ] {
+        let (mut world, took_over_ms) = taken_over_address();
+        let left = host_entry("h-1", 1, "east", "left", 0);
+        let started = host_entry("h-9", 1, "east", "active", took_over_ms);
+        world.hosts_ignore_requests = true;
+        world.send_request(1, placement_request(3, "print", 5_000));
+        world.run(100 * MS);
+        if answered != Answered::BetweenTwoEvents {
+            answer_request_3(&mut world);
+        }
+        if answered == Answered::BeforeOneEvent {
+            list_change(&mut world, 2, &[left, started]);
+        } else {
+            list_change(&mut world, 2, &[started]);
+            if answered == Answered::BetweenTwoEvents {
+                answer_request_3(&mut world);
+            }
+            list_change(&mut world, 3, &[left]);
+        }
+        for cut in [1, 2] {
+            assert_eq!(world.outcomes[&cut].task_ends, 1, "{answered:?}: {cut}");
+        }
+        world.run(10 * SECOND);
+        assert_eq!(world.outcomes[&3].answers, 1, "{answered:?}");
+        assert_eq!(world.outcomes[&3].task_ends, 0, "{answered:?}: it stands");
+        world.finish_task(3, 1);
+        world.run(SECOND);
+        assert_eq!(world.outcomes[&3].task_ends, 1, "{answered:?}");
+        let sizes = world.engine.sizes();
+        assert_eq!((sizes.requests, sizes.hosts), (0, 1), "{answered:?}");
+    }
+}
+
+/// Without a start in the list, or with one after the link was established, the tasks are those of the host that left.
+#[test]
+fn tasks_that_a_successor_can_not_have_accepted_end_with_their_host() {
+    for started_after_ms in [None, Some(5_000)] {
+        let (mut world, took_over_ms) = taken_over_address();
+        world.send_request(1, placement_request(3, "print", 5_000));
+        world.run(SECOND);
+        let started_ms = started_after_ms.map_or(0, |after| took_over_ms + after);
+        let left = host_entry("h-1", 1, "east", "left", 0);
+        let started = host_entry("h-9", 1, "east", "active", started_ms);
+        list_change(&mut world, 2, &[left, started]);
+        assert_eq!(ends(&world), 3, "{started_after_ms:?}");
+        world.run(10 * SECOND);
+        assert_eq!(world.engine.sizes().requests, 0);
+    }
+}
