Platform protocol: a host's message holds 256 named numbers at most

Cause: the numbers were decoded into a map whatever their count, some 90 bytes for 6 in the line, and up to 256 messages wait.

Change: more than MAX_FIGURES is LineError::TooManyFigures, which ends the link.

Test: tests/messages.rs a_line_with_more_named_numbers_than_a_load_report_has_is_rejected; it uses the new limit.

--- a/crates/platform-protocol/src/host/decode.rs
+++ b/crates/platform-protocol/src/host/decode.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::{Figures, FromHost, LineError};
+use super::{Figures, FromHost, LineError, MAX_FIGURES};
 use crate::hex;
 
 /// The cause in the result of a health check that passed; any other cause means that it failed.
@@ -38,15 +38,18 @@
 
     /// The numbers in all fields, by name: a field is itself a number, or a text that lists named numbers, for example
     /// `x0:12.157;x1:1.399`.
-    fn figures(&self) -> Figures {
+    fn figures(&self) -> Result<Figures, LineError> {
         let mut figures = Figures::new();
         for (name, value) in &self.fields {
             match number(value) {
                 Some(value) => drop(figures.insert(name.clone(), value)),
-                None => figures.extend(listed_numbers(value)),
+                None => figures.extend(listed_numbers(value).take(MAX_FIGURES + 1)),
+            }
+            if figures.len() > MAX_FIGURES {
+                return Err(LineError::TooManyFigures);
             }
         }
-        figures
+        Ok(figures)
     }
 }
 
@@ -64,7 +67,7 @@
             id,
             cause: line.cause()?,
             reason: line.note().and_then(reason),
-            figures: line.figures(),
+            figures: line.figures()?,
         }),
         "note" => {
             let name = line.note().ok_or(LineError::Missing("fields.note"))?;
@@ -74,7 +77,7 @@
         "pong" => Ok(FromHost::HealthCheckResult {
             id,
             passed: line.cause()? == PASSED,
-            figures: line.figures(),
+            figures: line.figures()?,
         }),
         "progress" | "released" | "ping" | "move" => Ok(FromHost::Ignored),
         other => Err(LineError::UnknownType(other.to_owned())),
--- a/crates/platform-protocol/src/host/error.rs
+++ b/crates/platform-protocol/src/host/error.rs
@@ -1,5 +1,6 @@
 //! Errors in the input from hosts.
 
+use super::MAX_FIGURES;
 use crate::MAX;
 
 /// Why a host's input can't be read. Nothing more is read from its connection.
@@ -31,6 +32,9 @@
     /// The cause does not fit one byte.
     #[error("cause: {0} is out of range, expected 0 to 255")]
     InvalidCause(u64),
+    /// The fields hold more than [`MAX_FIGURES`] numbers.
+    #[error("fields: more than {MAX_FIGURES} numbers")]
+    TooManyFigures,
     /// The note with this name needs a number in the field `value`.
     #[error("fields.value: missing or not a finite number, which the note {0:?} needs")]
     MissingValue(&'static str),
--- a/crates/platform-protocol/src/host/mod.rs
+++ b/crates/platform-protocol/src/host/mod.rs
@@ -13,6 +13,10 @@
 
 pub use error::{LineError, Unreadable};
 
+/// Maximum number of named numbers in a host's message. A load report has a few; a line has room for thousands, which
+/// take many times its size in memory.
+pub const MAX_FIGURES: usize = 256;
+
 /// Named numbers from a host's message.
 pub type Figures = BTreeMap<String, f64>;
 
--- a/crates/platform-protocol/tests/messages.rs
+++ b/crates/platform-protocol/tests/messages.rs
@@ -412,3 +412,38 @@
         let _ = WatchResponse::read(&text, &names());
     }
 }
+
+/// Guards against a line that takes many times its size in memory: thousands of short named numbers, of which a few are used.
+#[test]
+fn a_line_with_more_named_numbers_than_a_load_report_has_is_rejected() {
+    let listed = |count: usize| -> String {
+        let numbers = (0..count).map(|n| format!("x{n:x}:1"));
+        numbers.collect::<Vec<_>>().join(";")
+    };
+    let by_name = |count: usize| -> String {
+        let numbers = (0..count).map(|n| format!(r#""x{n:x}":1"#));
+        numbers.collect::<Vec<_>>().join(",")
+    };
+    let id = "9b1f03aa5c7e2d41";
+    for (count, is_valid) in [
+        (host::MAX_FIGURES, true),
+        (host::MAX_FIGURES + 1, false),
+        (1_500, false),
+    ] {
+        let (listed, by_name) = (listed(count), by_name(count));
+        for fields in [format!(r#""load":"{listed}""#), by_name] {
+            for (kind, cause) in [("pong", 1), ("release", 34)] {
+                let line = format!(
+                    r#"{{"type":"{kind}","id":"{id}","fields":{{{fields}}},"cause":{cause}}}"#
+                );
+                let decoded = decode_line(&line);
+                if is_valid {
+                    assert!(matches!(decoded, Ok(Some(_))), "{count}: {decoded:?}");
+                } else {
+                    let error = host::Unreadable::InvalidLine(host::LineError::TooManyFigures);
+                    assert_eq!(decoded, Err(error), "{count}");
+                }
+            }
+        }
+    }
+}
