Platform: the stop of a task is repeated until its host confirms it

Cause: stops were repeated only on a link that had just been established, after that link had been closed as surplus, and were dropped after 5 s.

Change: PendingStops holds each stop until the host sends the end or released, or closes a link that the placer closed; it is due at once when its link ends, and repeated with a backoff on another link, ten times at most. BoundedMap has keys of any type.

--- a/crates/platform-protocol/src/host/decode.rs
+++ b/crates/platform-protocol/src/host/decode.rs
@@ -79,7 +79,8 @@
             passed: line.cause()? == PASSED,
             figures: line.figures()?,
         }),
-        "progress" | "released" | "ping" | "move" => Ok(FromHost::Ignored),
+        "released" => Ok(FromHost::ReleaseConfirmed(id)),
+        "progress" | "ping" | "move" => Ok(FromHost::Ignored),
         other => Err(LineError::UnknownType(other.to_owned())),
     }
 }
--- a/crates/platform-protocol/src/host/mod.rs
+++ b/crates/platform-protocol/src/host/mod.rs
@@ -57,7 +57,9 @@
         /// The named numbers of the message, which may contain a load report.
         figures: Figures,
     },
-    /// `progress`, `released`, `ping`, `move`, or a `note` with an unknown name: a placer does not act on these.
+    /// `released`: the host confirms that it received the release of the task with this id.
+    ReleaseConfirmed(u64),
+    /// `progress`, `ping`, `move`, or a `note` with an unknown name: a placer does not act on these.
     Ignored,
 }
 
--- a/crates/platform/src/attempts.rs
+++ b/crates/platform/src/attempts.rs
@@ -99,6 +99,8 @@
             left_ms: remaining_ms(now, attempt.deadline),
             description: placement_request.description.clone(),
         };
+        // A stop of an earlier attempt must not reach this host after the request.
+        self.pending_stops.remove(attempt.machine, id);
         let message_index = self.send_to_host(link, message);
         if let Some(link) = self.hosts.link_mut(link) {
             let number = attempt.number;
@@ -160,7 +162,7 @@
     /// Abandons the request's attempt in flight. Its host is notified, and its link is not used any more, as whatever
     /// delayed the answer may also delay the next one. An attempt that still waits for its link was never sent and ends
     /// as unconnected.
-    pub(crate) fn abandon_attempt(&mut self, request: RequestId, outcome: Outcome) {
+    pub(crate) fn abandon_attempt(&mut self, now: Micros, request: RequestId, outcome: Outcome) {
         let Some(entry) = self.requests.get(request) else {
             return;
         };
@@ -175,13 +177,8 @@
         };
         self.end_attempt(request, outcome.into());
         if !was_unsent {
-            self.send_to_host(
-                attempt.link,
-                ToHost::Release {
-                    id,
-                    cause: GIVEN_UP,
-                },
-            );
+            // The host may have accepted the task already, and its answer be under way.
+            self.send_stop_on(now, attempt.link, attempt.machine, id, GIVEN_UP);
         }
         self.suspect_link(attempt.link);
     }
@@ -193,9 +190,9 @@
         in_flight.filter(|in_flight| in_flight.number == attempt.number)
     }
 
-    pub(crate) fn stop_attempt(&mut self, attempt: AttemptId) {
+    pub(crate) fn stop_attempt(&mut self, now: Micros, attempt: AttemptId) {
         if self.in_flight(attempt).is_some() {
-            self.abandon_attempt(attempt.request, Outcome::Stopped);
+            self.abandon_attempt(now, attempt.request, Outcome::Stopped);
         }
     }
 
@@ -204,7 +201,7 @@
             .in_flight(attempt)
             .is_some_and(|in_flight| in_flight.deadline <= now)
         {
-            self.abandon_attempt(attempt.request, Outcome::TimedOut);
+            self.abandon_attempt(now, attempt.request, Outcome::TimedOut);
         }
     }
 
--- a/crates/platform/src/engine/actions.rs
+++ b/crates/platform/src/engine/actions.rs
@@ -2,7 +2,6 @@
 
 use reedring::{Action, Micros, RequestId};
 use reedring_platform_protocol::client::ToClient;
-use reedring_platform_protocol::host::ToHost;
 use reedring_platform_protocol::{CANCELLED, FAILED};
 
 use crate::log_event::LogEvent;
@@ -18,7 +17,7 @@
             } => {
                 self.offer(now, request, machine, within_us);
             }
-            Action::Stop(attempt) => self.stop_attempt(attempt),
+            Action::Stop(attempt) => self.stop_attempt(now, attempt),
             Action::Refuse {
                 request,
                 stay_away_us,
@@ -66,7 +65,7 @@
         }
     }
 
-    /// Asks a host to stop a running task. Without a link to the host, the message is sent on the next link.
+    /// Asks a host to stop a running task.
     pub(crate) fn stop_task(&mut self, now: Micros, request: RequestId, cause: u8) {
         let Some(entry) = self.requests.get_mut(request) else {
             return;
@@ -77,8 +76,6 @@
         placement.since = now;
         entry.phase = Phase::Stopping(placement);
         let id = entry.wire_id();
-        if let Some(link) = self.any_link(now, placement.machine) {
-            self.send_to_host(link, ToHost::Release { id, cause });
-        }
+        self.send_stop(now, placement.machine, id, cause);
     }
 }
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -14,7 +14,8 @@
 use crate::bounds::Bounds;
 use crate::io::{Input, Output};
 use crate::state::{
-    DisplacedTasks, Engine, HealthChecks, HostTable, RequestTable, Shutdown, TaskEnds, Timer,
+    DisplacedTasks, Engine, HealthChecks, HostTable, PendingStops, RequestTable, Shutdown,
+    TaskEnds, Timer,
 };
 
 /// The interval at which idle connections, silent hosts and expired records are looked for.
@@ -55,6 +56,8 @@
     pub task_ends: usize,
     /// Tasks that are no longer tracked, whose ends are still passed on.
     pub displaced_tasks: usize,
+    /// Stops of tasks that hosts have not confirmed.
+    pub pending_stops: usize,
     /// Health checks that wait for their results.
     pub health_checks: usize,
     /// Timers that have not fired.
@@ -77,6 +80,7 @@
             health_checks: HealthChecks::default(),
             task_ends: TaskEnds::default(),
             displaced_tasks: DisplacedTasks::new(parameters.bounds.displaced_tasks),
+            pending_stops: PendingStops::default(),
             discovery_revision: 0,
             is_list_requested: false,
             timers: Timers::default(),
@@ -123,6 +127,7 @@
             hosts: self.hosts.host_count(),
             task_ends: self.task_ends.len(),
             displaced_tasks: self.displaced_tasks.len(),
+            pending_stops: self.pending_stops.len(),
             health_checks: self.health_checks.len(),
             timers: self.timers.len(),
             module: self.placer.sizes(),
--- a/crates/platform/src/hosts/failure.rs
+++ b/crates/platform/src/hosts/failure.rs
@@ -27,6 +27,7 @@
                 self.end_lost_tasks(now, machine, reason);
             }
             self.end_displaced_tasks(now, machine);
+            self.pending_stops.remove_all_at(machine);
         }
         self.schedule_reconnect(now, machine);
         self.hosts.remove_if_unused(machine);
--- a/crates/platform/src/hosts/links.rs
+++ b/crates/platform/src/hosts/links.rs
@@ -1,7 +1,6 @@
 //! Links: connected, written to and closed, and what is done with their attempts when they end.
 
 use reedring::{AttemptId, MachineId, Micros, Outcome};
-use reedring_platform_protocol::CANCELLED;
 use reedring_platform_protocol::discovery::HostHealth;
 use reedring_platform_protocol::host::{Figures, ToHost};
 
@@ -153,7 +152,7 @@
         if is_liveness_check {
             self.close_surplus_link(now, id, machine);
         }
-        self.repeat_stops(id, machine);
+        self.repeat_stops(now);
     }
 
     /// Closes a link of a host to which a link for a liveness check was established, if another one is left. The closed
@@ -183,31 +182,6 @@
         self.close_link(replaced);
     }
 
-    /// Repeats, on a new link, the messages that ask a host to stop tasks: the host may not have received them on a
-    /// link that was reset.
-    fn repeat_stops(&mut self, link: LinkId, machine: MachineId) {
-        let Some(host) = self.hosts.host(machine) else {
-            return;
-        };
-        let running = host
-            .running
-            .iter()
-            .filter_map(|(_, request)| self.requests.get(*request));
-        let stopping = running.filter(|request| matches!(request.phase, Phase::Stopping(_)));
-        for id in stopping
-            .map(|request| request.wire_id())
-            .collect::<Vec<u64>>()
-        {
-            self.send_to_host(
-                link,
-                ToHost::Release {
-                    id,
-                    cause: CANCELLED,
-                },
-            );
-        }
-    }
-
     /// Handles the end of a link, or a failure to connect it.
     pub(crate) fn link_down(&mut self, now: Micros, id: LinkId, end: LinkEnd, messages_begun: u64) {
         let may_have_lost_input = decide::may_have_lost_input(end);
@@ -215,12 +189,17 @@
             if may_have_lost_input {
                 self.hosts.record_lost_input(machine);
                 self.schedule_delayed_reconnect(now, machine);
+                self.pending_stops.link_lost(now, id, true);
+            } else {
+                // The host closed its side after the placer, so it has read all that was sent.
+                self.pending_stops.confirm_all_on(id);
             }
             return;
         }
         let Some(link) = self.hosts.remove_link(id) else {
             return;
         };
+        self.pending_stops.link_lost(now, id, link.is_up);
         if may_have_lost_input {
             self.hosts.record_lost_input(link.machine);
         }
--- a/crates/platform/src/hosts/messages.rs
+++ b/crates/platform/src/hosts/messages.rs
@@ -86,6 +86,7 @@
             } => {
                 self.health_check_done(now, id, passed, &figures);
             }
+            FromHost::ReleaseConfirmed(wire_id) => self.pending_stops.remove(machine, wire_id),
             FromHost::Ignored => {}
         }
     }
@@ -99,6 +100,9 @@
             figures,
         } = release;
         let report = self.load_report(&figures);
+        if ends_running_task(cause) {
+            self.pending_stops.remove(machine, wire_id);
+        }
         let link = self.hosts.link(id);
         let attempt = link.and_then(|link| link.in_flight.get(&wire_id)).copied();
         // The attempts on a closed link were given up. A later attempt of the same request may have started a task at
--- a/crates/platform/src/hosts/mod.rs
+++ b/crates/platform/src/hosts/mod.rs
@@ -5,6 +5,7 @@
 mod link_selection;
 mod links;
 mod messages;
+mod stops;
 mod successors;
 mod sweep;
 mod tasks;
--- a/crates/platform/src/hosts/sweep.rs
+++ b/crates/platform/src/hosts/sweep.rs
@@ -12,7 +12,8 @@
 /// else shows whether the host is still there, as only the decision module requests health checks.
 const SILENCE_BEFORE_LIVENESS_CHECK_US: Micros = 2_500_000;
 const LIVENESS_CHECK_INTERVAL_US: Micros = 1_000_000;
-/// A host that does not confirm within this time that it stopped a task is assumed not to run it any more.
+/// A task whose host does not confirm within this time that it stopped it no longer counts; its host is still asked to stop
+/// it.
 const STOP_TIMEOUT_US: Micros = 5_000_000;
 /// For how long a host that left the endpoint list may finish its work on the links that it has.
 const LEFT_HOST_GRACE_US: Micros = 3_000_000;
@@ -20,6 +21,7 @@
 impl Engine {
     pub(crate) fn sweep_hosts(&mut self, now: Micros) {
         self.close_unused_links(now);
+        self.repeat_stops(now);
         self.end_stopped_tasks(now);
         self.check_silent_hosts(now);
         self.disconnect_left_hosts(now);
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -2,7 +2,6 @@
 
 use reedring::{AttemptId, Event, MachineId, Micros, Outcome, RequestId};
 use reedring_platform_protocol::client::ToClient;
-use reedring_platform_protocol::host::ToHost;
 use reedring_platform_protocol::{CANCELLED, FAILED, GIVEN_UP};
 
 use crate::attempts::AttemptResult;
@@ -70,13 +69,7 @@
         if entry.phase != Phase::Open {
             // The request was closed in the meantime: the host is asked to stop the task, and the attempt ends as
             // stopped.
-            self.send_to_host(
-                link,
-                ToHost::Release {
-                    id,
-                    cause: GIVEN_UP,
-                },
-            );
+            self.send_stop_on(now, link, machine, id, GIVEN_UP);
             return self.end_attempt(request, Outcome::Stopped.into());
         }
         let placement = Placement {
@@ -201,9 +194,6 @@
         let Some(task) = self.displaced_tasks.take(id) else {
             return;
         };
-        if let Some(link) = self.any_link(now, task.machine) {
-            let cause = CANCELLED;
-            self.send_to_host(link, ToHost::Release { id, cause });
-        }
+        self.send_stop(now, task.machine, id, CANCELLED);
     }
 }
--- a/crates/platform/src/log_event.rs
+++ b/crates/platform/src/log_event.rs
@@ -56,6 +56,11 @@
         /// Why the tasks are lost.
         reason: HostLoss,
     },
+    /// A host has not confirmed that it stops a task, however often it was asked.
+    StopUnconfirmed {
+        /// The request's id on the wire.
+        request: u64,
+    },
     /// Discovery can't be polled, or its answer is invalid.
     DiscoveryFailed {
         /// Why the poll failed.
--- a/crates/platform/src/message_log.rs
+++ b/crates/platform/src/message_log.rs
@@ -87,6 +87,7 @@
         } => {
             format!("health check result {id:016x}: {passed}, {figures:?}")
         }
+        FromHost::ReleaseConfirmed(id) => format!("confirms the release of {id:016x}"),
         FromHost::TaskSignal { .. } | FromHost::Ignored => return None,
     })
 }
--- a/crates/platform/src/run/log.rs
+++ b/crates/platform/src/run/log.rs
@@ -72,6 +72,7 @@
         | LogEvent::PendingRequestsFull { .. }
         | LogEvent::UnconfirmedTasksFull { .. } => write_client_event(event),
         LogEvent::HostTasksLost { .. }
+        | LogEvent::StopUnconfirmed { .. }
         | LogEvent::LinkConnectFailed { .. }
         | LogEvent::LinkUnreadable { .. } => write_host_event(event),
     }
@@ -142,6 +143,14 @@
                 "the tasks of a host are lost: {reason}"
             );
         }
+        LogEvent::StopUnconfirmed { request } => {
+            let request = format!("{request:016x}");
+            tracing::info!(
+                event = "stop_unconfirmed",
+                request,
+                "a host does not confirm that it stops a task"
+            );
+        }
         LogEvent::LinkConnectFailed { address, error } => {
             tracing::info!(
                 event = "link_connect_failed",
--- a/crates/platform/src/state/displaced.rs
+++ b/crates/platform/src/state/displaced.rs
@@ -16,7 +16,7 @@
 
 /// All displaced tasks, by their ids on the wire. At the limit the oldest one is forgotten.
 #[derive(Debug)]
-pub(crate) struct DisplacedTasks(BoundedMap<DisplacedTask>);
+pub(crate) struct DisplacedTasks(BoundedMap<u64, DisplacedTask>);
 
 impl DisplacedTasks {
     /// Creates an empty table for at most `limit` tasks.
--- a/crates/platform/src/state/mod.rs
+++ b/crates/platform/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod displaced;
 mod health_check;
 mod host;
+mod pending_stops;
 mod request;
 mod task_end;
 mod unconfirmed;
@@ -22,6 +23,7 @@
 pub(crate) use self::displaced::{DisplacedTask, DisplacedTasks};
 pub(crate) use self::health_check::{HealthCheck, HealthChecks};
 pub(crate) use self::host::{FIRST_RECONNECT_DELAY, Host, HostTable, Link};
+pub(crate) use self::pending_stops::{PendingStop, PendingStops};
 pub(crate) use self::request::{InFlightAttempt, Phase, Placement, Request, RequestTable};
 pub(crate) use self::task_end::{TaskEnd, TaskEnds};
 use crate::bounds::Bounds;
@@ -81,6 +83,7 @@
     pub(crate) health_checks: HealthChecks,
     pub(crate) task_ends: TaskEnds,
     pub(crate) displaced_tasks: DisplacedTasks,
+    pub(crate) pending_stops: PendingStops,
     /// The number of the last discovery event that was applied.
     pub(crate) discovery_revision: u64,
     /// Whether the decision module waits for the next update of the endpoint list, even one without changes.
--- a/crates/platform/src/state/task_end.rs
+++ b/crates/platform/src/state/task_end.rs
@@ -37,7 +37,7 @@
 /// if its connection ends.
 #[derive(Debug)]
 pub(crate) struct TaskEnds {
-    unsent: BoundedMap<TaskEnd>,
+    unsent: BoundedMap<u64, TaskEnd>,
     sent: BTreeMap<u64, SentEnd>,
 }
 
