Platform: ends go to clients with confirmed tasks before those that only claim some

Cause: a hand-over made its connection one of an owner, as an answer does, and the one active last got the end.

Change: TaskOwnership is None, Claimed or Confirmed; choose_routes takes the confirmed connection that was active last, else all that claim.

--- a/crates/platform/src/clients/connections.rs
+++ b/crates/platform/src/clients/connections.rs
@@ -4,7 +4,7 @@
 use reedring_platform_protocol::FAILED;
 use reedring_platform_protocol::client::ToClient;
 
-use crate::decide::{ClientDeparture, DepartureAction};
+use crate::decide::{ClientDeparture, DepartureAction, TaskOwnership};
 use crate::errors::ClientReadError;
 use crate::ids::ConnId;
 use crate::io::Output;
@@ -52,13 +52,14 @@
         self.evict_links_for_clients(now);
     }
 
-    /// The connection that has been idle longest; connections of clients that own no running tasks come first.
+    /// The connection that has been idle longest; connections whose clients own no running tasks, as far as
+    /// hosts or they themselves say, come first.
     fn longest_idle_client(&self) -> Option<ConnId> {
         let idle = self
             .clients
             .iter()
             .filter(|(_, client)| client.is_idle() && !client.is_overflow);
-        idle.min_by_key(|(_, client)| (client.owns_tasks, client.last_received))
+        idle.min_by_key(|(_, client)| (client.ownership, client.last_received))
             .map(|(conn, _)| *conn)
     }
 
@@ -196,7 +197,8 @@
     /// Closes connections that have been idle too long, and drops expired task ends.
     pub(crate) fn sweep_clients(&mut self, now: Micros) {
         let is_timed_out = |client: &ClientConnection| {
-            client.is_idle() && !client.owns_tasks && client.last_received + IDLE_TIMEOUT_US <= now
+            let is_owner = client.ownership > TaskOwnership::None;
+            client.is_idle() && !is_owner && client.last_received + IDLE_TIMEOUT_US <= now
         };
         let idle = self
             .clients
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -10,7 +10,7 @@
 use reedring_platform_protocol::ERROR;
 use reedring_platform_protocol::client::{FromClient, InvalidMessage, ToClient};
 
-use crate::decide::ClientDeparture;
+use crate::decide::{ClientDeparture, TaskOwnership};
 use crate::errors::Rejection;
 use crate::ids::ConnId;
 use crate::io::Output;
@@ -92,12 +92,17 @@
     /// A client cancels a request or stops a task. A task may have ended meanwhile, and its client not be notified yet.
     fn client_release(&mut self, now: Micros, conn: ConnId, id: u64) {
         if self.task_ends.confirm(id) {
-            return self.client_owns_tasks(now, conn);
+            return self.client_owns_tasks(now, conn, TaskOwnership::Claimed);
         }
         let Some(found) = self.requests.find(id) else {
             return self.stop_displaced_task(now, id);
         };
         let (phase, requested_on) = (found.request.phase, found.request.conn);
+        let ownership = if self.requests.is_unconfirmed(found.id, requested_on) {
+            TaskOwnership::Claimed
+        } else {
+            TaskOwnership::Confirmed
+        };
         // An open request may be cancelled only on the connection that it came on; a running task may be stopped on any
         // connection.
         let is_open = phase == Phase::Open;
@@ -111,14 +116,15 @@
         }
         self.handle_departure(now, id, ClientDeparture::Cancelled);
         if phase.placement().is_some() {
-            self.client_owns_tasks(now, conn);
+            self.client_owns_tasks(now, conn, ownership);
         }
     }
 
-    /// Records that the client of a connection owns running tasks, and sends the ends that wait for such a connection.
-    fn client_owns_tasks(&mut self, now: Micros, conn: ConnId) {
+    /// Records what shows that the client of a connection owns running tasks, and sends the ends that wait for such a
+    /// connection.
+    fn client_owns_tasks(&mut self, now: Micros, conn: ConnId, ownership: TaskOwnership) {
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.record_ownership(now);
+            client.record_ownership(now, ownership);
         }
         self.send_unsent_ends(now);
     }
--- a/crates/platform/src/clients/requests.rs
+++ b/crates/platform/src/clients/requests.rs
@@ -6,6 +6,7 @@
 use reedring_platform_protocol::client::{PlacementRequest, ToClient};
 use reedring_platform_protocol::discovery::number_of;
 
+use crate::decide::TaskOwnership;
 use crate::errors::Rejection;
 use crate::ids::ConnId;
 use crate::log_event::LogEvent;
@@ -45,7 +46,7 @@
     ) {
         if let Some(client) = self.clients.get_mut(&conn) {
             client.record_valid_request(now);
-            client.record_ownership(now);
+            client.record_ownership(now, TaskOwnership::Claimed);
         }
         let known = self.requests.find(request.id);
         let is_in_use = known.is_some_and(|known| known.request.phase != Phase::Closed);
--- a/crates/platform/src/decide/clients.rs
+++ b/crates/platform/src/decide/clients.rs
@@ -79,24 +79,44 @@
     }
 }
 
+/// What shows that the client of a connection owns running tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TaskOwnership {
+    /// Nothing.
+    #[default]
+    None,
+    /// The client says so: it handed over a task, or ended one, of which no host has sent anything.
+    Claimed,
+    /// A host has confirmed a task of the client: one that was placed for it, that it handed over, or that it ended.
+    Confirmed,
+}
+
 /// A client's connection on which the end of a task may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotificationRoute {
-    /// Whether the connection has shown that its client owns running tasks: the answer that a task runs was sent on it, a
-    /// running task was handed over on it, or the client ended a running task on it.
-    pub owns_tasks: bool,
+    /// What the connection has shown of its client's tasks.
+    pub ownership: TaskOwnership,
     /// Whether the connection carried a valid request.
     pub sent_valid_request: bool,
     /// When the client was last active on the connection, in microseconds.
     pub last_received: u64,
 }
 
-/// The connection for the end of a task whose own connection is gone: one whose client owns running tasks, else one that
-/// carried a valid request; among equals the one that was active last. `None` if there is no such connection: the end is
-/// kept until there is one.
-pub fn choose_route<T>(routes: impl Iterator<Item = (T, NotificationRoute)>) -> Option<T> {
-    let usable = routes.filter(|(_, route)| route.owns_tasks || route.sent_valid_request);
-    usable
-        .max_by_key(|(_, route)| (route.owns_tasks, route.last_received))
-        .map(|(id, _)| id)
+/// The connections for the end of a task whose own connection is gone: one whose client owns confirmed tasks; else each one
+/// whose client claims to own tasks, as nothing tells which of them does; else one that carried a valid request. Among equals
+/// the one that was active last. Empty if there is no such connection: the end is kept until there is one.
+pub fn choose_routes<T>(routes: impl Iterator<Item = (T, NotificationRoute)>) -> Vec<T> {
+    let usable = |route: &NotificationRoute| {
+        route.ownership > TaskOwnership::None || route.sent_valid_request
+    };
+    let mut routes: Vec<(T, NotificationRoute)> =
+        routes.filter(|(_, route)| usable(route)).collect();
+    routes.sort_by_key(|(_, route)| std::cmp::Reverse((route.ownership, route.last_received)));
+    let best = routes.first().map(|(_, route)| route.ownership);
+    if best == Some(TaskOwnership::Claimed) {
+        routes.retain(|(_, route)| route.ownership == TaskOwnership::Claimed);
+    } else {
+        routes.truncate(1);
+    }
+    routes.into_iter().map(|(id, _)| id).collect()
 }
--- a/crates/platform/src/decide/mod.rs
+++ b/crates/platform/src/decide/mod.rs
@@ -11,8 +11,8 @@
 
 pub use attempts::{Execution, LinkEnd, execution_after, may_have_lost_input};
 pub use clients::{
-    ClientDeparture, DepartureAction, NotificationRoute, RequestStage, choose_route,
-    departure_action,
+    ClientDeparture, DepartureAction, NotificationRoute, RequestStage, TaskOwnership,
+    choose_routes, departure_action,
 };
 pub use hand_overs::{UnconfirmedGroup, choose_least_likely};
 pub use hosts::{HostLoss, HostObservation, detect_host_loss};
--- a/crates/platform/src/decide/tests.rs
+++ b/crates/platform/src/decide/tests.rs
@@ -280,22 +280,34 @@
 }
 
 #[test]
-fn a_task_end_goes_to_the_answered_connection_that_was_active_last() {
-    let route = |owns_tasks, sent_valid_request, last_received| NotificationRoute {
-        owns_tasks,
+fn a_task_end_goes_where_the_evidence_is_best() {
+    use TaskOwnership::{Claimed, Confirmed, None as Unknown};
+    let route = |ownership, sent_valid_request, last_received| NotificationRoute {
+        ownership,
         sent_valid_request,
         last_received,
     };
-    let routes = [
-        route(false, true, 9),
-        route(true, true, 5),
-        route(true, true, 7),
-        route(false, false, 99),
+    let (request, recent_request) = (route(Unknown, true, 9), route(Unknown, true, 10));
+    let (owner, recent_owner) = (route(Confirmed, true, 5), route(Confirmed, true, 7));
+    let (claim, recent_claim) = (route(Claimed, true, 8), route(Claimed, false, 99));
+    let stranger = route(Unknown, false, 100);
+    let cases = [
+        (vec![], vec![]),
+        (vec![stranger], vec![]),
+        (vec![request, stranger], vec![0]),
+        (vec![request, recent_request], vec![1]),
+        (vec![request, owner, recent_owner, stranger], vec![2]),
+        // What a client says of itself takes no end from one whose tasks a host confirmed.
+        (vec![owner, recent_claim], vec![0]),
+        (vec![recent_claim, claim, owner, recent_request], vec![2]),
+        // Nothing tells claims apart: each gets the end.
+        (vec![claim, request, recent_claim], vec![2, 0]),
+        (vec![claim, recent_request], vec![0]),
     ];
-    let which = |routes: &[NotificationRoute]| choose_route(routes.iter().copied().enumerate());
-    assert_eq!(which(&routes), Some(2));
-    assert_eq!(which(&routes[..1]), Some(0));
-    assert_eq!(which(&routes[3..]), None);
+    for (routes, chosen) in cases {
+        let indexed = routes.iter().copied().enumerate();
+        assert_eq!(choose_routes(indexed), chosen, "{routes:?}");
+    }
 }
 
 #[test]
--- a/crates/platform/src/engine/actions.rs
+++ b/crates/platform/src/engine/actions.rs
@@ -60,7 +60,7 @@
         };
         let (id, conn) = (entry.wire_id(), entry.conn);
         self.stop_task(now, request, CANCELLED);
-        if let Some(conn) = self.notification_connection(conn) {
+        for conn in self.notification_connections(conn) {
             self.send_to_client(conn, ToClient::Moved(id));
         }
     }
--- a/crates/platform/src/hosts/messages.rs
+++ b/crates/platform/src/hosts/messages.rs
@@ -121,7 +121,7 @@
             );
         } else if let Some(request) = running.filter(|_| may_end_task) {
             let outcome = task_outcome(cause);
-            self.requests.confirm_task(now, request);
+            self.confirm_task(now, request);
             self.task_ended(
                 now,
                 request,
@@ -143,7 +143,7 @@
         let Some(request) = self.running_request(machine, wire_id) else {
             return;
         };
-        self.requests.confirm_task(now, request);
+        self.confirm_task(now, request);
         let phase = self.requests.get(request).map(|entry| entry.phase);
         if let Some(Phase::Running(placement)) = phase {
             let attempt = AttemptId {
--- a/crates/platform/src/hosts/tasks.rs
+++ b/crates/platform/src/hosts/tasks.rs
@@ -5,6 +5,7 @@
 use reedring_platform_protocol::{CANCELLED, FAILED, GIVEN_UP};
 
 use crate::attempts::AttemptResult;
+use crate::decide::TaskOwnership;
 use crate::ids::LinkId;
 use crate::state::{DisplacedTask, Engine, Phase, Placement, TaskEnd};
 
@@ -89,7 +90,7 @@
         self.send_to_client(conn, ToClient::Answer { id, description });
         self.request_closed(conn, id);
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.record_ownership(now);
+            client.record_ownership(now, TaskOwnership::Confirmed);
         }
         self.add_running_task(now, machine, request);
     }
@@ -158,6 +159,15 @@
         Some(removed)
     }
 
+    /// Records that a host sent something about a running task.
+    pub(super) fn confirm_task(&mut self, now: Micros, request: RequestId) {
+        let conn = self.requests.get(request).map(|entry| entry.conn);
+        self.requests.confirm_task(now, request);
+        if let Some(conn) = conn {
+            self.confirm_ownership(conn);
+        }
+    }
+
     /// Notifies the client of a displaced task whose host reports its end.
     pub(super) fn displaced_task_ended(
         &mut self,
@@ -168,6 +178,7 @@
     ) {
         if let Some(task) = self.displaced_tasks.take_at(machine, id) {
             self.requests.confirm_connection(now, task.requested_on);
+            self.confirm_ownership(task.requested_on);
             self.notify_displaced_end(now, id, task, cause);
         }
     }
--- a/crates/platform/src/state/client.rs
+++ b/crates/platform/src/state/client.rs
@@ -4,6 +4,8 @@
 
 use reedring::{Micros, RequestId};
 
+use crate::decide::TaskOwnership;
+
 /// A client's connection and the state of its requests.
 #[derive(Debug, Default)]
 pub(crate) struct ClientConnection {
@@ -12,9 +14,9 @@
     /// When the client connected, last sent a placement request, a health check or the release of a request that is not
     /// open, or last received the answer that its task runs.
     pub last_received: Micros,
-    /// Whether the connection has shown that its client owns running tasks: the answer that a task runs was sent on it, a
+    /// What the connection has shown of running tasks that its client owns: the answer that a task runs was sent on it, a
     /// running task was handed over on it, or the client ended a running task on it.
-    pub owns_tasks: bool,
+    pub ownership: TaskOwnership,
     /// Whether the connection carried a valid request.
     pub sent_valid_request: bool,
     /// How many messages were rejected since the last valid request.
@@ -47,10 +49,10 @@
         !self.is_closing && !self.is_closing_if_idle
     }
 
-    /// Records that the client was active and owns running tasks.
-    pub fn record_ownership(&mut self, now: Micros) {
+    /// Records that the client was active, and what that shows of running tasks that it owns.
+    pub fn record_ownership(&mut self, now: Micros, ownership: TaskOwnership) {
         self.last_received = now;
-        self.owns_tasks = true;
+        self.ownership = self.ownership.max(ownership);
     }
 
     /// Records that a valid request was received.
--- a/crates/platform/src/state/request.rs
+++ b/crates/platform/src/state/request.rs
@@ -203,6 +203,11 @@
         self.unconfirmed.take_least_likely(now)
     }
 
+    /// Whether a task was handed over on this connection, and no host has sent anything about it.
+    pub fn is_unconfirmed(&self, id: RequestId, conn: ConnId) -> bool {
+        self.unconfirmed.contains(conn, id)
+    }
+
     /// Records that a connection of a client has ended.
     pub fn connection_ended(&mut self, now: Micros, conn: ConnId) {
         self.unconfirmed.connection_ended(now, conn);
--- a/crates/platform/src/state/unconfirmed.rs
+++ b/crates/platform/src/state/unconfirmed.rs
@@ -137,6 +137,13 @@
         self.count += added;
     }
 
+    /// Whether a task that was handed over on this connection is unconfirmed.
+    pub fn contains(&self, conn: ConnId, task: RequestId) -> bool {
+        let group = self.groups.get(&conn);
+        let is_in_group = group.is_some_and(|group| group.tasks.contains(&task));
+        is_in_group || self.departed.tasks.contains_key(&task)
+    }
+
     /// Records that a connection has ended.
     pub fn connection_ended(&mut self, now: Micros, conn: ConnId) {
         let Some(group) = self.groups.get_mut(&conn) else {
--- a/crates/platform/tests/task_ends.rs
+++ b/crates/platform/tests/task_ends.rs
@@ -4,7 +4,9 @@
 mod world;
 
 use reedring_platform::{ConnId, Input};
-use reedring_platform_protocol::client::{FromClient, InvalidMessage, MessageError, ToClient};
+use reedring_platform_protocol::client::{
+    FromClient, InvalidMessage, MessageError, PlacementRequest, ToClient,
+};
 use reedring_platform_protocol::host::ToHost;
 use world::{MS, SECOND, World, hosts, placement_request};
 
@@ -158,3 +160,68 @@
     world.run(60 * SECOND);
     assert_eq!(world.engine.sizes().task_ends, 0);
 }
+
+/// How often bad clients come, each of which hands over a task that no host knows.
+const BAD_CLIENT_INTERVAL: u64 = 300 * MS;
+/// Ids from here on are false.
+const FALSE_IDS: u64 = 1_000_000;
+
+/// Bad clients come one after the other for `duration`, and stay connected.
+fn bad_clients_come(world: &mut World, duration: u64) {
+    for number in 0..duration / BAD_CLIENT_INTERVAL {
+        let conn = world.connect_client();
+        let id = FALSE_IDS + world.now + number;
+        world.send_request(conn, handed_over(id));
+        world.run(BAD_CLIENT_INTERVAL);
+    }
+}
+
+fn handed_over(id: u64) -> PlacementRequest {
+    PlacementRequest {
+        runs_at: Some(format!("h-{HOST}")),
+        ..placement_request(id, "play", 8_000)
+    }
+}
+
+/// Guards against ends that never reach their owner: a client that handed over a task which no host knows got the ends of other
+/// clients' tasks, and it alone, as it had been active last.
+#[test]
+fn ends_do_not_go_to_clients_that_only_claim_to_own_tasks() {
+    let mut world = running_tasks_without_connection(8);
+    // The owner has another connection, on which a task of its was placed.
+    let owner = world.connect_client();
+    world.send_request(owner, placement_request(100, "play", 1_000));
+    world.run(SECOND);
+    bad_clients_come(&mut world, 3 * SECOND);
+    for id in 1..=TASKS {
+        world.finish_task(id, HOST);
+        assert_eq!(notified_conns(&world, id), [owner], "{id}");
+    }
+}
+
+/// After a restart of the placer no host has confirmed anything yet. Nothing tells the owner from bad clients, so each gets the end,
+/// and the owner among them.
+#[test]
+fn an_end_goes_to_all_clients_that_claim_tasks_while_no_host_has_confirmed_one() {
+    let mut world = World::new(9, &hosts(HOST));
+    let first = world.connect_client();
+    for id in 1..=3 {
+        world.running_tasks.insert(id, HOST);
+        world.send_request(first, handed_over(id));
+    }
+    world.run(OWNER_CLOSE_AFTER);
+    world.close_client(first);
+    let owner = world.connect_client();
+    world.running_tasks.insert(4, HOST);
+    world.send_request(owner, handed_over(4));
+    bad_clients_come(&mut world, 2 * SECOND);
+    world.finish_task(1, HOST);
+    let notified = notified_conns(&world, 1);
+    assert!(notified.contains(&owner), "{notified:?}");
+    // The end of a task that the owner handed over on this connection tells it from the others.
+    world.finish_task(4, HOST);
+    assert_eq!(notified_conns(&world, 4), [owner]);
+    bad_clients_come(&mut world, SECOND);
+    world.finish_task(2, HOST);
+    assert_eq!(notified_conns(&world, 2), [owner]);
+}
