Platform: one place cancels deadlines; the tests' messages have their own file

Change: Engine::cancel_deadline; no search without a connection; tests/world/messages.rs.

Measured: tests of the package pass, digests as before.

--- a/crates/platform/src/clients/departures.rs
+++ b/crates/platform/src/clients/departures.rs
@@ -55,10 +55,7 @@
                 // An attempt that waits for a link would begin once the link is established, even where the settings do
                 // not allow attempts to be stopped.
                 self.recall_queued_attempt(request);
-                let entry = self.requests.get_mut(request);
-                if let Some(timer) = entry.and_then(|entry| entry.deadline_timer.take()) {
-                    self.timers.cancel(timer);
-                }
+                self.cancel_deadline(request);
                 if self.requests.close(request).is_some() {
                     self.events.push(Event::Withdrawn(request));
                 }
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -125,7 +125,7 @@
     fn client_owns_tasks(&mut self, now: Micros, conn: ConnId, ownership: TaskOwnership) {
         if let Some(client) = self.clients.get_mut(&conn) {
             client.record_ownership(now, ownership);
+            self.send_unsent_ends(now);
         }
-        self.send_unsent_ends(now);
     }
 }
--- a/crates/platform/src/clients/submission.rs
+++ b/crates/platform/src/clients/submission.rs
@@ -29,14 +29,12 @@
             return;
         };
         (entry.is_submitted, entry.client_departed) = (true, client_departed);
-        if let Some(timer) = entry.deadline_timer.take() {
-            self.timers.cancel(timer);
-        }
         let grace_us = if client_departed {
             0
         } else {
             entry.deadline.saturating_sub(now)
         };
+        self.cancel_deadline(request);
         let task = self
             .requests
             .get(request)
@@ -49,6 +47,14 @@
         }
     }
 
+    /// Cancels the timer of a request's deadline, if one is set.
+    pub(super) fn cancel_deadline(&mut self, request: RequestId) {
+        let entry = self.requests.get_mut(request);
+        if let Some(timer) = entry.and_then(|entry| entry.deadline_timer.take()) {
+            self.timers.cancel(timer);
+        }
+    }
+
     /// When the next request of a connection may be submitted: at once, or, while more input of the connection is to be
     /// read, [`READ_AHEAD_US`] after the request was received. `None` if the connection has ended.
     fn submission_time(&self, conn: ConnId) -> Option<Micros> {
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses only some of the items")]
 
 pub mod digest;
+mod messages;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,11 +13,16 @@
 use reedring_platform::decide::LinkEnd;
 use reedring_platform::{Bounds, ConnId, Engine, EngineParameters, Input, LinkId, Output};
 use reedring_platform_protocol::client::{FromClient, PlacementRequest, ToClient};
-use reedring_platform_protocol::discovery::{Names, WatchResponse};
 use reedring_platform_protocol::host::{FromHost, ToHost};
 use reedring_platform_protocol::{CANCELLED, ERROR, FAILED, GIVEN_UP, REFUSED};
 
 use digest::Digest;
+use messages::host_release;
+#[allow(
+    unused_imports,
+    reason = "each test binary uses only some of the items"
+)]
+pub use messages::{CLASSES, host_entry, hosts, placement_request, task_end, watch_response};
 
 pub const MS: u64 = 1_000;
 pub const SECOND: u64 = 1_000 * MS;
@@ -35,59 +41,6 @@
 /// Class `play` is safe to repeat, `take` is deduplicated by zone, `print` is unsafe to repeat.
 const SETTINGS: &str = include_str!("../simulated_peers/settings.json");
 
-/// A host's JSON entry in an endpoint list of discovery; `port` is on the loopback address.
-pub fn host_entry(id: &str, port: u16, site: &str, health: &str, born_ms: u64) -> String {
-    format!(
-        r#"{{"host":"{id}","dial":"127.0.0.1:{port}","site":"{site}","class":"std","block":1,"health":"{health}","born_ms":{born_ms},"room":[64,256]}}"#
-    )
-}
-
-/// A response of discovery with one event: the list of all hosts if `whole`, else changed entries only.
-pub fn watch_response(rev: u64, whole: bool, lines: &[String]) -> WatchResponse {
-    let names = Names {
-        zones: vec!["east".into(), "west".into()],
-        kinds: vec!["std".into()],
-    };
-    let lines = lines.join(",");
-    let text = format!(
-        r#"{{"rev":{rev},"notices":[{{"rev":{rev},"pool":{{"whole":{whole},"hosts":[{lines}]}}}}]}}"#
-    );
-    WatchResponse::read(text.as_bytes(), &names)
-        .expect("the simulated discovery response must be valid")
-}
-
-/// A placement request whose deadline is in `left_ms`.
-pub fn placement_request(id: u64, class: &str, left_ms: u64) -> PlacementRequest {
-    PlacementRequest {
-        id,
-        class: class.to_owned(),
-        left_ms,
-        tenant: Some("radio".to_owned()),
-        is_retry: false,
-        key: id ^ 0xabc,
-        idempotency_key: (class == "take").then(|| format!("{id:032x}")),
-        cores: 0.5,
-        memory: 1.0,
-        service: 7,
-        runs_at: None,
-        description: format!("for {id}"),
-    }
-}
-
-fn host_release(id: u64, cause: u8) -> FromHost {
-    FromHost::Release {
-        id,
-        cause,
-        reason: None,
-        figures: BTreeMap::new(),
-    }
-}
-
-/// A host's message that a task has ended.
-pub fn task_end(id: u64) -> FromHost {
-    host_release(id, GIVEN_UP)
-}
-
 /// An attempt that was sent to a host and has no final answer yet.
 #[derive(Clone, Copy, Debug)]
 struct InFlightAttempt {
@@ -760,21 +713,3 @@
         self.run_engine();
     }
 }
-
-/// The classes in `settings.json`.
-pub const CLASSES: [&str; 3] = ["play", "take", "print"];
-
-/// Entries of `count` active hosts, alternating between two zones.
-pub fn hosts(count: u16) -> Vec<String> {
-    (1..=count)
-        .map(|n| {
-            host_entry(
-                &format!("h-{n}"),
-                n,
-                if n % 2 == 0 { "east" } else { "west" },
-                "active",
-                0,
-            )
-        })
-        .collect()
-}
