Platform: the close of a link confirms only the stops that were written on it

Seen by callers: none known; found on rereading. A stop that waited for a link to be established counted as confirmed when that link was closed instead, so the task ran on.

Cause: a clean end of a closed link confirmed all stops of that link, whether or not anything was written on it.

Change: closed links keep how many messages were sent; their end confirms stops only if all of these were begun.

--- a/crates/platform/src/hosts/links.rs
+++ b/crates/platform/src/hosts/links.rs
@@ -8,7 +8,7 @@
 use crate::decide::{self, Execution, LinkEnd, OlderLink, SurplusLink};
 use crate::ids::LinkId;
 use crate::io::Output;
-use crate::state::{Engine, Host, Link, Phase};
+use crate::state::{ClosingLink, Engine, Host, Link, Phase};
 
 /// How often the same attempt is sent again after a link ended before any byte of it was written.
 pub(super) const MAX_RESENDS: u8 = 3;
@@ -185,16 +185,8 @@
     /// Handles the end of a link, or a failure to connect it.
     pub(crate) fn link_down(&mut self, now: Micros, id: LinkId, end: LinkEnd, messages_begun: u64) {
         let may_have_lost_input = decide::may_have_lost_input(end);
-        if let Some(machine) = self.hosts.remove_closing_link(id) {
-            if may_have_lost_input {
-                self.hosts.record_lost_input(machine);
-                self.schedule_delayed_reconnect(now, machine);
-                self.pending_stops.link_lost(now, id, true);
-            } else {
-                // The host closed its side after the placer, so it has read all that was sent.
-                self.pending_stops.confirm_all_on(id);
-            }
-            return;
+        if let Some(closed) = self.hosts.remove_closing_link(id) {
+            return self.closed_link_down(now, id, closed, end, messages_begun);
         }
         let Some(link) = self.hosts.remove_link(id) else {
             return;
@@ -223,6 +215,30 @@
         self.evaluate_host(now, link.machine);
     }
 
+    /// Handles the end of a link that the placer had closed.
+    fn closed_link_down(
+        &mut self,
+        now: Micros,
+        id: LinkId,
+        closed: ClosingLink,
+        end: LinkEnd,
+        messages_begun: u64,
+    ) {
+        if decide::may_have_lost_input(end) {
+            self.hosts.record_lost_input(closed.machine);
+            self.schedule_delayed_reconnect(now, closed.machine);
+        }
+        // A host that closes its side after the placer has read all that was written.
+        let was_read = end == LinkEnd::Closed
+            && closed.messages_sent > 0
+            && messages_begun >= closed.messages_sent;
+        if was_read {
+            self.pending_stops.confirm_all_on(id);
+        } else {
+            self.pending_stops.link_lost(now, id, true);
+        }
+    }
+
     /// Handles the end of the link of an attempt in flight: the attempt is sent again if no byte of it was written.
     fn attempt_link_down(
         &mut self,
--- a/crates/platform/src/state/host.rs
+++ b/crates/platform/src/state/host.rs
@@ -169,6 +169,14 @@
     }
 }
 
+/// A link that was closed and has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClosingLink {
+    pub machine: MachineId,
+    /// How many messages were sent on the link.
+    pub messages_sent: u64,
+}
+
 /// A link that was added to the table and is to be connected.
 pub(crate) struct NewLink {
     pub id: LinkId,
@@ -180,8 +188,8 @@
 pub(crate) struct HostTable {
     hosts: BTreeMap<MachineId, Host>,
     links: BTreeMap<LinkId, Link>,
-    /// Links that were closed and have not ended, with their hosts. A host may send until it learns of the close.
-    closing_links: BTreeMap<LinkId, MachineId>,
+    /// Links that were closed and have not ended. A host may send until it learns of the close.
+    closing_links: BTreeMap<LinkId, ClosingLink>,
     last_link: LinkId,
     /// How many hosts have a link.
     hosts_with_links: usize,
@@ -241,7 +249,7 @@
     /// The host of a link, which may be closing.
     pub fn machine_of_link(&self, id: LinkId) -> Option<MachineId> {
         let open = self.links.get(&id).map(|link| link.machine);
-        open.or_else(|| self.closing_links.get(&id).copied())
+        open.or_else(|| self.closing_links.get(&id).map(|link| link.machine))
     }
 
     pub fn links(&self) -> impl Iterator<Item = (LinkId, &Link)> {
@@ -310,12 +318,16 @@
         let Some(link) = self.remove_link(id) else {
             return false;
         };
-        self.closing_links.insert(id, link.machine);
+        let closing = ClosingLink {
+            machine: link.machine,
+            messages_sent: link.messages_sent,
+        };
+        self.closing_links.insert(id, closing);
         true
     }
 
-    /// Removes a link that was closed before and has ended now, and returns its host; `None` if there is no such link.
-    pub fn remove_closing_link(&mut self, id: LinkId) -> Option<MachineId> {
+    /// Removes a link that was closed before and has ended now; `None` if there is no such link.
+    pub fn remove_closing_link(&mut self, id: LinkId) -> Option<ClosingLink> {
         self.closing_links.remove(&id)
     }
 
--- a/crates/platform/src/state/mod.rs
+++ b/crates/platform/src/state/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use self::client::ClientConnection;
 pub(crate) use self::displaced::{DisplacedTask, DisplacedTasks};
 pub(crate) use self::health_check::{HealthCheck, HealthChecks};
-pub(crate) use self::host::{FIRST_RECONNECT_DELAY, Host, HostTable, Link};
+pub(crate) use self::host::{ClosingLink, FIRST_RECONNECT_DELAY, Host, HostTable, Link};
 pub(crate) use self::pending_stops::{PendingStop, PendingStops};
 pub(crate) use self::request::{InFlightAttempt, Phase, Placement, Request, RequestTable};
 pub(crate) use self::task_end::{TaskEnd, TaskEnds};
--- a/crates/platform/tests/stops.rs
+++ b/crates/platform/tests/stops.rs
@@ -96,6 +96,29 @@
     }
 }
 
+/// A stop that waits for its link to be established is not confirmed by the close of that link, on which nothing was sent.
+#[test]
+fn a_stop_that_waited_for_a_link_which_is_closed_reaches_the_host() {
+    let mut world = running_tasks(1);
+    world.connect_delay = Some(200 * MS);
+    for link in world.open_links() {
+        world.process_input(Input::LinkDown {
+            link,
+            end: LinkEnd::Closed,
+            messages_begun: u64::MAX,
+        });
+    }
+    world.run(100 * MS);
+    world.cancel_request(1, 1);
+    assert_eq!(stops_of(&world, 1), [0; 0], "no link is established");
+    // The host has another address, so the link to the former one is closed.
+    let entry = host_entry("h-1", 9, "west", "active", 0);
+    world.process_input(Input::DiscoveryUpdate(watch_response(2, false, &[entry])));
+    world.run(STOP_LIMIT);
+    assert_eq!(stops_of(&world, 1).len(), 1);
+    assert!(world.running_tasks.is_empty());
+}
+
 /// Hosts forget links without a word: they get the stop on a link that they know.
 #[test]
 fn a_stop_sent_on_a_forgotten_link_reaches_the_host() {
