Test processes: a probed address is not kept in use by a process that is being started

Cause: free_address listened at an address to see whether it is free; a process that another thread starts at that moment inherits the socket until it executes its program.

Change: the probe binds for reuse and does not listen.

--- a/crates/test-processes/src/address.rs
+++ b/crates/test-processes/src/address.rs
@@ -1,9 +1,11 @@
 //! Addresses for processes that are configured with where to listen before they start.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use socket2::{Domain, Socket, Type};
+
 /// The port of every address; the hosts differ.
 const PORT: u16 = 4_710;
 /// Hosts that are tried at most.
@@ -24,8 +26,8 @@
     let process = std::process::id();
     for _ in 0..MAX_TRIES {
         let address = candidate(process, LAST.fetch_add(1, Ordering::Relaxed));
-        match TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
+        match probe(address) {
+            Ok(()) => return Ok(address),
             Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
             Err(error) => return Err(error),
         }
@@ -33,6 +35,14 @@
     Err(io::ErrorKind::AddrNotAvailable.into())
 }
 
+/// Checks that nothing listens at an address. The socket is bound and does not listen itself: a process that another thread is
+/// starting may hold it for a moment, and must not keep others from listening there.
+fn probe(address: SocketAddr) -> io::Result<()> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())
+}
+
 /// The n-th address of a process. Processes with near ids have different ones.
 fn candidate(process: u32, n: u32) -> SocketAddr {
     let net = FIRST_NET + (process % NETS) as u8;
