--- a/crates/system-tests/src/fleet.rs
+++ b/crates/system-tests/src/fleet.rs
@@ -124,6 +124,17 @@
     std::fs::rename(draft, path)
 }
 
+/// How often the removal of a folder is tried.
+const REMOVAL_TRIES: usize = 100;
+
+/// A removal is done if there was nothing to remove.
+fn ignore_missing(removed: io::Result<()>) -> Result<(), TrialError> {
+    match removed {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error.into()),
+        _ => Ok(()),
+    }
+}
+
 impl Fleet {
     /// A fleet without any process yet.
     ///
@@ -249,10 +260,14 @@
     /// Where its folder can't be removed.
     pub fn empty_node(&mut self, name: &str) -> Result<(), TrialError> {
         let folder = self.dir.path().join(format!("{name}.plans"));
-        match std::fs::remove_dir_all(folder) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error.into()),
-            _ => Ok(()),
+        // A node that runs may write a file there between the removal of the files and that of the folder.
+        for _ in 1..REMOVAL_TRIES {
+            match std::fs::remove_dir_all(&folder) {
+                Err(error) if error.kind() == io::ErrorKind::DirectoryNotEmpty => {}
+                removed => return ignore_missing(removed),
+            }
         }
+        ignore_missing(std::fs::remove_dir_all(&folder))
     }
 
     /// Changes the file of a node for its next start.
